--- /dev/null
+++ b/src/lacewingferry/core/events.cc
@@ -0,0 +1,41 @@
+#include "lacewingferry/core/events.h"
+
+#include "lacewingferry/core/errors.h"
+
+namespace lacewingferry {
+
+const char* EventName(EventCode code) {
+  switch (code) {
+    case EventCode::kProcessStarted:
+      return "process_started";
+    case EventCode::kProcessStopping:
+      return "process_stopping";
+    case EventCode::kProcessStopped:
+      return "process_stopped";
+    case EventCode::kListening:
+      return "listening";
+    case EventCode::kInternalError:
+      return "internal_error";
+    case EventCode::kMemberAnnounced:
+      return "member_announced";
+    case EventCode::kMemberLost:
+      return "member_lost";
+    case EventCode::kAnnouncementRejected:
+      return "announcement_rejected";
+    case EventCode::kViewPublished:
+      return "view_published";
+    case EventCode::kConnectionOpened:
+      return "connection_opened";
+    case EventCode::kConnectionLost:
+      return "connection_lost";
+    case EventCode::kRequestRefused:
+      return "request_refused";
+    case EventCode::kRequestUnknown:
+      return "request_unknown";
+    case EventCode::kPeerMessageRejected:
+      return "peer_message_rejected";
+  }
+  throw InternalError("event code without a name");
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/core/events.h
@@ -0,0 +1,47 @@
+#ifndef LACEWINGFERRY_CORE_EVENTS_H_
+#define LACEWINGFERRY_CORE_EVENTS_H_
+
+// Defines Event, a numbered entry of the logs and of the time line.
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lacewingferry {
+
+/** The number of each event. docs/EVENTS.md lists them; a test keeps the two
+ * equal. Numbers are never used again. */
+enum class EventCode : std::uint16_t {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kListening = 1004,
+  kInternalError = 1005,
+  kMemberAnnounced = 2001,
+  kMemberLost = 2002,
+  kAnnouncementRejected = 2003,
+  kViewPublished = 2101,
+  kConnectionOpened = 3001,
+  kConnectionLost = 3002,
+  kRequestRefused = 3101,
+  kRequestUnknown = 3102,
+  kPeerMessageRejected = 4001,
+};
+
+/** How serious an event is. */
+enum class EventLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+/** One entry of the log: a number and its named fields. */
+struct Event {
+  EventCode code = EventCode::kInternalError;
+  EventLevel level = EventLevel::kInfo;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/** The name of an event in the log, for example process_started. */
+const char* EventName(EventCode code);
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_CORE_EVENTS_H_
--- /dev/null
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -0,0 +1,40 @@
+#ifndef LACEWINGFERRY_CORE_MESSAGES_PEER_MESSAGE_H_
+#define LACEWINGFERRY_CORE_MESSAGES_PEER_MESSAGE_H_
+
+// Defines PeerMessage, any message between two processes of the system, with
+// its sender.
+
+#include <string>
+#include <variant>
+
+#include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/messages/consensus_messages.h"
+#include "lacewingferry/core/messages/forward_messages.h"
+#include "lacewingferry/core/messages/membership_messages.h"
+
+namespace lacewingferry {
+
+/** The messages by purpose. A codec numbers the alternatives by their order,
+ * so new ones are added at the end. */
+using PeerBody =
+    std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
+                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate>;
+
+/** A message with its sender. */
+struct PeerMessage {
+  NodeId from;
+  /** Where the sender takes answers. */
+  std::string from_url;
+  PeerBody body;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor&& visit) {
+    visit("from", self.from);
+    visit("from_url", self.from_url);
+    visit("body", self.body);
+  }
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_CORE_MESSAGES_PEER_MESSAGE_H_
