--- /dev/null
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -0,0 +1,370 @@
+#include "lacewingferry/adapters/yaml/document_walk.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <tuple>
+#include <utility>
+
+namespace lacewingferry::detail {
+namespace {
+
+constexpr std::size_t kLeastSecretCharacters = 16;
+constexpr std::size_t kMostSuggestedEdits = 3;
+constexpr std::uint64_t kGreatestPort = 65535;
+constexpr std::uint64_t kMostDurationUnits = 1000000000;
+
+/** A unit of time as settings write it. */
+struct DurationUnit {
+  const char* name;
+  std::chrono::milliseconds length;
+};
+
+constexpr DurationUnit kDurationUnits[] = {
+    {"ms", std::chrono::milliseconds(1)},
+    {"s", std::chrono::seconds(1)},
+    {"min", std::chrono::minutes(1)},
+    {"h", std::chrono::hours(1)},
+};
+
+Place PlaceOf(const std::string& file, const YAML::Mark& mark) {
+  if (mark.is_null()) {
+    return Place{file, 0, 0};
+  }
+  return Place{file, mark.line + 1, mark.column + 1};
+}
+
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<std::chrono::milliseconds> ParseDuration(
+    const std::string& text) {
+  const auto unit_start = std::find_if(
+      text.begin(), text.end(),
+      [](unsigned char letter) { return std::isdigit(letter) == 0; });
+  const std::optional<std::uint64_t> count =
+      ParseNumber(std::string(text.begin(), unit_start));
+  const std::string unit(unit_start, text.end());
+  if (!count || *count > kMostDurationUnits) {
+    return std::nullopt;
+  }
+  for (const DurationUnit& known : kDurationUnits) {
+    if (unit == known.name) {
+      return known.length * static_cast<std::int64_t>(*count);
+    }
+  }
+  return std::nullopt;
+}
+
+bool IsIpAddress(const std::string& host) {
+  in6_addr parsed{};
+  return inet_pton(AF_INET, host.c_str(), &parsed) == 1 ||
+         inet_pton(AF_INET6, host.c_str(), &parsed) == 1;
+}
+
+std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  const std::optional<std::uint64_t> port = ParseNumber(text.substr(colon + 1));
+  if (!IsIpAddress(host) || !port || *port == 0 || *port > kGreatestPort) {
+    return std::nullopt;
+  }
+  return Endpoint{host, static_cast<std::uint16_t>(*port)};
+}
+
+std::size_t EditDistance(const std::string& a, const std::string& b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) {
+    row[j] = j;
+  }
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+    }
+  }
+  return row[b.size()];
+}
+
+std::string SuggestKey(const std::string& wrong,
+                       std::initializer_list<const char*> known) {
+  const char* nearest = nullptr;
+  std::size_t least = kMostSuggestedEdits + 1;
+  for (const char* candidate : known) {
+    const std::size_t distance = EditDistance(wrong, candidate);
+    if (distance < least) {
+      least = distance;
+      nearest = candidate;
+    }
+  }
+  if (nearest == nullptr) {
+    return "";
+  }
+  return std::string(", did you mean '") + nearest + "'?";
+}
+
+}  // namespace
+
+DocumentWalk::DocumentWalk(const std::string& text, std::string path)
+    : file(std::move(path)) {
+  std::vector<YAML::Node> documents;
+  try {
+    documents = YAML::LoadAll(text);
+  } catch (const YAML::Exception& error) {
+    throw FindingsError({Finding{PlaceOf(this->file, error.mark),
+                                 "not valid YAML: " + error.msg}});
+  }
+  if (documents.empty()) {
+    throw FindingsError({Finding{Place{this->file, 0, 0}, "is empty"}});
+  }
+  if (documents.size() > 1) {
+    throw FindingsError({Finding{PlaceOf(this->file, documents[1].Mark()),
+                                 "a second document starts here"}});
+  }
+  this->root = documents.front();
+}
+
+void DocumentWalk::Note(const YAML::Node& node, const std::string& message) {
+  this->findings.push_back(Finding{PlaceOf(this->file, node.Mark()), message});
+}
+
+bool DocumentWalk::ExpectMapping(const YAML::Node& node,
+                                 const std::string& name,
+                                 std::initializer_list<const char*> known) {
+  if (!node.IsMap()) {
+    this->Note(node, name + " must be a mapping of keys to values");
+    return false;
+  }
+  std::set<std::string> seen;
+  for (const auto& entry : node) {
+    const std::string key =
+        entry.first.IsScalar() ? entry.first.Scalar() : "(not a text)";
+    const std::string quoted = "'" + key + "' in " + name;
+    if (!seen.insert(key).second) {
+      this->Note(entry.first, "key stands twice: " + quoted);
+    } else if (std::find(known.begin(), known.end(), key) == known.end()) {
+      this->Note(entry.first, "unknown key " + quoted + SuggestKey(key, known));
+    }
+  }
+  return true;
+}
+
+const YAML::Node* DocumentWalk::Find(const YAML::Node& mapping, const char* key,
+                                     Need need) {
+  for (const auto& entry : mapping) {
+    if (entry.first.IsScalar() && entry.first.Scalar() == key) {
+      this->found.push_back(std::make_unique<YAML::Node>(entry.second));
+      return this->found.back().get();
+    }
+  }
+  if (need == Need::kRequired) {
+    this->Note(mapping, std::string("required key '") + key + "' is missing");
+  }
+  return nullptr;
+}
+
+const YAML::Node* DocumentWalk::FindScalar(const YAML::Node& mapping,
+                                           const char* key, Need need,
+                                           std::string* text) {
+  const YAML::Node* node = this->Find(mapping, key, need);
+  if (node == nullptr) {
+    return nullptr;
+  }
+  if (!node->IsScalar()) {
+    this->Note(*node, std::string("'") + key + "' must be a single value");
+    return nullptr;
+  }
+  *text = node->Scalar();
+  return node;
+}
+
+void DocumentWalk::ReadText(const YAML::Node& mapping, const char* key,
+                            Need need, std::string* target) {
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  if (text.empty()) {
+    this->Note(*node, std::string("'") + key + "' must not be empty");
+    return;
+  }
+  *target = text;
+}
+
+void DocumentWalk::ReadName(const YAML::Node& mapping, const char* key,
+                            Need need, std::string* target) {
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  const bool valid =
+      !text.empty() &&
+      std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' ||
+               letter == '.';
+      });
+  if (!valid) {
+    this->Note(*node, std::string("'") + key +
+                          "' must be a name of letters, digits, '-', '_' and "
+                          "'.', not '" +
+                          text + "'");
+    return;
+  }
+  *target = text;
+}
+
+void DocumentWalk::ReadNumber(const YAML::Node& mapping, const char* key,
+                              Need need, std::uint64_t least,
+                              std::uint64_t most, std::uint64_t* target) {
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  const std::optional<std::uint64_t> number = ParseNumber(text);
+  if (!number || *number < least || *number > most) {
+    this->Note(*node, std::string("'") + key +
+                          "' must be a whole number from " +
+                          std::to_string(least) + " to " +
+                          std::to_string(most) + ", not '" + text + "'");
+    return;
+  }
+  *target = *number;
+}
+
+void DocumentWalk::ReadDuration(const YAML::Node& mapping, const char* key,
+                                Need need, std::chrono::milliseconds* target) {
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  const std::optional<std::chrono::milliseconds> duration = ParseDuration(text);
+  if (!duration) {
+    this->Note(*node, std::string("'") + key +
+                          "' must be a duration with its unit, for example "
+                          "250ms, 2s, 1min or 1h, not '" +
+                          text + "'");
+    return;
+  }
+  *target = *duration;
+}
+
+void DocumentWalk::ReadSecret(const YAML::Node& mapping, const char* key,
+                              std::string* target) {
+  std::string text;
+  const YAML::Node* node =
+      this->FindScalar(mapping, key, Need::kRequired, &text);
+  if (node == nullptr) {
+    return;
+  }
+  if (text.size() < kLeastSecretCharacters) {
+    this->Note(*node, std::string("'") + key + "' must have at least " +
+                          std::to_string(kLeastSecretCharacters) +
+                          " characters, not " + std::to_string(text.size()));
+    return;
+  }
+  *target = text;
+}
+
+void DocumentWalk::ReadEndpoint(const YAML::Node& mapping, const char* key,
+                                Need need, Endpoint* target) {
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  if (!endpoint) {
+    this->Note(*node, std::string("'") + key +
+                          "' must be IP:PORT with a port from 1 to 65535, "
+                          "not '" +
+                          text + "'");
+    return;
+  }
+  *target = *endpoint;
+}
+
+void DocumentWalk::ReadPeerUrl(const YAML::Node& mapping, const char* key,
+                               Need need, std::string* target) {
+  static const std::string kScheme = "tcp://";
+  std::string text;
+  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
+  if (node == nullptr) {
+    return;
+  }
+  const bool has_scheme = text.compare(0, kScheme.size(), kScheme) == 0;
+  if (!has_scheme || !ParseEndpoint(text.substr(kScheme.size()))) {
+    this->Note(*node, std::string("'") + key +
+                          "' must be tcp://IP:PORT by IP number with a port "
+                          "from 1 to 65535, not '" +
+                          text + "'");
+    return;
+  }
+  *target = text;
+}
+
+void DocumentWalk::ReadSequence(
+    const YAML::Node& mapping, const char* key, Need need,
+    const std::function<void(const YAML::Node&)>& each) {
+  const YAML::Node* node = this->Find(mapping, key, need);
+  if (node == nullptr) {
+    return;
+  }
+  if (!node->IsSequence()) {
+    this->Note(*node, std::string("'") + key + "' must be a list");
+    return;
+  }
+  for (const YAML::Node& item : *node) {
+    each(item);
+  }
+}
+
+void DocumentWalk::ThrowFindings() {
+  if (this->findings.empty()) {
+    return;
+  }
+  std::stable_sort(this->findings.begin(), this->findings.end(),
+                   [](const Finding& a, const Finding& b) {
+                     return std::tie(a.place.line, a.place.column) <
+                            std::tie(b.place.line, b.place.column);
+                   });
+  throw FindingsError(this->findings);
+}
+
+std::string ReadWholeFile(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) {
+    throw FindingsError({Finding{Place{path, 0, 0}, "can't be read"}});
+  }
+  return std::string(std::istreambuf_iterator<char>(stream),
+                     std::istreambuf_iterator<char>());
+}
+
+}  // namespace lacewingferry::detail
