--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -163,7 +163,8 @@
   for (const auto& entry : node) {
     const std::string key =
         entry.first.IsScalar() ? entry.first.Scalar() : "(not a text)";
-    const std::string quoted = "'" + key + "' in " + name;
+    std::string quoted = "'" + key + "' in ";
+    quoted += name;
     if (!seen.insert(key).second) {
       this->Note(entry.first, "key stands twice: " + quoted);
     } else if (std::find(known.begin(), known.end(), key) == known.end()) {
--- a/src/lacewingferry/adapters/yaml/settings_parts.cc
+++ b/src/lacewingferry/adapters/yaml/settings_parts.cc
@@ -24,7 +24,7 @@
     walk->ReadId(item, "id", Need::kRequired, &peer.id);
     walk->ReadPeerUrl(item, "url", Need::kRequired, &peer.url);
     if (!peer.id.Empty() && !seen.insert(peer.id).second) {
-      walk->Note(item,
+      walk->Note(*walk->Find(item, "id", Need::kRequired),
                  "id '" + peer.id.Value() + "' stands twice in '" + key + "'");
     }
     peers.push_back(peer);
