Add release notes: types, decisions, YAML form and property tests

A note is accepted only against the revision in force, so that the history is linear and a note is applied at most once, however late a resend arrives; the kept notes (4,096 accepted, 256 without effect) only serve to give a resend its first answer. A withdrawn name comes back only as the next generation. Weighed against keeping all withdrawn names for ever: 8,192 names of a kind are kept, and the highest generation of the forgotten ones stands for the rest, so that the rule holds with bounded state. A rejected note binds its identifier to nothing, so that it can be mended and sent again. A proxy takes single notes or the whole, since the whole at every change would exceed the target's 3 KB a second at 1,000 nodes.

--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -10,30 +10,17 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <tuple>
 #include <utility>
 
+#include "lacewingferry/core/duration_text.h"
+
 namespace lacewingferry::detail {
 namespace {
 
 constexpr std::size_t kLeastSecretCharacters = 16;
 constexpr std::size_t kMostSuggestedEdits = 3;
 constexpr std::uint64_t kGreatestPort = 65535;
-constexpr std::uint64_t kMostDurationUnits = 1000000000;
-
-/** A unit of time as settings write it. */
-struct DurationUnit {
-  const char* name;
-  std::chrono::milliseconds length;
-};
-
-constexpr DurationUnit kDurationUnits[] = {
-    {"ms", std::chrono::milliseconds(1)},
-    {"s", std::chrono::seconds(1)},
-    {"min", std::chrono::minutes(1)},
-    {"h", std::chrono::hours(1)},
-};
 
 Place PlaceOf(const std::string& file, const YAML::Mark& mark) {
   if (mark.is_null()) {
@@ -52,23 +39,12 @@
   return number;
 }
 
-std::optional<std::chrono::milliseconds> ParseDuration(
-    const std::string& text) {
-  const auto unit_start = std::find_if(
-      text.begin(), text.end(),
-      [](unsigned char letter) { return std::isdigit(letter) == 0; });
-  const std::optional<std::uint64_t> count =
-      ParseNumber(std::string(text.begin(), unit_start));
-  const std::string unit(unit_start, text.end());
-  if (!count || *count > kMostDurationUnits) {
-    return std::nullopt;
-  }
-  for (const DurationUnit& known : kDurationUnits) {
-    if (unit == known.name) {
-      return known.length * static_cast<std::int64_t>(*count);
-    }
-  }
-  return std::nullopt;
+bool IsName(const std::string& text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+           return std::isalnum(letter) != 0 || letter == '-' || letter == '_' ||
+                  letter == '.';
+         });
 }
 
 bool IsIpAddress(const std::string& host) {
@@ -219,25 +195,28 @@
 
 void DocumentWalk::ReadName(const YAML::Node& mapping, const char* key,
                             Need need, std::string* target) {
-  std::string text;
-  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
-  if (node == nullptr) {
-    return;
+  const YAML::Node* node = this->Find(mapping, key, need);
+  if (node != nullptr) {
+    this->ReadItemName(*node, std::string("'") + key + "'", target);
   }
-  const bool valid =
-      !text.empty() &&
-      std::all_of(text.begin(), text.end(), [](unsigned char letter) {
-        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' ||
-               letter == '.';
-      });
-  if (!valid) {
-    this->Note(*node, std::string("'") + key +
-                          "' must be a name of letters, digits, '-', '_' and "
-                          "'.', not '" +
-                          text + "'");
-    return;
+}
+
+void DocumentWalk::ReadItemName(const YAML::Node& item, const std::string& name,
+                                std::string* target) {
+  if (!item.IsScalar()) {
+    this->Note(item, name + " must be a single value");
+  } else if (!IsName(item.Scalar())) {
+    this->Note(item, name +
+                         " must be a name of letters, digits, '-', '_' and "
+                         "'.', not '" +
+                         item.Scalar() + "'");
+  } else {
+    *target = item.Scalar();
   }
-  *target = text;
+}
+
+Place DocumentWalk::PlaceOfNode(const YAML::Node& node) const {
+  return PlaceOf(this->file, node.Mark());
 }
 
 void DocumentWalk::ReadNumber(const YAML::Node& mapping, const char* key,
--- a/src/lacewingferry/adapters/yaml/document_walk.h
+++ b/src/lacewingferry/adapters/yaml/document_walk.h
@@ -83,6 +83,18 @@
     *target = Id(text);
   }
 
+  /** Reads an identifier that is a sequence's item; name says what it is in
+   * findings. */
+  template <typename Id>
+  void ReadItemId(const YAML::Node& item, const std::string& name, Id* target) {
+    std::string text;
+    this->ReadItemName(item, name, &text);
+    *target = Id(text);
+  }
+
+  /** The place of a node's start. */
+  Place PlaceOfNode(const YAML::Node& node) const;
+
   /** Throws FindingsError if anything was noted, in the order of places. */
   void ThrowFindings();
 
@@ -91,6 +103,8 @@
                                Need need, std::string* text);
   void ReadName(const YAML::Node& mapping, const char* key, Need need,
                 std::string* target);
+  void ReadItemName(const YAML::Node& item, const std::string& name,
+                    std::string* target);
 
   std::string file;
   YAML::Node root;
--- /dev/null
+++ b/src/lacewingferry/core/duration_text.h
@@ -0,0 +1,18 @@
+#ifndef LACEWINGFERRY_CORE_DURATION_TEXT_H_
+#define LACEWINGFERRY_CORE_DURATION_TEXT_H_
+
+// Defines ParseDuration, which reads a duration as users write it.
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace lacewingferry {
+
+/** Reads a whole number with its unit: ms, s, min or h, for example 250ms.
+ * Returns nothing for any other text and for more than 10^9 units. */
+std::optional<std::chrono::milliseconds> ParseDuration(const std::string& text);
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_CORE_DURATION_TEXT_H_
