--- a/tests/correctness/note_history_test.cc
+++ b/tests/correctness/note_history_test.cc
@@ -10,6 +10,7 @@
 #include "lacewingferry/decisions/configuration/configuration_state.h"
 #include "lacewingferry/decisions/configuration/item_changes.h"
 #include "lacewingferry/decisions/configuration/note_in_force.h"
+#include "lacewingferry/decisions/configuration/note_judgement.h"
 #include "tests/support/note_samples.h"
 
 namespace lacewingferry {
@@ -131,6 +132,7 @@
   CPPUNIT_TEST(BringsNoWithdrawnNameBack);
   CPPUNIT_TEST(AnswersConflictsAndResendsFromTheHistory);
   CPPUNIT_TEST(IsTheSameFromASnapshotAndFromReplay);
+  CPPUNIT_TEST(TakesNoLogEntryTwice);
   CPPUNIT_TEST(IsNeverRevertedAtAProxy);
   CPPUNIT_TEST(IsPrintedAsANoteThatGivesTheSameState);
   CPPUNIT_TEST_SUITE_END();
@@ -208,9 +210,24 @@
         restored.Apply({run.submitted[i], {}}, i + 1);
       }
       RC_ASSERT(Encoded(restored.Current()) == Encoded(run.state.Current()));
+      for (const ReleaseNote& note : run.submitted) {
+        RC_ASSERT(detail::EncodeFields(JudgeNote(note, restored.Current())) ==
+                  detail::EncodeFields(JudgeNote(note, run.state.Current())));
+      }
     }));
   }
 
+  void TakesNoLogEntryTwice() {
+    ConfigurationState state;
+    state.Apply({FirstNote(), {}}, 5);
+    ReleaseNote second = EmptyNote("second", 1);
+    second.added.proxies = {SampleProxy(3)};
+    state.Apply({second, {}}, 5);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.Current().in_force.revision);
+    state.Apply({second, {}}, 6);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.Current().in_force.revision);
+  }
+
   void IsNeverRevertedAtAProxy() {
     CPPUNIT_ASSERT(rc::check([] {
       const Run run = MakeRun();
