Serve a statement from end to end: proxy, traffic decisions, libpq, nng, HTTP

The path of a request: HTTP and JSON at the caller's side, DatabaseTraffic decides, the owner of the member's slots runs it over libpq in pipeline mode, the answer is held back until a majority has the write. Decisions take the present as an argument and act through std::function hooks.

--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -36,7 +36,7 @@
 struct Event {
   EventCode code = EventCode::kInternalError;
   EventLevel level = EventLevel::kInfo;
-  std::vector<std::pair<std::string, std::string>> fields;
+  std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 /** The name of an event in the log, for example process_started. */
--- a/src/lacewingferry/core/messages/forward_messages.h
+++ b/src/lacewingferry/core/messages/forward_messages.h
@@ -35,11 +35,13 @@
 /** The answer to a ForwardRequest. */
 struct ForwardReply {
   std::uint64_t forward_id = 0;
+  DatabaseId database;
   Outcome outcome;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("forward_id", self.forward_id);
+    visit("database", self.database);
     visit("outcome", self.outcome);
   }
 };
--- a/src/lacewingferry/core/messages/membership_messages.h
+++ b/src/lacewingferry/core/messages/membership_messages.h
@@ -18,6 +18,10 @@
   MemberInfo info;
   /** Whether the member believes that it is its database's primary. */
   bool primary = false;
+  /** The highest term that the member was told. */
+  std::uint64_t term = 0;
+  /** Where the member streams its log to replicas. */
+  Endpoint replication_endpoint;
   /** The newest position that the member's log holds. */
   LogPosition position;
   /** Rises with each announcement of one run of the member. */
@@ -29,6 +33,8 @@
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("info", self.info);
     visit("primary", self.primary);
+    visit("term", self.term);
+    visit("replication_endpoint", self.replication_endpoint);
     visit("position", self.position);
     visit("sequence", self.sequence);
     visit("incarnation", self.incarnation);
--- a/src/lacewingferry/core/routing_view.h
+++ b/src/lacewingferry/core/routing_view.h
@@ -101,6 +101,9 @@
   /** The primary of the term; empty while there is none. */
   MemberId primary;
   std::vector<RoutedMember> members;
+  /** How many members the database has when whole; a majority is counted of
+   * these, whether or not they are up. */
+  std::uint32_t group_size = 3;
   /** The staleness that a read takes when its caller states none; no value
    * asks for the session's view. */
   std::optional<std::chrono::milliseconds> default_max_age;
--- /dev/null
+++ b/src/lacewingferry/decisions/membership/announcement_check.cc
@@ -0,0 +1,55 @@
+#include "lacewingferry/decisions/membership/announcement_check.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+#include "lacewingferry/core/errors.h"
+
+namespace lacewingferry {
+namespace {
+
+constexpr std::size_t kLongestName = 128;
+constexpr std::uint32_t kMostSlots = 10000;
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kLongestName &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+void RequireName(const char* what, const std::string& value,
+                 std::string& problems) {
+  if (IsName(value)) return;
+  problems += std::string(what) + " '" + value.substr(0, kLongestName) +
+              "' is not a name of letters, digits, '-', '_' and '.'; ";
+}
+
+}  // namespace
+
+void CheckAnnouncement(const MemberAnnouncement& announcement) {
+  const MemberInfo& info = announcement.info;
+  std::string problems;
+  RequireName("member", info.id.Value(), problems);
+  RequireName("database", info.database.Value(), problems);
+  RequireName("group", info.group.Value(), problems);
+  RequireName("zone", info.zone.Value(), problems);
+  RequireName("host", info.endpoint.host, problems);
+  if (info.endpoint.port == 0) problems += "port 0 can't be connected to; ";
+  if (info.slots == 0 || info.slots > kMostSlots) {
+    problems += "slots " + std::to_string(info.slots) + " is not within 1 to " +
+                std::to_string(kMostSlots) + "; ";
+  }
+  if (announcement.position.term > announcement.term) {
+    problems += "position's term " +
+                std::to_string(announcement.position.term) +
+                " is after the member's term " +
+                std::to_string(announcement.term) + "; ";
+  }
+  if (problems.empty()) return;
+  problems.resize(problems.size() - 2);
+  throw UserError("announcement rejected: " + problems);
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/ownership/slot_owners.cc
@@ -0,0 +1,70 @@
+#include "lacewingferry/decisions/ownership/slot_owners.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace lacewingferry {
+namespace {
+
+/** With two owners a member outlives the death of one proxy. */
+constexpr std::size_t kOwnersPerMember = 2;
+
+std::uint64_t HashText(std::uint64_t hash, const std::string& text) {
+  constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+  for (const char c : text) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kFnvPrime;
+  }
+  return hash;
+}
+
+/** Spreads the bits of an FNV hash, whose high bits hardly depend on the last
+ * characters. */
+std::uint64_t MixBits(std::uint64_t hash) {
+  hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdULL;
+  hash = (hash ^ (hash >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
+  return hash ^ (hash >> 33U);
+}
+
+std::uint64_t RendezvousWeight(const MemberId& member, const NodeId& proxy) {
+  constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+  return MixBits(
+      HashText(HashText(kFnvOffset, member.Value()) ^ '/', proxy.Value()));
+}
+
+std::vector<NodeId> RankedCandidates(const MemberInfo& member,
+                                     const std::vector<ProxyInfo>& proxies,
+                                     bool own_zone_only) {
+  std::vector<std::pair<std::uint64_t, NodeId>> ranked;
+  for (const ProxyInfo& proxy : proxies) {
+    if (proxy.draining) continue;
+    if (own_zone_only && proxy.zone != member.zone) continue;
+    ranked.emplace_back(RendezvousWeight(member.id, proxy.id), proxy.id);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<NodeId> ids;
+  for (auto& entry : ranked) ids.push_back(std::move(entry.second));
+  return ids;
+}
+
+}  // namespace
+
+std::vector<SlotShare> AssignSlotOwners(const MemberInfo& member,
+                                        const std::vector<ProxyInfo>& proxies) {
+  std::vector<NodeId> candidates = RankedCandidates(member, proxies, true);
+  if (candidates.empty()) {
+    candidates = RankedCandidates(member, proxies, false);
+  }
+  const std::size_t owners = std::min({candidates.size(), kOwnersPerMember,
+                                       static_cast<std::size_t>(member.slots)});
+  std::vector<SlotShare> shares;
+  for (std::size_t i = 0; i < owners; ++i) {
+    const auto base = static_cast<std::uint32_t>(member.slots / owners);
+    const std::uint32_t extra = i < member.slots % owners ? 1 : 0;
+    shares.push_back(SlotShare{candidates[i], base + extra});
+  }
+  return shares;
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/ownership/slot_owners.h
@@ -0,0 +1,23 @@
+#ifndef LACEWINGFERRY_DECISIONS_OWNERSHIP_SLOT_OWNERS_H_
+#define LACEWINGFERRY_DECISIONS_OWNERSHIP_SLOT_OWNERS_H_
+
+// Defines how the slots of a member are shared among proxies.
+
+#include <vector>
+
+#include "lacewingferry/core/routing_view.h"
+
+namespace lacewingferry {
+
+/**
+ * Shares the slots of a member between the proxies that hold its connections:
+ * the two of the member's own zone that rank first for it, or those of all
+ * zones if its own has none. The first gets the larger share. The shares add
+ * up to the member's slots at the most.
+ */
+std::vector<SlotShare> AssignSlotOwners(const MemberInfo& member,
+                                        const std::vector<ProxyInfo>& proxies);
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_OWNERSHIP_SLOT_OWNERS_H_
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -0,0 +1,141 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
+
+// Defines MemberExecutor, which runs requests on a proxy's own connections to
+// one member.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "lacewingferry/core/events.h"
+#include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/decisions/traffic/job_queue.h"
+#include "lacewingferry/decisions/traffic/statement_batch.h"
+#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/ports/event_port.h"
+#include "lacewingferry/ports/member_port.h"
+
+namespace lacewingferry {
+
+/** What a MemberExecutor acts through. */
+struct ExecutorHooks {
+  MemberPort port;
+  EventPort events;
+  /** A number for a new connection. */
+  std::function<ConnectionId()> next_connection;
+  /** A name for a new transaction. */
+  std::function<TransactionId()> next_transaction;
+};
+
+/**
+ * Keeps at most this proxy's share of the member's slots, opened ahead of
+ * need, and runs one request at a time on each. A transaction keeps its
+ * connection to itself. A connection whose state is in doubt is closed.
+ */
+class MemberExecutor {
+ public:
+  MemberExecutor(ExecutorHooks hooks, std::string status_sql);
+
+  /** Takes the member's current entry and this proxy's share of its slots.
+   * Connections above the share close as they fall idle. */
+  void Configure(std::chrono::steady_clock::time_point now,
+                 const MemberInfo& info, std::uint32_t share, bool primary,
+                 std::uint64_t term, std::uint32_t group_size);
+
+  /** Takes that the member is gone: refuses what waits and closes idle
+   * connections. */
+  void Withdraw(std::chrono::steady_clock::time_point now);
+
+  /** Runs a request or queues it until a connection is free. */
+  void Submit(std::chrono::steady_clock::time_point now, Job job);
+
+  /** The events of this executor's connections. */
+  void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
+  void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
+              ConnectionFailure failure);
+  void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   const BatchResult& result);
+
+  /** Does what is due. */
+  void OnTick(std::chrono::steady_clock::time_point now);
+
+  /** When OnTick has to be called next. */
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
+
+  /** Whether a connection is this executor's. */
+  bool Owns(ConnectionId id) const { return this->connections.count(id) > 0; }
+
+  /** Requests that wait, run or await confirmation. */
+  std::size_t Unfinished() const;
+
+  /** Open transactions. */
+  std::size_t OpenTransactions() const { return this->transactions.size(); }
+
+  /** Connections that exist, also those being opened. */
+  std::size_t Connections() const { return this->connections.size(); }
+
+ private:
+  enum class State : std::uint8_t { kOpening, kIdle, kBusy, kPinned };
+  struct Connection {
+    State state = State::kOpening;
+    std::optional<Job> job;
+    StatementBatch batch;
+    TransactionId transaction;
+    /** The batch only asks for the primary's status or cleans up. */
+    bool internal = false;
+  };
+
+  struct Awaiting {
+    Job job;
+    Answered answer;
+  };
+
+  void OpenMissing(std::chrono::steady_clock::time_point now);
+  void Dispatch(std::chrono::steady_clock::time_point now);
+  void Run(ConnectionId id, Connection& connection, Job job);
+  void RunInternal(ConnectionId id, Connection& connection, SqlBatch batch);
+  void Release(std::chrono::steady_clock::time_point now, ConnectionId id);
+  void CloseConnection(ConnectionId id);
+  void FinishRead(const Connection& connection, const Job& job,
+                  const BatchResult& result);
+  void FinishWrite(std::chrono::steady_clock::time_point now,
+                   const Connection& connection, const Job& job,
+                   const BatchResult& result);
+  void FinishInTransaction(Connection& connection, const Job& job,
+                           const BatchResult& result);
+  void FinishFailed(const Connection& connection, const Job& job,
+                    const BatchResult& result);
+  void SubmitInTransaction(Job job);
+  void AwaitConfirmation(const Job& job, Answered answer);
+  void OnConfirmed(std::uint64_t waiting_id, Confirmation confirmation);
+  void ExpireAwaiting(std::chrono::steady_clock::time_point now);
+  void PollPrimary(std::chrono::steady_clock::time_point now);
+  void TakeStatus(const BatchResult& result, std::size_t place);
+  void ReplyNotRun(const Job& job, RefusalCode code, std::string detail);
+  std::map<ConnectionId, Connection>::iterator FindIdle();
+
+  ExecutorHooks hooks;
+  std::string status_sql;
+  MemberInfo info;
+  std::uint32_t share = 0;
+  bool primary = false;
+  std::uint64_t term = 0;
+  JobQueue queue;
+  WriteConfirmer confirmer;
+  std::map<ConnectionId, Connection> connections;
+  std::map<TransactionId, ConnectionId> transactions;
+  std::chrono::steady_clock::time_point reopen_at;
+  std::chrono::steady_clock::time_point next_poll;
+  bool polling = false;
+  std::map<std::uint64_t, Awaiting> awaiting;
+  std::uint64_t next_waiting_id = 1;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -0,0 +1,73 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_SHARD_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_SHARD_H_
+
+// Defines TrafficShard, the databases that one traffic thread serves.
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "lacewingferry/decisions/traffic/database_traffic.h"
+
+namespace lacewingferry {
+
+/** Owns the DatabaseTraffic of every database of one thread, passes each event
+ * to the one that it concerns, and keeps the time at which each is due. */
+class TrafficShard {
+ public:
+  /** next_connection of the hooks is filled in here. Databases whose hash
+   * modulo count is index belong to this shard. */
+  TrafficShard(TrafficHooks hooks, TrafficSettings settings, std::size_t index,
+               std::size_t count);
+
+  /** The shard of a database among count shards. */
+  static std::size_t IndexOf(const DatabaseId& database, std::size_t count);
+
+  void OnView(std::chrono::steady_clock::time_point now,
+              const RoutingViewPtr& view);
+  void Submit(std::chrono::steady_clock::time_point now,
+              StatementRequest request, ReplyHook reply);
+  void OnForward(std::chrono::steady_clock::time_point now, const NodeId& from,
+                 const ForwardRequest& forward);
+  void OnForwardReply(std::chrono::steady_clock::time_point now,
+                      const NodeId& from, const ForwardReply& reply);
+  void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
+  void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
+              ConnectionFailure failure);
+  void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   const BatchResult& result);
+  void OnTick(std::chrono::steady_clock::time_point now);
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
+
+  std::size_t Unfinished() const;
+  std::size_t OpenTransactions() const;
+  std::size_t Connections() const;
+
+ private:
+  using Entry = std::unique_ptr<DatabaseTraffic>;
+
+  DatabaseTraffic* Find(const DatabaseId& database);
+  void Reschedule(const DatabaseId& database, const DatabaseTraffic& traffic);
+  template <typename Action>
+  void OnConnection(ConnectionId id, Action action);
+  template <typename Counter>
+  std::size_t Sum(Counter counter) const;
+
+  TrafficHooks hooks;
+  TrafficSettings settings;
+  std::size_t index;
+  std::size_t count;
+  ConnectionId next_connection;
+  std::unordered_map<DatabaseId, Entry> databases;
+  std::unordered_map<ConnectionId, DatabaseId> connections;
+  std::unordered_map<DatabaseId, std::chrono::steady_clock::time_point> due_at;
+  std::set<std::pair<std::chrono::steady_clock::time_point, DatabaseId>> due;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_SHARD_H_
