--- /dev/null
+++ b/standin/replication_server.h
@@ -0,0 +1,51 @@
+#ifndef STANDIN_REPLICATION_SERVER_H_
+#define STANDIN_REPLICATION_SERVER_H_
+
+// Defines ReplicationServer, which accepts the replicas' connections.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "lacewingferry/core/routing_view.h"
+#include "standin/replica_stream.h"
+
+namespace lacewingferry::standin {
+
+/** Accepts replicas and streams the log to them. */
+class ReplicationServer {
+ public:
+  /** Listens; port 0 takes a free one. Throws boost::system::system_error. */
+  ReplicationServer(boost::asio::io_context& context, const Endpoint& endpoint,
+                    ReplicaStreamHooks stream_hooks);
+
+  /** The port that replicas connect to. */
+  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+
+  /** Sends newly appended entries to every replica. */
+  void Notify();
+
+  /** Closes the connections of all replicas, which may connect again. */
+  void DropReplicas();
+
+  /** Stops listening and closes all connections. */
+  void Stop();
+
+  /** The open streams whose replica acknowledged in a term. */
+  std::vector<std::shared_ptr<ReplicaStream>> Replicas(
+      std::uint64_t term) const;
+
+ private:
+  void Accept();
+
+  boost::asio::io_context& io;
+  boost::asio::ip::tcp::acceptor acceptor;
+  ReplicaStreamHooks hooks;
+  std::vector<std::shared_ptr<ReplicaStream>> streams;
+};
+
+}  // namespace lacewingferry::standin
+
+#endif  // STANDIN_REPLICATION_SERVER_H_
