--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -245,15 +245,14 @@
   if (node == nullptr) {
     return;
   }
-  const std::optional<std::chrono::milliseconds> duration = ParseDuration(text);
-  if (!duration) {
+  try {
+    *target = ParseDuration(text);
+  } catch (const UserError&) {
     this->Note(*node, std::string("'") + key +
                           "' must be a duration with its unit, for example "
-                          "250ms, 2s, 1min or 1h, not '" +
+                          "250ms, 2s or 1min, not '" +
                           text + "'");
-    return;
   }
-  *target = *duration;
 }
 
 void DocumentWalk::ReadSecret(const YAML::Node& mapping, const char* key,
--- a/src/lacewingferry/core/duration_text.cc
+++ b/src/lacewingferry/core/duration_text.cc
@@ -1,49 +1,45 @@
 #include "lacewingferry/core/duration_text.h"
 
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <cstdint>
+#include <string_view>
+
+#include "lacewingferry/core/errors.h"
 
 namespace lacewingferry {
 namespace {
 
-constexpr std::int64_t kMostUnits = 1000000000;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLongest = std::chrono::hours(24 * 365);
 
-/** A unit of time as users write it. */
-struct DurationUnit {
-  const char* name;
-  std::chrono::milliseconds length;
-};
+[[noreturn]] void Reject(const std::string& text) {
+  throw UserError("'" + text + "' is not a duration such as 250ms, 2s or 1min");
+}
 
-constexpr DurationUnit kUnits[] = {
-    {"ms", std::chrono::milliseconds(1)},
-    {"s", std::chrono::seconds(1)},
-    {"min", std::chrono::minutes(1)},
-    {"h", std::chrono::hours(1)},
-};
+milliseconds UnitOf(std::string_view unit, const std::string& text) {
+  if (unit == "ms") return milliseconds(1);
+  if (unit == "s") return std::chrono::seconds(1);
+  if (unit == "min") return std::chrono::minutes(1);
+  Reject(text);
+}
 
 }  // namespace
 
-std::optional<std::chrono::milliseconds> ParseDuration(
-    const std::string& text) {
-  if (text.empty() || std::isdigit(static_cast<unsigned char>(text[0])) == 0) {
-    return std::nullopt;
-  }
-  std::int64_t count = 0;
+milliseconds ParseDuration(const std::string& text) {
+  std::uint32_t count = 0;
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, count);
-  if (parsed.ec != std::errc() || count > kMostUnits) {
-    return std::nullopt;
-  }
-  const std::string unit(parsed.ptr, end);
-  const auto* known =
-      std::find_if(std::begin(kUnits), std::end(kUnits),
-                   [&](const DurationUnit& each) { return unit == each.name; });
-  if (known == std::end(kUnits)) {
-    return std::nullopt;
-  }
-  return known->length * count;
+  if (parsed.ec != std::errc()) Reject(text);
+  const milliseconds unit = UnitOf(
+      std::string_view(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr)),
+      text);
+  if (count > kLongest / unit) Reject(text);
+  return count * unit;
+}
+
+std::string FormatDuration(milliseconds duration) {
+  return std::to_string(duration.count()) + "ms";
 }
 
 }  // namespace lacewingferry
