--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -14,13 +14,13 @@
 #include <utility>
 
 #include "lacewingferry/core/duration_text.h"
+#include "lacewingferry/core/endpoint_text.h"
 
 namespace lacewingferry::detail {
 namespace {
 
 constexpr std::size_t kLeastSecretCharacters = 16;
 constexpr std::size_t kMostSuggestedEdits = 3;
-constexpr std::uint64_t kGreatestPort = 65535;
 
 Place PlaceOf(const std::string& file, const YAML::Mark& mark) {
   if (mark.is_null()) {
@@ -53,20 +53,12 @@
          inet_pton(AF_INET6, host.c_str(), &parsed) == 1;
 }
 
-std::optional<Endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+std::optional<Endpoint> ParseIpEndpoint(const std::string& text) {
+  std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  if (endpoint && !IsIpAddress(endpoint->host)) {
     return std::nullopt;
   }
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::optional<std::uint64_t> port = ParseNumber(text.substr(colon + 1));
-  if (!IsIpAddress(host) || !port || *port == 0 || *port > kGreatestPort) {
-    return std::nullopt;
-  }
-  return Endpoint{host, static_cast<std::uint16_t>(*port)};
+  return endpoint;
 }
 
 std::size_t EditDistance(const std::string& a, const std::string& b) {
@@ -279,7 +271,7 @@
   if (node == nullptr) {
     return;
   }
-  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  const std::optional<Endpoint> endpoint = ParseIpEndpoint(text);
   if (!endpoint) {
     this->Note(*node, std::string("'") + key +
                           "' must be IP:PORT with a port from 1 to 65535, "
@@ -299,7 +291,7 @@
     return;
   }
   const bool has_scheme = text.compare(0, kScheme.size(), kScheme) == 0;
-  if (!has_scheme || !ParseEndpoint(text.substr(kScheme.size()))) {
+  if (!has_scheme || !ParseIpEndpoint(text.substr(kScheme.size()))) {
     this->Note(*node, std::string("'") + key +
                           "' must be tcp://IP:PORT by IP number with a port "
                           "from 1 to 65535, not '" +
--- /dev/null
+++ b/src/lacewingferry/app/operator_command.h
@@ -0,0 +1,53 @@
+#ifndef LACEWINGFERRY_APP_OPERATOR_COMMAND_H_
+#define LACEWINGFERRY_APP_OPERATOR_COMMAND_H_
+
+// Defines OperatorCommand, what the command line of ferryctl asks for.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lacewingferry/core/routing_view.h"
+
+namespace lacewingferry {
+
+/** The subcommands. */
+enum class OperatorAction : std::uint8_t {
+  /** Print the message and end: help or the version. */
+  kPrint,
+  kCheck,
+  kDiff,
+  kApply,
+  kShow,
+  kHistory,
+  kStatus,
+  kTimeline,
+};
+
+/** How results are printed. */
+enum class OutputFormat : std::uint8_t { kText, kJson, kSvg };
+
+/** A command line. */
+struct OperatorCommand {
+  OperatorAction action = OperatorAction::kPrint;
+  /** What kPrint prints. */
+  std::string message;
+  std::string note_path;
+  std::vector<Endpoint> controls;
+  std::string operator_name;
+  std::string secret_path;
+  OutputFormat format = OutputFormat::kText;
+  /** How long apply waits until the note is in force everywhere; 0 for not at
+   * all. */
+  std::chrono::milliseconds wait{0};
+  /** Log files for the time line. */
+  std::vector<std::string> log_paths;
+};
+
+/** Reads a command line. Throws UserError for a wrong one. */
+OperatorCommand ParseOperatorCommand(int argc, const char* const* argv);
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_APP_OPERATOR_COMMAND_H_
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -34,6 +34,20 @@
       return "request_unknown";
     case EventCode::kPeerMessageRejected:
       return "peer_message_rejected";
+    case EventCode::kPrimarySuspected:
+      return "primary_suspected";
+    case EventCode::kLeasesEnded:
+      return "leases_ended";
+    case EventCode::kPrimaryPromoted:
+      return "primary_promoted";
+    case EventCode::kPrimaryRouted:
+      return "primary_routed";
+    case EventCode::kNoteAccepted:
+      return "note_accepted";
+    case EventCode::kNoteRejected:
+      return "note_rejected";
+    case EventCode::kOperatorRefused:
+      return "operator_refused";
   }
   throw InternalError("event code without a name");
 }
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -27,6 +27,13 @@
   kRequestRefused = 3101,
   kRequestUnknown = 3102,
   kPeerMessageRejected = 4001,
+  kPrimarySuspected = 5101,
+  kLeasesEnded = 5102,
+  kPrimaryPromoted = 5103,
+  kPrimaryRouted = 5104,
+  kNoteAccepted = 6001,
+  kNoteRejected = 6002,
+  kOperatorRefused = 6003,
 };
 
 /** How serious an event is. */
