--- a/src/lacewingferry/adapters/log4cxx/event_log.cc
+++ b/src/lacewingferry/adapters/log4cxx/event_log.cc
@@ -9,7 +9,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include <chrono>
-#include <ctime>
+#include <cstdint>
 #include <exception>
 #include <fstream>
 #include <memory>
@@ -17,36 +17,22 @@
 #include <string>
 #include <utility>
 
+#include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/core/errors.h"
 
 namespace lacewingferry {
 namespace {
 
-constexpr std::size_t kTimeBytes = 40;
-
 /** A logger of its own hierarchy, so that logs of one process don't mix. */
 struct Log {
   log4cxx::spi::LoggerRepositoryPtr hierarchy;
   log4cxx::LoggerPtr logger;
-  std::string node;
+  NodeId node;
   std::string program;
   ClockPort clock;
+  EventObserver observe;
 };
 
-const char* LevelName(EventLevel level) {
-  switch (level) {
-    case EventLevel::kDebug:
-      return "debug";
-    case EventLevel::kInfo:
-      return "info";
-    case EventLevel::kWarning:
-      return "warning";
-    case EventLevel::kError:
-      return "error";
-  }
-  return "error";
-}
-
 log4cxx::LevelPtr LibraryLevel(const std::string& name) {
   if (name == "debug") {
     return log4cxx::Level::getDebug();
@@ -60,35 +46,23 @@
   return log4cxx::Level::getError();
 }
 
-std::string FormatTime(std::chrono::system_clock::time_point time) {
-  const auto since_epoch =
-      std::chrono::floor<std::chrono::microseconds>(time.time_since_epoch());
-  const auto seconds = std::chrono::floor<std::chrono::seconds>(since_epoch);
-  const std::time_t calendar = seconds.count();
-  std::tm utc{};
-  gmtime_r(&calendar, &utc);
-  char date[kTimeBytes] = {};
-  std::strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &utc);
-  std::string fraction = std::to_string((since_epoch - seconds).count());
-  fraction.insert(0, 6 - fraction.size(), '0');
-  return std::string(date) + "." + fraction + "Z";
+TimelineEntry Stamp(const Log& log, const Event& event) {
+  TimelineEntry entry;
+  entry.time = std::chrono::time_point_cast<std::chrono::microseconds>(
+      log.clock.wall_now());
+  entry.node = log.node;
+  entry.program = log.program;
+  entry.level = event.level;
+  entry.number = static_cast<std::uint16_t>(event.code);
+  entry.name = EventName(event.code);
+  entry.fields = event.fields;
+  return entry;
 }
 
-std::string FormatEvent(const Log& log, const Event& event) {
-  nlohmann::ordered_json fields = nlohmann::ordered_json::object();
-  for (const auto& [name, value] : event.fields) {
-    fields[name] = value;
-  }
-  nlohmann::ordered_json line;
-  line["time"] = FormatTime(log.clock.wall_now());
-  line["level"] = LevelName(event.level);
-  line["event"] = static_cast<unsigned>(event.code);
-  line["name"] = EventName(event.code);
-  line["node"] = log.node;
-  line["program"] = log.program;
-  line["fields"] = std::move(fields);
-  return line.dump(-1, ' ', true,
-                   nlohmann::ordered_json::error_handler_t::replace);
+/** One line of ASCII: log4cxx would change other bytes by the locale. */
+std::string FormatLine(const TimelineEntry& entry) {
+  return EventToJson(entry).dump(
+      -1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 log4cxx::AppenderPtr MakeAppender(const LogSettings& settings) {
@@ -108,7 +82,9 @@
   try {
     const log4cxx::LevelPtr level = LibraryLevel(LevelName(event.level));
     if (log.logger->isEnabledFor(level)) {
-      log.logger->forcedLog(level, FormatEvent(log, event));
+      const TimelineEntry entry = Stamp(log, event);
+      log.logger->forcedLog(level, FormatLine(entry));
+      log.observe(entry);
     }
   } catch (const std::exception&) {
     // A log that can't be written must not stop the process.
@@ -118,16 +94,18 @@
 }  // namespace
 
 EventPort MakeEventLog(const LogSettings& settings, NodeId node,
-                       const char* program, ClockPort clock) {
+                       const char* program, ClockPort clock,
+                       EventObserver observe) {
   auto log = std::make_shared<Log>();
   log->hierarchy = log4cxx::Hierarchy::create();
   log->logger = log->hierarchy->getLogger(LOG4CXX_STR("lacewingferry"));
   log->logger->addAppender(MakeAppender(settings));
   log->logger->setLevel(LibraryLevel(settings.level));
   log->hierarchy->setConfigured(true);
-  log->node = node.Value();
+  log->node = std::move(node);
   log->program = program;
   log->clock = std::move(clock);
+  log->observe = observe ? std::move(observe) : [](const TimelineEntry&) {};
   return EventPort{[log](const Event& event) { Record(*log, event); }};
 }
 
--- a/src/lacewingferry/app/operator_api.cc
+++ b/src/lacewingferry/app/operator_api.cc
@@ -4,11 +4,11 @@
 #include <utility>
 
 #include "lacewingferry/adapters/http/operator_signature.h"
+#include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/adapters/openssl/keyed_digest.h"
 #include "lacewingferry/adapters/yaml/release_note_reader.h"
 #include "lacewingferry/adapters/yaml/release_note_writer.h"
 #include "lacewingferry/app/operator_json.h"
-#include "lacewingferry/app/timeline_json.h"
 #include "lacewingferry/core/finding.h"
 #include "lacewingferry/decisions/configuration/note_in_force.h"
 #include "lacewingferry/decisions/configuration/note_judgement.h"
@@ -93,7 +93,7 @@
 Json TimelineBody(const std::vector<TimelineEntry>& timeline) {
   Json entries = Json::array();
   for (const TimelineEntry& entry : timeline) {
-    entries.push_back(TimelineToJson(entry));
+    entries.push_back(EventToJson(entry));
   }
   return Json{{"entries", entries}};
 }
--- a/src/lacewingferry/app/operator_json.cc
+++ b/src/lacewingferry/app/operator_json.cc
@@ -1,6 +1,6 @@
 #include "lacewingferry/app/operator_json.h"
 
-#include "lacewingferry/app/timeline_time.h"
+#include "lacewingferry/core/time_text.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/app/operator_program.cc
+++ b/src/lacewingferry/app/operator_program.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lacewingferry/adapters/http/operator_client.h"
+#include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/adapters/yaml/release_note_reader.h"
 #include "lacewingferry/app/daemon_main.h"
 #include "lacewingferry/app/operator_report.h"
@@ -216,7 +217,7 @@
       RequireAnswer(response);
       std::vector<TimelineEntry> entries;
       for (const Json& entry : ParseBody(response).at("entries")) {
-        entries.push_back(TimelineFromJson(entry));
+        entries.push_back(EventFromJson(entry));
       }
       sources->push_back(entries);
     }
--- a/src/lacewingferry/app/timeline_svg.cc
+++ b/src/lacewingferry/app/timeline_svg.cc
@@ -6,7 +6,7 @@
 #include <optional>
 #include <sstream>
 
-#include "lacewingferry/app/timeline_time.h"
+#include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
 namespace lacewingferry {
--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -4,8 +4,9 @@
 #include <optional>
 #include <sstream>
 
+#include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/app/timeline_json.h"
-#include "lacewingferry/app/timeline_time.h"
+#include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
 namespace lacewingferry {
@@ -62,7 +63,7 @@
       {"entries", nlohmann::ordered_json::array()},
       {"failovers", nlohmann::ordered_json::array()}};
   for (const TimelineEntry& entry : merged) {
-    document["entries"].push_back(TimelineToJson(entry));
+    document["entries"].push_back(EventToJson(entry));
   }
   for (const Failover& failover : FindFailovers(merged)) {
     document["failovers"].push_back(FailoverToJson(failover));
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -4,6 +4,20 @@
 
 namespace lacewingferry {
 
+const char* LevelName(EventLevel level) {
+  switch (level) {
+    case EventLevel::kDebug:
+      return "debug";
+    case EventLevel::kInfo:
+      return "info";
+    case EventLevel::kWarning:
+      return "warning";
+    case EventLevel::kError:
+      return "error";
+  }
+  throw InternalError("event level without a name");
+}
+
 const char* EventName(EventCode code) {
   switch (code) {
     case EventCode::kProcessStarted:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -46,6 +46,9 @@
   std::vector<std::pair<std::string, std::string>> fields{};
 };
 
+/** The name of a level in the log: debug, info, warning or error. */
+const char* LevelName(EventLevel level);
+
 /** The name of an event in the log, for example process_started. */
 const char* EventName(EventCode code);
 
--- a/src/lacewingferry/app/timeline_time.cc
+++ b/src/lacewingferry/core/time_text.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/app/timeline_time.h"
+#include "lacewingferry/core/time_text.h"
 
 #include <cstdio>
 #include <ctime>
--- a/src/lacewingferry/app/timeline_time.h
+++ b/src/lacewingferry/core/time_text.h
@@ -1,7 +1,8 @@
-#ifndef LACEWINGFERRY_APP_TIMELINE_TIME_H_
-#define LACEWINGFERRY_APP_TIMELINE_TIME_H_
+#ifndef LACEWINGFERRY_CORE_TIME_TEXT_H_
+#define LACEWINGFERRY_CORE_TIME_TEXT_H_
 
-// Defines the text form of times in logs and in the time line.
+// Defines the text form of times in logs and in the time line: FormatTime and
+// its inverse.
 
 #include <string>
 
@@ -17,4 +18,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_APP_TIMELINE_TIME_H_
+#endif  // LACEWINGFERRY_CORE_TIME_TEXT_H_
--- a/src/lacewingferry/decisions/operators/operator_auth.cc
+++ b/src/lacewingferry/decisions/operators/operator_auth.cc
@@ -1,6 +1,5 @@
 #include "lacewingferry/decisions/operators/operator_auth.h"
 
-#include <iterator>
 #include <utility>
 
 #include "lacewingferry/core/errors.h"
@@ -29,15 +28,17 @@
   if (this->nonces.size() >= kMostNonces) {
     return AuthVerdict::kBusy;
   }
-  this->nonces.emplace(request.nonce, request.signed_at);
+  this->nonces.insert(request.nonce);
+  this->by_time.emplace(request.signed_at, request.nonce);
   return AuthVerdict::kGranted;
 }
 
 void OperatorAuth::ForgetOldNonces(std::chrono::system_clock::time_point now) {
-  for (auto i = this->nonces.begin(); i != this->nonces.end();) {
-    const bool old = i->second < now - kMostClockDifference;
-    i = old ? this->nonces.erase(i) : std::next(i);
+  const auto kept = this->by_time.lower_bound(now - kMostClockDifference);
+  for (auto i = this->by_time.begin(); i != kept; ++i) {
+    this->nonces.erase(i->second);
   }
+  this->by_time.erase(this->by_time.begin(), kept);
 }
 
 const char* AuthVerdictName(AuthVerdict verdict) {
--- a/src/lacewingferry/decisions/operators/operator_auth.h
+++ b/src/lacewingferry/decisions/operators/operator_auth.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "lacewingferry/core/signed_request.h"
@@ -54,8 +55,10 @@
 
   VerifyHook verify;
   std::chrono::system_clock::time_point started;
-  /** The nonces of the window, and when their requests were signed. */
-  std::map<std::string, std::chrono::system_clock::time_point> nonces;
+  /** The nonces of the window. */
+  std::set<std::string> nonces;
+  /** The same nonces, by the time at which their requests were signed. */
+  std::multimap<std::chrono::system_clock::time_point, std::string> by_time;
 };
 
 /** The name of a verdict in answers, for example replayed. */
