INTERFACE: decide terms, leases, failure detection and failover

A primary has to be replaced without an order, no acknowledged write may be lost, and no replaced primary may be acknowledged for.

Ruled out: a lease for the node without the list of databases. A failover would then wait for every proxy that is cut off, not for the owners. Ruled out too: members count for a majority by number alone. A replaced member would make two majorities without a common member, so they count by identity, and a change of members waits until the leases on the earlier ones have ended.

The failover itself isn't proved yet.

--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -34,6 +34,24 @@
       return "request_unknown";
     case EventCode::kPeerMessageRejected:
       return "peer_message_rejected";
+    case EventCode::kDatabaseAdopted:
+      return "database_adopted";
+    case EventCode::kPrimarySuspected:
+      return "primary_suspected";
+    case EventCode::kInquiryEnded:
+      return "inquiry_ended";
+    case EventCode::kTermBegun:
+      return "term_begun";
+    case EventCode::kPrimaryChosen:
+      return "primary_chosen";
+    case EventCode::kPrimaryConfirmed:
+      return "primary_confirmed";
+    case EventCode::kTailDropped:
+      return "tail_dropped";
+    case EventCode::kMembersChanged:
+      return "members_changed";
+    case EventCode::kMemberOrdered:
+      return "member_ordered";
   }
   throw InternalError("event code without a name");
 }
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -27,6 +27,15 @@
   kRequestRefused = 3101,
   kRequestUnknown = 3102,
   kPeerMessageRejected = 4001,
+  kDatabaseAdopted = 5001,
+  kPrimarySuspected = 5002,
+  kInquiryEnded = 5003,
+  kTermBegun = 5004,
+  kPrimaryChosen = 5005,
+  kPrimaryConfirmed = 5006,
+  kTailDropped = 5007,
+  kMembersChanged = 5008,
+  kMemberOrdered = 5009,
 };
 
 /** How serious an event is. */
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -9,7 +9,9 @@
 
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
+#include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
+#include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
 
 namespace lacewingferry {
@@ -18,7 +20,11 @@
  * so new ones are added at the end. */
 using PeerBody =
     std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
-                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate>;
+                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
+                 LeaseRenewal, LeaseGrant, LeaseRelease, LeaseReleased,
+                 MemberCommand, MemberCommandResult, PrimarySuspicion,
+                 ObserveRequest, ObserveReply, ClusterUpdate,
+                 ClusterUpdateRequest, ControlRedirect>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/core/routing_view.h
+++ b/src/lacewingferry/core/routing_view.h
@@ -104,6 +104,9 @@
   /** How many members the database has when whole; a majority is counted of
    * these, whether or not they are up. */
   std::uint32_t group_size = 3;
+  /** The members of which a majority is counted, by identity. Empty while
+   * control has not spoken of the database. */
+  std::vector<MemberId> counted_members;
   /** The staleness that a read takes when its caller states none; no value
    * asks for the session's view. */
   std::optional<std::chrono::milliseconds> default_max_age;
