--- a/src/lacewingferry/decisions/ownership/slot_owners.cc
+++ b/src/lacewingferry/decisions/ownership/slot_owners.cc
@@ -44,6 +44,7 @@
   }
   std::sort(ranked.rbegin(), ranked.rend());
   std::vector<NodeId> ids;
+  ids.reserve(ranked.size());
   for (auto& entry : ranked) ids.push_back(std::move(entry.second));
   return ids;
 }
