--- a/src/lacewingferry/core/duration_text.h
+++ b/src/lacewingferry/core/duration_text.h
@@ -4,15 +4,16 @@
 // Defines how users write a length of time: a whole number with its unit.
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace lacewingferry {
 
-/** Reads 250ms, 2s or 1min. Throws UserError for any other text, also for a
- * number without a unit, and for more than a year. */
-std::chrono::milliseconds ParseDuration(const std::string& text);
+/** Reads a whole number with its unit: ms, s, min or h, for example 250ms.
+ * Returns nothing for any other text and for more than 10^9 units. */
+std::optional<std::chrono::milliseconds> ParseDuration(const std::string& text);
 
-/** Writes a duration as ParseDuration reads it, in milliseconds. */
+/** Writes a duration in milliseconds, as ParseDuration reads it. */
 std::string FormatDuration(std::chrono::milliseconds duration);
 
 }  // namespace lacewingferry
