Share a listener, refuse functions that replicas can't repeat

The two acceptors used the same loop and would have spun when accept fails at once, for example without free file descriptors; Listener pauses instead. Statements are replayed at replicas, so functions of time and chance would let members' data differ; they fail with 0A000. Schema changes get their full command tag, and a shut session doesn't wait for ever on a client that doesn't read.

Run: standin_db by hand with psql.

--- a/standin/announcement.cc
+++ b/standin/announcement.cc
@@ -22,7 +22,8 @@
   json["leaving"] = info.leaving;
   json["sequence"] = announcement.sequence;
   json["incarnation"] = announcement.incarnation;
-  return json.dump();
+  const auto replace = nlohmann::ordered_json::error_handler_t::replace;
+  return json.dump(-1, ' ', false, replace);
 }
 
 }  // namespace lacewingferry::standin
--- a/standin/postgres_server.cc
+++ b/standin/postgres_server.cc
@@ -1,7 +1,6 @@
 #include "standin/postgres_server.h"
 
 #include <utility>
-#include <vector>
 
 namespace lacewingferry::standin {
 
@@ -12,19 +11,9 @@
                                PostgresServerHooks server_hooks)
     : settings(server_settings),
       hooks(std::move(server_hooks)),
-      acceptor(context, tcp::endpoint(boost::asio::ip::make_address(
-                                          server_settings.endpoint.host),
-                                      server_settings.endpoint.port)) {
-  this->Accept();
-}
-
-void PostgresServer::Accept() {
-  this->acceptor.async_accept(
-      [this](const boost::system::error_code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) return;
-        if (!error) this->Add(std::move(socket));
-        this->Accept();
-      });
+      listener(std::make_shared<Listener>(context, server_settings.endpoint)) {
+  this->listener->Start(
+      [this](tcp::socket socket) { this->Add(std::move(socket)); });
 }
 
 void PostgresServer::Add(tcp::socket socket) {
@@ -57,24 +46,23 @@
 }
 
 void PostgresServer::DemoteSessions() {
-  for (const auto& [number, connection] : this->connections)
-    connection.session->Demote();
+  for (const auto& session : this->Sessions()) session->Demote();
 }
 
-void PostgresServer::DropSessions(const SqlError& reason) {
+std::vector<std::shared_ptr<PostgresSession>> PostgresServer::Sessions() const {
   std::vector<std::shared_ptr<PostgresSession>> sessions;
   for (const auto& [number, connection] : this->connections)
     sessions.push_back(connection.session);
-  for (const auto& session : sessions) session->Shut(reason);
+  return sessions;
+}
+
+void PostgresServer::DropSessions(const SqlError& reason) {
+  for (const auto& session : this->Sessions()) session->Shut(reason);
 }
 
 void PostgresServer::Stop() {
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
-  std::vector<std::shared_ptr<PostgresSession>> sessions;
-  for (const auto& [number, connection] : this->connections)
-    sessions.push_back(connection.session);
-  for (const auto& session : sessions) session->Close();
+  this->listener->Stop();
+  for (const auto& session : this->Sessions()) session->Close();
 }
 
 }  // namespace lacewingferry::standin
--- a/standin/postgres_server.h
+++ b/standin/postgres_server.h
@@ -4,13 +4,14 @@
 // Defines PostgresServer, which accepts clients and limits their number.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "lacewingferry/core/routing_view.h"
+#include "standin/listener.h"
 #include "standin/postgres_session.h"
 
 namespace lacewingferry::standin {
@@ -40,7 +41,7 @@
                  PostgresServerHooks server_hooks);
 
   /** The port that clients connect to. */
-  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+  std::uint16_t Port() const { return this->listener->Port(); }
 
   /** The open sessions that hold a slot. */
   std::uint32_t SessionCount() const { return this->slots_used; }
@@ -60,14 +61,14 @@
     bool has_slot = false;
   };
 
-  void Accept();
+  std::vector<std::shared_ptr<PostgresSession>> Sessions() const;
   void Add(boost::asio::ip::tcp::socket socket);
   std::shared_ptr<SqlSession> Open(std::uint32_t number);
   void Closed(std::uint32_t number);
 
   PostgresServerSettings settings;
   PostgresServerHooks hooks;
-  boost::asio::ip::tcp::acceptor acceptor;
+  std::shared_ptr<Listener> listener;
   std::unordered_map<std::uint32_t, Connection> connections;
   std::uint32_t last_number = 0;
   std::uint32_t slots_used = 0;
--- a/standin/postgres_session.cc
+++ b/standin/postgres_session.cc
@@ -18,6 +18,9 @@
 /** Requests wait while more than this many bytes of answers do. */
 constexpr std::size_t kMaxQueuedAnswers = 4UL * 1024 * 1024;
 
+/** How long a client may take to read its last error. */
+constexpr std::chrono::milliseconds kShutTimeout{1000};
+
 std::uint32_t StartupCode(const PostgresFrame& frame) {
   if (frame.body.size() < sizeof(std::uint32_t))
     throw DecodeError("short startup message");
@@ -70,6 +73,11 @@
   this->sql.reset();
   this->answer.Error(reason, true);
   this->writer->Send(this->answer.TakeBytes());
+  this->timer.expires_after(kShutTimeout + this->delays.latency);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const boost::system::error_code& e) {
+        if (!e) self->Close();
+      });
 }
 
 void PostgresSession::Close() {
--- a/standin/replication_server.cc
+++ b/standin/replication_server.cc
@@ -1,6 +1,8 @@
 #include "standin/replication_server.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace lacewingferry::standin {
@@ -10,30 +12,20 @@
 ReplicationServer::ReplicationServer(boost::asio::io_context& context,
                                      const Endpoint& endpoint,
                                      ReplicaStreamHooks stream_hooks)
-    : io(context),
-      acceptor(context,
-               tcp::endpoint(boost::asio::ip::make_address(endpoint.host),
-                             endpoint.port)),
+    : listener(std::make_shared<Listener>(context, endpoint)),
       hooks(std::move(stream_hooks)) {
-  this->Accept();
+  this->listener->Start(
+      [this](tcp::socket socket) { this->Add(std::move(socket)); });
 }
 
-void ReplicationServer::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (!error) {
-      this->streams.erase(
-          std::remove_if(this->streams.begin(), this->streams.end(),
-                         [](const auto& s) { return s->Closed(); }),
-          this->streams.end());
-      auto stream = std::make_shared<ReplicaStream>(
-          std::make_shared<ReplicationChannel>(std::move(socket)), this->hooks);
-      this->streams.push_back(stream);
-      stream->Start();
-    }
-    this->Accept();
-  });
+void ReplicationServer::Add(tcp::socket socket) {
+  this->streams.erase(std::remove_if(this->streams.begin(), this->streams.end(),
+                                     [](const auto& s) { return s->Closed(); }),
+                      this->streams.end());
+  auto channel = std::make_shared<ReplicationChannel>(std::move(socket));
+  this->streams.push_back(
+      std::make_shared<ReplicaStream>(std::move(channel), this->hooks));
+  this->streams.back()->Start();
 }
 
 void ReplicationServer::Notify() {
@@ -45,17 +37,18 @@
 }
 
 void ReplicationServer::Stop() {
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
+  this->listener->Stop();
   this->DropReplicas();
 }
 
 std::vector<std::shared_ptr<ReplicaStream>> ReplicationServer::Replicas(
     std::uint64_t term) const {
-  std::vector<std::shared_ptr<ReplicaStream>> result;
+  std::map<std::string, std::shared_ptr<ReplicaStream>> newest;
   for (const auto& stream : this->streams)
     if (!stream->Closed() && stream->Acknowledged().term == term)
-      result.push_back(stream);
+      newest[stream->Member()] = stream;
+  std::vector<std::shared_ptr<ReplicaStream>> result;
+  for (const auto& [member, stream] : newest) result.push_back(stream);
   return result;
 }
 
--- a/standin/replication_server.h
+++ b/standin/replication_server.h
@@ -4,12 +4,12 @@
 // Defines ReplicationServer, which accepts the replicas' connections.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
 #include "lacewingferry/core/routing_view.h"
+#include "standin/listener.h"
 #include "standin/replica_stream.h"
 
 namespace lacewingferry::standin {
@@ -22,7 +22,7 @@
                     ReplicaStreamHooks stream_hooks);
 
   /** The port that replicas connect to. */
-  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+  std::uint16_t Port() const { return this->listener->Port(); }
 
   /** Sends newly appended entries to every replica. */
   void Notify();
@@ -33,15 +33,14 @@
   /** Stops listening and closes all connections. */
   void Stop();
 
-  /** The open streams whose replica acknowledged in a term. */
+  /** The newest open stream of each replica that acknowledged in a term. */
   std::vector<std::shared_ptr<ReplicaStream>> Replicas(
       std::uint64_t term) const;
 
  private:
-  void Accept();
+  void Add(boost::asio::ip::tcp::socket socket);
 
-  boost::asio::io_context& io;
-  boost::asio::ip::tcp::acceptor acceptor;
+  std::shared_ptr<Listener> listener;
   ReplicaStreamHooks hooks;
   std::vector<std::shared_ptr<ReplicaStream>> streams;
 };
--- a/standin/sql_connection.cc
+++ b/standin/sql_connection.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "standin/nondeterministic_functions.h"
+
 namespace lacewingferry::standin {
 namespace {
 
@@ -30,6 +32,7 @@
   if (code == SQLITE_BUSY || code == SQLITE_LOCKED) return "40001";
   if (code == SQLITE_TOOBIG) return "54000";
   if (code == SQLITE_FULL) return "53100";
+  if (message == kNondeterministicMessage) return "0A000";
   if (message.find("no such table") != std::string::npos) return "42P01";
   if (message.find("no such column") != std::string::npos) return "42703";
   if (message.find("already exists") != std::string::npos) return "42P07";
@@ -86,6 +89,7 @@
   this->database.reset(opened);
   if (code != SQLITE_OK) this->Fail(code);
   sqlite3_extended_result_codes(opened, 1);
+  ForbidNondeterministicFunctions(opened);
   this->Run(SqlStatement{"PRAGMA journal_mode=WAL", {}});
   this->Run(SqlStatement{"PRAGMA synchronous=OFF", {}});
   this->Run(SqlStatement{"PRAGMA foreign_keys=ON", {}});
--- a/standin/sql_session.cc
+++ b/standin/sql_session.cc
@@ -1,5 +1,7 @@
 #include "standin/sql_session.h"
 
+#include <cctype>
+#include <sstream>
 #include <utility>
 
 namespace lacewingferry::standin {
@@ -12,14 +14,27 @@
                   "rolled back: this member is no longer the primary");
 }
 
-std::string TagOf(const std::string& keyword, const ResultSet& result) {
+/** The second word of a schema change, for example TABLE. */
+std::string SecondWord(const std::string& sql) {
+  std::istringstream words(sql);
+  std::string word;
+  words >> word >> word;
+  for (char& c : word)
+    c = static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  return word;
+}
+
+std::string TagOf(const std::string& keyword, const std::string& sql,
+                  const ResultSet& result) {
   if (keyword == "INSERT" || keyword == "REPLACE")
     return "INSERT 0 " + std::to_string(result.affected_rows);
   if (keyword == "UPDATE" || keyword == "DELETE")
     return keyword + " " + std::to_string(result.affected_rows);
   if (!result.columns.empty())
     return "SELECT " + std::to_string(result.rows.size());
-  return keyword;
+  return keyword == "CREATE" || keyword == "DROP" || keyword == "ALTER"
+             ? keyword + " " + SecondWord(sql)
+             : keyword;
 }
 
 /** Whether a statement that ran has to be replayed elsewhere. */
@@ -98,7 +113,7 @@
     if (kind == StatementKind::kFerryCall) {
       const auto arguments = statement->call->Resolve(parameters);
       result.rows = this->hooks.call(*statement->call, arguments);
-      result.tag = TagOf("SELECT", result.rows);
+      result.tag = TagOf("SELECT", statement->sql, result.rows);
     } else if (kind == StatementKind::kSql) {
       result = this->RunSql(*statement, parameters);
     } else {
@@ -183,7 +198,7 @@
   const std::string& keyword = statement.classified.keyword;
   StatementResult result;
   result.rows = this->connection->Run(statement.compiled, parameters);
-  result.tag = TagOf(keyword, result.rows);
+  result.tag = TagOf(keyword, statement.sql, result.rows);
   if (!statement.compiled.read_only && ChangedData(keyword, result.rows))
     this->changes.push_back(SqlStatement{statement.sql, parameters});
   return result;
--- a/standin/standin_db_main.cc
+++ b/standin/standin_db_main.cc
@@ -48,7 +48,8 @@
     Serve(options);
     return 0;
   } catch (const lacewingferry::FindingsError& error) {
-    std::cerr << error.what() << "\n";
+    for (const auto& finding : error.Findings())
+      std::cerr << "standin_db: " << finding.message << "\n";
     return kWrongOptions;
   } catch (const std::exception& error) {
     LogLine("failed", {{"reason", error.what()}});
