Add the replicated control log: elections, replication, leases, repair

Identities live on the disk, so that a VM that lost its disk is a new voter.

The hook (LogCodecPort, filled with MessagePack) keeps decisions free of any encoding and needs no second one.

Messages name the identities of both ends; JoinRequest is a new alternative at the end of PeerBody. The kinds of an entry are an enum now and a configuration is typed.

--- a/src/lacewingferry/core/ids.h
+++ b/src/lacewingferry/core/ids.h
@@ -18,6 +18,7 @@
 struct RequestTag {};
 struct TransactionTag {};
 struct NoteTag {};
+struct VoterTag {};
 }  // namespace detail
 
 /** A process of the system: a proxy or a control process. */
@@ -50,6 +51,10 @@
 /** The operator's identifier for a release note, kept over resends. */
 using NoteId = StrongId<detail::NoteTag>;
 
+/** A voter or learner of the control log. It is made at random on an empty
+ * disk and lives there: a VM that lost its disk is a new voter. */
+using VoterId = StrongId<detail::VoterTag>;
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_CORE_IDS_H_
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -16,9 +16,9 @@
 
 /** The messages by purpose. A codec numbers the alternatives by their order,
  * so new ones are added at the end. */
-using PeerBody =
-    std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
-                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate>;
+using PeerBody = std::variant<ForwardRequest, ForwardReply, VoteRequest,
+                              VoteReply, AppendRequest, AppendReply,
+                              SnapshotRequest, MembershipUpdate, JoinRequest>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- /dev/null
+++ b/src/lacewingferry/decisions/consensus/raft_context.cc
@@ -0,0 +1,38 @@
+#include "lacewingferry/decisions/consensus/raft_context.h"
+
+namespace lacewingferry {
+
+void RaftContext::BecomeFollower() {
+  this->role = RaftRole::kFollower;
+  this->leader = VoterId();
+  this->leader_node = NodeId();
+}
+
+void RaftContext::AdoptTerm(std::uint64_t term) {
+  this->log.SaveVote(term, VoterId());
+  this->BecomeFollower();
+}
+
+void RaftContext::CommitUpTo(std::uint64_t index) {
+  if (index <= this->commit_index) return;
+  this->commit_index = index;
+  while (this->applied_index < this->commit_index) {
+    const ControlEntry entry = this->log.At(this->applied_index + 1);
+    this->hooks.apply(entry);
+    ++this->applied_index;
+  }
+  const std::uint64_t since =
+      this->applied_index - this->log.Snapshot().last_index;
+  if (since < this->settings.snapshot_entries) return;
+  this->log.SaveSnapshot(this->applied_index, this->hooks.take_snapshot(),
+                         this->settings.retained_entries);
+}
+
+void RaftContext::RestoreSnapshot() {
+  const SnapshotRecord& snapshot = this->log.Snapshot();
+  this->hooks.restore_snapshot(snapshot.state);
+  this->commit_index = snapshot.last_index;
+  this->applied_index = snapshot.last_index;
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -0,0 +1,179 @@
+#include "lacewingferry/decisions/consensus/raft_elector.h"
+
+#include <tuple>
+
+namespace lacewingferry {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+RaftElector::RaftElector(RaftContext& shared, steady_clock::time_point now)
+    : context(shared) {
+  this->Restart(now);
+}
+
+void RaftElector::Restart(steady_clock::time_point now) {
+  const RaftSettings& settings = this->context.settings;
+  this->deadline = now + settings.election_timeout_min +
+                   this->RandomUpTo(settings.election_timeout_max -
+                                    settings.election_timeout_min);
+}
+
+milliseconds RaftElector::RandomUpTo(milliseconds limit) {
+  std::uniform_int_distribution<milliseconds::rep> pick(0, limit.count());
+  return milliseconds(pick(this->context.random));
+}
+
+void RaftElector::OnTick(steady_clock::time_point now) {
+  if (now < this->deadline || this->context.role == RaftRole::kLeader) return;
+  if (!this->context.log.Configuration().IsVoter(this->context.self)) {
+    this->AskToJoin(now);
+  } else if (this->context.faults.skip_pre_vote) {
+    this->StartElection(now);
+  } else {
+    this->StartPreVote(now);
+  }
+}
+
+void RaftElector::AskToJoin(steady_clock::time_point now) {
+  this->context.BecomeFollower();
+  const JoinRequest request{this->context.self};
+  for (const NodeId& seed : this->context.settings.seeds) {
+    this->context.hooks.send(seed, request);
+  }
+  for (const ControlMember& member :
+       this->context.log.Configuration().members) {
+    if (member.voter != this->context.self) {
+      this->context.hooks.send(member.node, request);
+    }
+  }
+  this->deadline = now + this->context.settings.join_retry;
+}
+
+void RaftElector::StartPreVote(steady_clock::time_point now) {
+  this->context.BecomeFollower();
+  this->context.role = RaftRole::kPreCandidate;
+  this->votes = {this->context.self};
+  this->deadline = now + this->context.settings.pre_vote_retry +
+                   this->RandomUpTo(this->context.settings.heartbeat);
+  this->RequestVotes(true);
+  this->CountVotes(now);
+}
+
+void RaftElector::StartElection(steady_clock::time_point now) {
+  const std::uint64_t term = this->context.log.Term() + 1;
+  this->context.log.SaveVote(term, this->context.self);
+  this->context.BecomeFollower();
+  this->context.role = RaftRole::kCandidate;
+  this->votes = {this->context.self};
+  this->Restart(now);
+  this->RequestVotes(false);
+  this->CountVotes(now);
+}
+
+void RaftElector::RequestVotes(bool pre_vote) {
+  const ControlLog& log = this->context.log;
+  VoteRequest request;
+  request.from = this->context.self;
+  request.term = log.Term() + (pre_vote ? 1 : 0);
+  request.pre_vote = pre_vote;
+  request.last_index = log.LastIndex();
+  request.last_term = log.LastTerm();
+  for (const ControlMember& member : log.Configuration().members) {
+    if (member.role != ControlRole::kVoter) continue;
+    if (member.voter == this->context.self) continue;
+    request.to = member.voter;
+    this->context.hooks.send(member.node, request);
+  }
+}
+
+void RaftElector::CountVotes(steady_clock::time_point now) {
+  const ControlConfiguration& voters = this->context.log.Configuration();
+  std::size_t granted = 0;
+  for (const VoterId& vote : this->votes) granted += voters.IsVoter(vote);
+  if (granted < voters.Quorum()) return;
+  if (this->context.role == RaftRole::kPreCandidate) {
+    this->StartElection(now);
+  } else if (this->context.role == RaftRole::kCandidate) {
+    this->context.role = RaftRole::kLeader;
+  }
+}
+
+void RaftElector::OnVoteRequest(steady_clock::time_point now,
+                                const NodeId& from,
+                                const VoteRequest& request) {
+  if (this->HearsLeader(now)) return;
+  if (request.pre_vote) {
+    this->AnswerPreVote(from, request);
+  } else {
+    this->AnswerVote(now, from, request);
+  }
+}
+
+bool RaftElector::HearsLeader(steady_clock::time_point now) const {
+  return this->context.role == RaftRole::kLeader ||
+         now < this->context.last_leader_contact +
+                   this->context.settings.election_timeout_min;
+}
+
+bool RaftElector::LogIsUpToDate(const VoteRequest& request) const {
+  const ControlLog& log = this->context.log;
+  return std::make_tuple(request.last_term, request.last_index) >=
+         std::make_tuple(log.LastTerm(), log.LastIndex());
+}
+
+void RaftElector::AnswerPreVote(const NodeId& from,
+                                const VoteRequest& request) {
+  const bool granted =
+      request.term > this->context.log.Term() && this->LogIsUpToDate(request);
+  this->Reply(from, request, granted);
+}
+
+void RaftElector::AnswerVote(steady_clock::time_point now, const NodeId& from,
+                             const VoteRequest& request) {
+  ControlLog& log = this->context.log;
+  if (request.term < log.Term()) {
+    this->Reply(from, request, false);
+    return;
+  }
+  const bool newer = request.term > log.Term();
+  const bool free = newer || log.VotedFor().Empty();
+  const bool granted =
+      (free || log.VotedFor() == request.from) && this->LogIsUpToDate(request);
+  if (newer) this->context.BecomeFollower();
+  const bool early = this->context.faults.reply_before_sync;
+  if (early) this->Reply(from, request, granted);
+  if (newer || (granted && free)) {
+    log.SaveVote(request.term, granted ? request.from : VoterId());
+  }
+  if (granted) this->Restart(now);
+  if (!early) this->Reply(from, request, granted);
+}
+
+void RaftElector::Reply(const NodeId& to, const VoteRequest& request,
+                        bool granted) {
+  VoteReply reply;
+  reply.from = this->context.self;
+  reply.to = request.from;
+  reply.term = granted ? request.term : this->context.log.Term();
+  reply.pre_vote = request.pre_vote;
+  reply.granted = granted;
+  this->context.hooks.send(to, reply);
+}
+
+void RaftElector::OnVoteReply(steady_clock::time_point now,
+                              const VoteReply& reply) {
+  const std::uint64_t term = this->context.log.Term();
+  if (!reply.granted) {
+    if (reply.term > term) this->context.AdoptTerm(reply.term);
+    return;
+  }
+  const RaftRole wanted =
+      reply.pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
+  const std::uint64_t expected = reply.pre_vote ? term + 1 : term;
+  if (this->context.role != wanted || reply.term != expected) return;
+  this->votes.insert(reply.from);
+  this->CountVotes(now);
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/consensus/voter_identity.cc
@@ -0,0 +1,41 @@
+#include "lacewingferry/decisions/consensus/voter_identity.h"
+
+#include <string>
+#include <variant>
+
+namespace lacewingferry {
+namespace {
+
+constexpr char kIdentityFile[] = "identity";
+
+/** Hexadecimal digits of an identity: 48 random bits, of which two among nine
+ * VMs meet about once in 10^12 fleets. */
+constexpr int kIdentityDigits = 12;
+
+VoterId RandomIdentity(std::mt19937_64& random) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::uniform_int_distribution<int> digit(0, 15);
+  std::string text;
+  for (int i = 0; i < kIdentityDigits; ++i) text += kDigits[digit(random)];
+  return VoterId(text);
+}
+
+}  // namespace
+
+VoterId LoadOrCreateIdentity(const StoragePort& storage,
+                             const LogCodecPort& codec,
+                             std::mt19937_64& random) {
+  const auto records = storage.read(kIdentityFile);
+  if (!records.empty()) {
+    const LogRecord record = codec.decode(records.front());
+    if (const auto* identity = std::get_if<IdentityRecord>(&record)) {
+      return identity->voter;
+    }
+    throw StorageError("identity: holds a record of another kind");
+  }
+  const VoterId voter = RandomIdentity(random);
+  storage.replace(kIdentityFile, {codec.encode(IdentityRecord{voter})});
+  return voter;
+}
+
+}  // namespace lacewingferry
