--- a/src/lacewingferry/adapters/http/caller_api.cc
+++ b/src/lacewingferry/adapters/http/caller_api.cc
@@ -1,11 +1,11 @@
 #include "lacewingferry/adapters/http/caller_api.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "lacewingferry/adapters/json/announcement_json.h"
 #include "lacewingferry/adapters/token/session_token_codec.h"
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/session/session_positions.h"
 
 namespace lacewingferry {
 namespace {
@@ -27,16 +27,6 @@
   return response;
 }
 
-/** The token after an answer: positions only ever advance. */
-SessionToken Advance(SessionToken token, const DatabaseId& database,
-                     const Outcome& outcome) {
-  const auto* answer = std::get_if<Answered>(&outcome);
-  if (answer == nullptr) return token;
-  LogPosition& known = token.positions[database];
-  known = std::max(known, answer->position);
-  return token;
-}
-
 }  // namespace
 
 CallerApi::CallerApi(CallerApiHooks api_hooks, CallerLimits caller_limits,
@@ -90,14 +80,11 @@
     return;
   }
   const DatabaseId database = parsed.request.database;
-  const auto position = token.positions.find(database);
-  if (position != token.positions.end()) {
-    parsed.request.session_position = position->second;
-  }
+  parsed.request.session_position = FindPosition(token, database);
   this->hooks.submit(std::move(parsed.request), [respond, token, database,
                                                  token_secret = this->secret](
                                                     const Outcome& outcome) {
-    const SessionToken next = Advance(token, database, outcome);
+    const SessionToken next = AdvanceToken(token, database, outcome);
     const std::string text =
         next.positions.empty() ? "" : EncodeSessionToken(next, token_secret);
     respond(OutcomeResponse(outcome, text));
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/decisions/session/read_judgement.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -272,28 +274,31 @@
       ParseMemberStatus(result.results[connection.batch.status_before]);
   const auto after =
       ParseMemberStatus(result.results[connection.batch.status_after]);
-  const MemberStatus& self = SelfStatus(before);
-  if (job.request.session_position &&
-      self.applied < *job.request.session_position) {
-    this->ReplyNotRun(job, RefusalCode::kNoReplicaFreshEnough,
-                      "the member has not yet applied the session's writes");
-    return;
-  }
-  if (this->primary && (!self.primary || self.term != this->term)) {
-    this->ReplyNotRun(job, RefusalCode::kNoPrimary,
-                      "the member is not the primary of this term");
+  if (this->primary) this->confirmer.OnStatus(after);
+  ReadEvidence evidence;
+  evidence.before = SelfStatus(before);
+  evidence.after = SelfStatus(after);
+  evidence.primary = this->primary;
+  evidence.view_term = this->term;
+  evidence.group_size = this->confirmer.GroupSize();
+  evidence.confirmed = this->confirmer.Confirmed();
+  evidence.session_position = job.request.session_position;
+  ReadVerdict verdict = JudgeRead(evidence);
+  if (verdict.refusal) {
+    this->ReplyNotRun(job, verdict.refusal->code,
+                      std::move(verdict.refusal->detail));
     return;
   }
   Answered answer;
   answer.result = result.results[connection.batch.statement];
   answer.served_by = this->info.id;
   answer.served_by_replica = !this->primary;
-  answer.position =
-      this->primary ? this->confirmer.Confirmed() : SelfStatus(after).applied;
-  if (job.request.session_position) {
-    answer.position = std::max(answer.position, *job.request.session_position);
+  answer.position = verdict.position;
+  if (verdict.await_confirmation) {
+    this->AwaitConfirmation(job, std::move(answer));
+  } else {
+    job.reply(answer);
   }
-  job.reply(answer);
 }
 
 void MemberExecutor::FinishWrite(steady_clock::time_point now,
@@ -379,8 +384,10 @@
   auto node = this->awaiting.extract(waiting_id);
   if (node.empty()) return;
   const Awaiting& waiting = node.mapped();
-  if (confirmation == Confirmation::kConfirmed &&
-      waiting.answer.position.term == this->term) {
+  if (waiting.job.request.kind == RequestKind::kRead) {
+    this->FinishAwaitedRead(waiting, confirmation);
+  } else if (confirmation == Confirmation::kConfirmed &&
+             waiting.answer.position.term == this->term) {
     waiting.job.reply(waiting.answer);
   } else {
     waiting.job.reply(
@@ -388,14 +395,28 @@
   }
 }
 
+void MemberExecutor::FinishAwaitedRead(const Awaiting& waiting,
+                                       Confirmation confirmation) {
+  if (confirmation == Confirmation::kConfirmed) {
+    waiting.job.reply(waiting.answer);
+    return;
+  }
+  this->ReplyNotRun(waiting.job, RefusalCode::kNoPrimary,
+                    "no majority holds what the read saw");
+}
+
 void MemberExecutor::ExpireAwaiting(steady_clock::time_point now) {
   for (auto it = this->awaiting.begin(); it != this->awaiting.end();) {
     if (it->second.job.deadline > now) {
       ++it;
       continue;
     }
-    it->second.job.reply(
-        UnknownOutcome{"no majority had the write within the time limit"});
+    if (it->second.job.request.kind == RequestKind::kRead) {
+      this->FinishAwaitedRead(it->second, Confirmation::kTermEnded);
+    } else {
+      it->second.job.reply(
+          UnknownOutcome{"no majority had the write within the time limit"});
+    }
     it = this->awaiting.erase(it);
   }
 }
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -113,6 +113,7 @@
   void SubmitInTransaction(Job job);
   void AwaitConfirmation(const Job& job, Answered answer);
   void OnConfirmed(std::uint64_t waiting_id, Confirmation confirmation);
+  void FinishAwaitedRead(const Awaiting& waiting, Confirmation confirmation);
   void ExpireAwaiting(std::chrono::steady_clock::time_point now);
   void PollPrimary(std::chrono::steady_clock::time_point now);
   void TakeStatus(const BatchResult& result, std::size_t place);
