INTERFACE: lease, released terms, control statements and signs of members

TrafficShard and DatabaseTraffic take OnLease, ReleaseTerm and RunControlStatement; TrafficHooks.observe tells answers, refusals, losses and silence of members. The lease and the term are checked at the moment of answering, by AnswerGate. Until the first OnLease a proxy holds its lease for ever.

--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -88,7 +88,11 @@
             ExecutorHooks{
                 this->hooks.port, this->hooks.events,
                 this->hooks.next_connection,
-                [this, member_id] { return this->NextTransaction(member_id); }},
+                [this, member_id] { return this->NextTransaction(member_id); },
+                [this](steady_clock::time_point at, std::uint64_t term) {
+                  return this->gate.Open(at, term);
+                },
+                this->hooks.observe},
             this->settings.status_sql);
       }
       executor->Configure(this->now, member.info, share,
@@ -278,6 +282,32 @@
   this->delayed.emplace(this->now, routed);
 }
 
+void DatabaseTraffic::OnLease(steady_clock::time_point present,
+                              steady_clock::time_point until) {
+  this->now = present;
+  this->gate.SetLease(until);
+  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+}
+
+void DatabaseTraffic::ReleaseTerm(steady_clock::time_point present,
+                                  std::uint64_t term) {
+  this->now = present;
+  this->gate.ReleaseTerm(term);
+  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+}
+
+void DatabaseTraffic::RunControlStatement(steady_clock::time_point present,
+                                          const MemberId& member,
+                                          ControlCall call) {
+  this->now = present;
+  MemberExecutor* executor = this->FindExecutor(member);
+  if (executor == nullptr) {
+    call.reply(std::nullopt);
+    return;
+  }
+  executor->RunControlStatement(present, std::move(call));
+}
+
 void DatabaseTraffic::OnOpened(steady_clock::time_point present,
                                ConnectionId connection) {
   this->now = present;
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -15,6 +15,7 @@
 
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/answer_gate.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/member_executor.h"
@@ -29,6 +30,8 @@
   std::function<void(const NodeId&, const PeerBody&)> send;
   /** A number for a new connection, unique in the process. */
   std::function<ConnectionId()> next_connection;
+  /** Told what the traffic shows of the members; may be empty. */
+  MemberSignHook observe;
 };
 
 /** Who decides, and how. */
@@ -72,6 +75,19 @@
   void OnForwardReply(std::chrono::steady_clock::time_point now,
                       const NodeId& from, const ForwardReply& reply);
 
+  /** Takes the end of this proxy's lease by its own clock. A write is
+   * acknowledged, and a read at the primary answered, only before it. */
+  void OnLease(std::chrono::steady_clock::time_point now,
+               std::chrono::steady_clock::time_point until);
+
+  /** Gives up a term and all before it for good. */
+  void ReleaseTerm(std::chrono::steady_clock::time_point now,
+                   std::uint64_t term);
+
+  /** Runs a statement of control on an own connection of the member. */
+  void RunControlStatement(std::chrono::steady_clock::time_point now,
+                           const MemberId& member, ControlCall call);
+
   /** The events of this database's connections. */
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
@@ -122,6 +138,7 @@
   TrafficSettings settings;
   RoutingViewPtr view;
   const DatabaseView* database = nullptr;
+  AnswerGate gate;
   std::chrono::steady_clock::time_point now;
   std::map<MemberId, std::unique_ptr<MemberExecutor>> executors;
   ForwardTable forwards;
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kConfirmPollInterval{2};
 /** The pause after a connection could not be opened. */
 constexpr milliseconds kReopenPause{100};
+/** A batch or an attempt to connect that takes longer is a sign of trouble. */
+constexpr milliseconds kSilenceThreshold{250};
 /** "unique_violation" in PostgreSQL's list of error codes. */
 constexpr char kUniqueViolation[] = "23505";
 /** "read_only_sql_transaction": the member is no primary. */
@@ -77,7 +79,7 @@
 
 void MemberExecutor::Submit(steady_clock::time_point now, Job job) {
   if (!job.request.transaction.Empty()) {
-    this->SubmitInTransaction(std::move(job));
+    this->SubmitInTransaction(now, std::move(job));
     return;
   }
   if (this->share == 0) {
@@ -92,7 +94,8 @@
   this->Dispatch(now);
 }
 
-void MemberExecutor::SubmitInTransaction(Job job) {
+void MemberExecutor::SubmitInTransaction(steady_clock::time_point now,
+                                         Job job) {
   const auto found = this->transactions.find(job.request.transaction);
   if (found == this->transactions.end()) {
     this->ReplyNotRun(
@@ -106,7 +109,7 @@
                       "the transaction still runs an earlier statement");
     return;
   }
-  this->Run(found->second, connection, std::move(job));
+  this->Run(now, found->second, connection, std::move(job));
 }
 
 std::map<ConnectionId, MemberExecutor::Connection>::iterator
@@ -120,22 +123,66 @@
   if (now < this->reopen_at) return;
   while (this->connections.size() < this->share) {
     const ConnectionId id = this->hooks.next_connection();
-    this->connections.emplace(id, Connection{});
+    this->connections[id].began = now;
     this->hooks.port.open(id, this->info);
   }
 }
 
 void MemberExecutor::Dispatch(steady_clock::time_point now) {
+  for (auto idle = this->FindIdle();
+       idle != this->connections.end() && !this->control_calls.Empty();
+       idle = this->FindIdle()) {
+    this->RunControl(now, idle->first, idle->second,
+                     *this->control_calls.Pop());
+  }
   if (this->confirmer.Waiting()) this->PollPrimary(now);
   for (auto idle = this->FindIdle(); idle != this->connections.end();
        idle = this->FindIdle()) {
     std::optional<Job> job = this->queue.Pop();
     if (!job) return;
-    this->Run(idle->first, idle->second, std::move(*job));
+    this->Run(now, idle->first, idle->second, std::move(*job));
+  }
+}
+
+void MemberExecutor::RunControlStatement(steady_clock::time_point now,
+                                         ControlCall call) {
+  this->control_calls.Push(std::move(call));
+  this->Dispatch(now);
+}
+
+void MemberExecutor::RunControl(steady_clock::time_point now, ConnectionId id,
+                                Connection& connection, ControlCall call) {
+  SqlBatch batch{{call.statement}};
+  connection.control = std::move(call);
+  this->RunInternal(now, id, connection, std::move(batch));
+}
+
+void MemberExecutor::OnGateChanged(steady_clock::time_point now) {
+  this->Dispatch(now);
+}
+
+void MemberExecutor::Observe(steady_clock::time_point now, MemberSign sign) {
+  if (this->hooks.observe) this->hooks.observe(this->info.id, sign, now);
+}
+
+void MemberExecutor::ObserveSilence(steady_clock::time_point now) {
+  for (auto& entry : this->connections) {
+    Connection& connection = entry.second;
+    const bool waits =
+        connection.state == State::kOpening || connection.state == State::kBusy;
+    if (!waits || connection.reported_silent ||
+        now - connection.began < kSilenceThreshold) {
+      continue;
+    }
+    connection.reported_silent = true;
+    this->Observe(now, MemberSign::kSilent);
   }
 }
 
-void MemberExecutor::Run(ConnectionId id, Connection& connection, Job job) {
+void MemberExecutor::Run(steady_clock::time_point now, ConnectionId id,
+                         Connection& connection, Job job) {
+  connection.began = now;
+  connection.reported_silent = false;
   connection.batch = BuildStatementBatch(job.request, this->status_sql);
   connection.job = std::move(job);
   connection.internal = false;
@@ -143,8 +190,10 @@
   this->hooks.port.execute(id, connection.batch.batch);
 }
 
-void MemberExecutor::RunInternal(ConnectionId id, Connection& connection,
-                                 SqlBatch batch) {
+void MemberExecutor::RunInternal(steady_clock::time_point now, ConnectionId id,
+                                 Connection& connection, SqlBatch batch) {
+  connection.began = now;
+  connection.reported_silent = false;
   connection.batch = StatementBatch{std::move(batch)};
   connection.job.reset();
   connection.internal = true;
@@ -158,7 +207,7 @@
   if (idle == this->connections.end()) return;
   this->polling = true;
   this->next_poll = now + kConfirmPollInterval;
-  this->RunInternal(idle->first, idle->second,
+  this->RunInternal(now, idle->first, idle->second,
                     SqlBatch{{SqlStatement{this->status_sql, {}}}});
   idle->second.batch.status_after = 0;
 }
@@ -168,6 +217,7 @@
   this->hooks.events.record(Event{EventCode::kConnectionOpened,
                                   EventLevel::kDebug,
                                   {{"member", this->info.id.Value()}}});
+  this->Observe(now, MemberSign::kAnswered);
   this->Release(now, id);
 }
 
@@ -204,6 +254,9 @@
   if (connection.internal && connection.batch.status_after == 0) {
     this->polling = false;
   }
+  this->Observe(now, connection.state == State::kOpening ? MemberSign::kRefused
+                                                         : MemberSign::kLost);
+  if (connection.control) connection.control->reply(std::nullopt);
   if (connection.job) {
     const Job& job = *connection.job;
     const bool harmless = job.request.kind == RequestKind::kRead ||
@@ -227,9 +280,18 @@
 
 void MemberExecutor::OnCompleted(steady_clock::time_point now, ConnectionId id,
                                  const BatchResult& result) {
+  this->present = now;
   const auto found = this->connections.find(id);
   if (found == this->connections.end()) return;
   Connection& connection = found->second;
+  this->Observe(now, MemberSign::kAnswered);
+  if (connection.control) {
+    const ControlCall call = *std::exchange(connection.control, std::nullopt);
+    this->Release(now, id);
+    call.reply(result.results.empty() ? std::nullopt
+                                      : std::optional(result.results.front()));
+    return;
+  }
   if (connection.internal) {
     this->polling = false;
     this->TakeStatus(result, connection.batch.status_after);
@@ -245,7 +307,7 @@
              job.request.kind == RequestKind::kBegin) {
     this->FinishInTransaction(connection, job, result);
   } else if (job.request.kind == RequestKind::kRead) {
-    this->FinishRead(connection, job, result);
+    this->FinishRead(now, connection, job, result);
   } else {
     this->FinishWrite(now, connection, job, result);
   }
@@ -266,7 +328,8 @@
   this->confirmer.OnStatus(ParseMemberStatus(result.results[place]));
 }
 
-void MemberExecutor::FinishRead(const Connection& connection, const Job& job,
+void MemberExecutor::FinishRead(steady_clock::time_point now,
+                                const Connection& connection, const Job& job,
                                 const BatchResult& result) {
   const auto before =
       ParseMemberStatus(result.results[connection.batch.status_before]);
@@ -284,6 +347,11 @@
                       "the member is not the primary of this term");
     return;
   }
+  if (this->primary && !this->hooks.may_answer(now, this->term)) {
+    this->ReplyNotRun(job, RefusalCode::kTermLost,
+                      "this proxy may no longer answer for the primary");
+    return;
+  }
   Answered answer;
   answer.result = result.results[connection.batch.statement];
   answer.served_by = this->info.id;
@@ -380,7 +448,8 @@
   if (node.empty()) return;
   const Awaiting& waiting = node.mapped();
   if (confirmation == Confirmation::kConfirmed &&
-      waiting.answer.position.term == this->term) {
+      waiting.answer.position.term == this->term &&
+      this->hooks.may_answer(this->present, this->term)) {
     waiting.job.reply(waiting.answer);
   } else {
     waiting.job.reply(
@@ -401,6 +470,8 @@
 }
 
 void MemberExecutor::OnTick(steady_clock::time_point now) {
+  this->control_calls.Expire(now);
+  this->ObserveSilence(now);
   for (const Job& job : this->queue.TakeExpired(now)) {
     this->ReplyNotRun(job, RefusalCode::kDeadline,
                       "no connection was free within the time limit");
@@ -416,8 +487,19 @@
     if (!next || time < *next) next = time;
   };
   if (this->connections.size() < this->share) consider(this->reopen_at);
+  if (const auto control = this->control_calls.NextDeadline()) {
+    consider(*control);
+  }
   if (this->confirmer.Waiting() && !this->polling) consider(this->next_poll);
   for (const auto& entry : this->awaiting) consider(entry.second.job.deadline);
+  for (const auto& entry : this->connections) {
+    const Connection& connection = entry.second;
+    const bool waits =
+        connection.state == State::kOpening || connection.state == State::kBusy;
+    if (waits && !connection.reported_silent) {
+      consider(connection.began + kSilenceThreshold);
+    }
+  }
   return next;
 }
 
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -13,8 +13,10 @@
 
 #include "lacewingferry/core/events.h"
 #include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/control_calls.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/job_queue.h"
+#include "lacewingferry/decisions/traffic/member_sign.h"
 #include "lacewingferry/decisions/traffic/statement_batch.h"
 #include "lacewingferry/decisions/traffic/write_confirmer.h"
 #include "lacewingferry/ports/event_port.h"
@@ -30,6 +32,12 @@
   std::function<ConnectionId()> next_connection;
   /** A name for a new transaction. */
   std::function<TransactionId()> next_transaction;
+  /** Whether an answer of a primary of the term may leave now. */
+  std::function<bool(std::chrono::steady_clock::time_point now,
+                     std::uint64_t term)>
+      may_answer;
+  /** Told what the traffic shows of the member; may be empty. */
+  MemberSignHook observe;
 };
 
 /**
@@ -54,6 +62,15 @@
   /** Runs a request or queues it until a connection is free. */
   void Submit(std::chrono::steady_clock::time_point now, Job job);
 
+  /** Runs a statement of control ahead of all requests; reply gets none if
+   * that doesn't succeed until the deadline. */
+  void RunControlStatement(std::chrono::steady_clock::time_point now,
+                           ControlCall call);
+
+  /** Answers or ends what waits after the proxy's lease or the terms that it
+   * may speak for have changed. */
+  void OnGateChanged(std::chrono::steady_clock::time_point now);
+
   /** The events of this executor's connections. */
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
@@ -86,6 +103,10 @@
     std::optional<Job> job;
     StatementBatch batch;
     TransactionId transaction;
+    std::optional<ControlCall> control;
+    /** When the batch or the attempt to connect began. */
+    std::chrono::steady_clock::time_point began;
+    bool reported_silent = false;
     /** The batch only asks for the primary's status or cleans up. */
     bool internal = false;
   };
@@ -97,11 +118,18 @@
 
   void OpenMissing(std::chrono::steady_clock::time_point now);
   void Dispatch(std::chrono::steady_clock::time_point now);
-  void Run(ConnectionId id, Connection& connection, Job job);
-  void RunInternal(ConnectionId id, Connection& connection, SqlBatch batch);
+  void Run(std::chrono::steady_clock::time_point now, ConnectionId id,
+           Connection& connection, Job job);
+  void RunControl(std::chrono::steady_clock::time_point now, ConnectionId id,
+                  Connection& connection, ControlCall call);
+  void Observe(std::chrono::steady_clock::time_point now, MemberSign sign);
+  void ObserveSilence(std::chrono::steady_clock::time_point now);
+  void RunInternal(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   Connection& connection, SqlBatch batch);
   void Release(std::chrono::steady_clock::time_point now, ConnectionId id);
   void CloseConnection(ConnectionId id);
-  void FinishRead(const Connection& connection, const Job& job,
+  void FinishRead(std::chrono::steady_clock::time_point now,
+                  const Connection& connection, const Job& job,
                   const BatchResult& result);
   void FinishWrite(std::chrono::steady_clock::time_point now,
                    const Connection& connection, const Job& job,
@@ -110,7 +138,7 @@
                            const BatchResult& result);
   void FinishFailed(const Connection& connection, const Job& job,
                     const BatchResult& result);
-  void SubmitInTransaction(Job job);
+  void SubmitInTransaction(std::chrono::steady_clock::time_point now, Job job);
   void AwaitConfirmation(const Job& job, Answered answer);
   void OnConfirmed(std::uint64_t waiting_id, Confirmation confirmation);
   void ExpireAwaiting(std::chrono::steady_clock::time_point now);
@@ -126,12 +154,15 @@
   bool primary = false;
   std::uint64_t term = 0;
   JobQueue queue;
+  ControlCalls control_calls;
   WriteConfirmer confirmer;
   std::map<ConnectionId, Connection> connections;
   std::map<TransactionId, ConnectionId> transactions;
   std::chrono::steady_clock::time_point reopen_at;
   std::chrono::steady_clock::time_point next_poll;
   bool polling = false;
+  /** The present of the event that is being handled. */
+  std::chrono::steady_clock::time_point present;
   std::map<std::uint64_t, Awaiting> awaiting;
   std::uint64_t next_waiting_id = 1;
 };
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/member_sign.h
@@ -0,0 +1,32 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
+
+// Defines MemberSign, what the traffic to a member shows of its health.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "lacewingferry/core/ids.h"
+
+namespace lacewingferry {
+
+/** One observation of a member through this proxy's own connections. */
+enum class MemberSign : std::uint8_t {
+  /** A batch was answered or a connection opened. */
+  kAnswered,
+  /** A connection could not be opened. */
+  kRefused,
+  /** An open connection broke. */
+  kLost,
+  /** A batch or an attempt to connect is outstanding for long. */
+  kSilent,
+};
+
+/** Receives the signs; it must not call back into the traffic decisions. */
+using MemberSignHook = std::function<void(
+    const MemberId&, MemberSign, std::chrono::steady_clock::time_point now)>;
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -42,9 +42,10 @@
       this->connections.erase(id);
       this->hooks.port.close(id);
     };
-    this->databases.emplace(entry.first,
-                            std::make_unique<DatabaseTraffic>(
-                                entry.first, std::move(own), this->settings));
+    const auto added = this->databases.emplace(
+        entry.first, std::make_unique<DatabaseTraffic>(
+                         entry.first, std::move(own), this->settings));
+    added.first->second->OnLease(now, this->lease_until);
   }
   for (auto& entry : this->databases) {
     entry.second->OnView(now, view);
@@ -135,6 +136,40 @@
   });
 }
 
+void TrafficShard::OnLease(steady_clock::time_point now,
+                           steady_clock::time_point until) {
+  this->lease_until = until;
+  for (auto& entry : this->databases) {
+    entry.second->OnLease(now, until);
+    this->Reschedule(entry.first, *entry.second);
+  }
+}
+
+void TrafficShard::ReleaseTerm(steady_clock::time_point now,
+                               const DatabaseId& database, std::uint64_t term) {
+  DatabaseTraffic* traffic = this->Find(database);
+  if (traffic == nullptr) return;
+  traffic->ReleaseTerm(now, term);
+  this->Reschedule(database, *traffic);
+}
+
+void TrafficShard::RunControlStatement(steady_clock::time_point now,
+                                       const DatabaseId& database,
+                                       const MemberId& member,
+                                       SqlStatement statement,
+                                       steady_clock::time_point deadline,
+                                       ControlReply reply) {
+  DatabaseTraffic* traffic = this->Find(database);
+  if (traffic == nullptr) {
+    reply(std::nullopt);
+    return;
+  }
+  traffic->RunControlStatement(
+      now, member,
+      ControlCall{std::move(statement), deadline, std::move(reply)});
+  this->Reschedule(database, *traffic);
+}
+
 void TrafficShard::OnTick(steady_clock::time_point now) {
   std::vector<DatabaseId> ready;
   for (const auto& entry : this->due) {
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -40,6 +40,26 @@
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
                    const BatchResult& result);
+
+  /** Takes the end of the proxy's one lease, by its own clock, for all its
+   * databases. */
+  void OnLease(std::chrono::steady_clock::time_point now,
+               std::chrono::steady_clock::time_point until);
+
+  /** Ends all answers of a database's primary in a term and those before it,
+   * for good. */
+  void ReleaseTerm(std::chrono::steady_clock::time_point now,
+                   const DatabaseId& database, std::uint64_t term);
+
+  /** Runs a statement of control (fence, promote, follow, status) on one of
+   * this proxy's own connections of the member, ahead of all requests. reply
+   * gets none if this proxy has no connection to it, or no answer until the
+   * deadline. */
+  void RunControlStatement(std::chrono::steady_clock::time_point now,
+                           const DatabaseId& database, const MemberId& member,
+                           SqlStatement statement,
+                           std::chrono::steady_clock::time_point deadline,
+                           ControlReply reply);
   void OnTick(std::chrono::steady_clock::time_point now);
   std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
 
@@ -63,6 +83,8 @@
   std::size_t count;
   ConnectionId next_connection;
   std::unordered_map<DatabaseId, Entry> databases;
+  std::chrono::steady_clock::time_point lease_until =
+      std::chrono::steady_clock::time_point::max();
   std::unordered_map<ConnectionId, DatabaseId> connections;
   std::unordered_map<DatabaseId, std::chrono::steady_clock::time_point> due_at;
   std::set<std::pair<std::chrono::steady_clock::time_point, DatabaseId>> due;
