--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -21,9 +21,9 @@
 using PeerBody =
     std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
                  AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
-                 LeaseRenewal, LeaseGrant, LeaseRelease, LeaseReleased,
-                 MemberCommand, MemberCommandResult, PrimarySuspicion,
-                 ObserveRequest, ObserveReply, ClusterUpdate,
+                 JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
+                 LeaseReleased, MemberCommand, MemberCommandResult,
+                 PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
                  ClusterUpdateRequest, ControlRedirect>;
 
 /** A message with its sender. */
--- a/src/lacewingferry/decisions/failover/primary_observer.cc
+++ b/src/lacewingferry/decisions/failover/primary_observer.cc
@@ -61,9 +61,6 @@
   if (found == this->watches.end()) return;
   Watch& watch = found->second;
   switch (sign) {
-    case MemberSign::kAsked:
-      if (!watch.asked) watch.asked = now;
-      break;
     case MemberSign::kAnswered:
       watch.asked.reset();
       watch.last_answer = now;
@@ -72,9 +69,12 @@
     case MemberSign::kRefused:
       this->Suspect(now, watch, MemberSight::kRefuses);
       break;
-    case MemberSign::kReset:
+    case MemberSign::kLost:
       this->ProbeWatched(now, watch);
       break;
+    case MemberSign::kSilent:
+      this->Suspect(now, watch, MemberSight::kSilent);
+      break;
   }
 }
 
--- a/src/lacewingferry/decisions/failover/primary_observer.h
+++ b/src/lacewingferry/decisions/failover/primary_observer.h
@@ -11,8 +11,8 @@
 #include <utility>
 #include <vector>
 
-#include "lacewingferry/core/member_sign.h"
 #include "lacewingferry/core/messages/failover_messages.h"
+#include "lacewingferry/decisions/traffic/member_sign.h"
 
 namespace lacewingferry {
 
@@ -34,9 +34,9 @@
 
 /** The durations of a PrimaryObserver. */
 struct PrimaryObserverSettings {
-  /** A batch that waits for its answer for this long is a suspicion. It opens
-   * an inquiry, which has a patience of its own. */
-  std::chrono::milliseconds silence{200};
+  /** A probe of an idle primary without an answer for this long is a
+   * suspicion. It opens an inquiry, which has a patience of its own. */
+  std::chrono::milliseconds silence{250};
   /** A primary without traffic is probed at this interval. */
   std::chrono::milliseconds idle_probe_interval{1000};
   /** The first pause between two suspicions of one primary; it doubles. */
@@ -93,7 +93,7 @@
   struct Watch {
     WatchedPrimary primary;
     std::chrono::steady_clock::time_point last_answer;
-    /** When the oldest batch without an answer was sent. */
+    /** When the oldest probe without an answer was sent. */
     std::optional<std::chrono::steady_clock::time_point> asked;
     std::chrono::steady_clock::time_point next_suspicion;
     std::chrono::milliseconds pause{0};
--- a/src/lacewingferry/decisions/lease/lease_holder.cc
+++ b/src/lacewingferry/decisions/lease/lease_holder.cc
@@ -82,6 +82,13 @@
   if (before_term <= lowest) return;
   lowest = before_term;
   this->hooks.release_term(now, database, before_term - 1);
+  // The time that is left of an earlier term's lease must not cover the next
+  // term, whose holders the grantor counts anew.
+  const auto lease = this->leases.find(database);
+  if (lease == this->leases.end() || lease->second.term >= before_term) return;
+  const DatabaseStamp ended{database, lease->second.term, 0};
+  this->leases.erase(lease);
+  this->hooks.on_lease(now, ended, now);
 }
 
 void LeaseHolder::OnRelease(steady_clock::time_point now,
@@ -92,7 +99,8 @@
 }
 
 void LeaseHolder::ReleaseAll(steady_clock::time_point now) {
-  for (const auto& entry : this->leases) {
+  const std::map<DatabaseId, Lease> held = this->leases;
+  for (const auto& entry : held) {
     this->OnRelease(now, LeaseRelease{entry.first, entry.second.term + 1});
   }
   this->SetDatabases(now, {});
--- a/src/lacewingferry/decisions/lease/lease_holder.h
+++ b/src/lacewingferry/decisions/lease/lease_holder.h
@@ -22,7 +22,8 @@
   /** Answers the leader of control. */
   std::function<void(const LeaseReleased&)> released;
   /** Writes of a database may be acknowledged in the stamp's term until the
-   * given time. A database that is never named here has no lease. */
+   * given time, which is now when a lease ends early. A database that is never
+   * named here has no lease. */
   std::function<void(std::chrono::steady_clock::time_point now,
                      const DatabaseStamp& stamp,
                      std::chrono::steady_clock::time_point until)>
