--- a/src/lacewingferry/adapters/json/json_fields.cc
+++ b/src/lacewingferry/adapters/json/json_fields.cc
@@ -71,13 +71,12 @@
     this->asked.insert(name);
     return std::nullopt;
   }
-  const std::string text = this->Text(name, false);
-  const auto duration = ParseDuration(text);
-  if (!duration) {
-    this->Report(std::string(name) + " '" + text +
-                 "' is not a duration such as 250ms, 2s or 1min");
+  try {
+    return ParseDuration(this->Text(name, false));
+  } catch (const UserError& error) {
+    this->Report(std::string(name) + ": " + error.what());
+    return std::nullopt;
   }
-  return duration;
 }
 
 nlohmann::json JsonFields::Raw(const char* name) {
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -52,6 +52,18 @@
       return "members_changed";
     case EventCode::kMemberOrdered:
       return "member_ordered";
+    case EventCode::kLeasesEnded:
+      return "leases_ended";
+    case EventCode::kPrimaryPromoted:
+      return "primary_promoted";
+    case EventCode::kPrimaryRouted:
+      return "primary_routed";
+    case EventCode::kNoteAccepted:
+      return "note_accepted";
+    case EventCode::kNoteRejected:
+      return "note_rejected";
+    case EventCode::kOperatorRefused:
+      return "operator_refused";
   }
   throw InternalError("event code without a name");
 }
--- a/src/lacewingferry/decisions/configuration/note_check.cc
+++ b/src/lacewingferry/decisions/configuration/note_check.cc
@@ -220,7 +220,7 @@
       this->Note(item, "is for a group that would not be in force");
     }
     if (rule.max_age.count() < 0 || rule.max_age > kMostMaxAge) {
-      this->Note(item, "must have a max_age from 0ms to 24h");
+      this->Note(item, "must have a max_age from 0ms to 1440min");
     }
   }
 
