--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -7,6 +7,18 @@
 
 /** How often a replica asks its primary anew for what it lacks. */
 constexpr std::chrono::milliseconds kResyncInterval{100};
+/** How often a statement looks whether the row that it waits for is free. */
+constexpr std::chrono::microseconds kLockPoll{500};
+/** The key under which a member's state holds the table of identifiers, and
+ * what stands before each identifier. */
+constexpr char kRecordTable[] = "ferry_requests";
+constexpr char kRecordPrefix[] = "ferry_requests/";
+/** Separates the digest from the answer. */
+constexpr char kFieldEnd = '\x1f';
+
+std::string RecordKey(const SqlStatement& statement) {
+  return kRecordPrefix + statement.parameters.at(0).value_or("");
+}
 
 }  // namespace
 
@@ -85,16 +97,12 @@
   const auto service = this->options.service_time
                            ? this->options.service_time(batch)
                            : std::chrono::nanoseconds(0);
-  this->network.Deliver(
-      session->zone, zone, [this, session, batch, service, zone] {
-        this->queue.After(service, [this, session, batch, zone] {
-          if (!session->open) return;
-          const BatchResult result = this->RunBatch(*session, batch);
-          this->network.Deliver(zone, session->zone, [session, result] {
-            if (session->open) session->events->completed(session->id, result);
-          });
-        });
-      });
+  auto running = std::make_shared<RunningBatch>();
+  running->session = session;
+  running->batch = batch;
+  this->network.Deliver(session->zone, zone, [this, running, service] {
+    this->queue.After(service, [this, running] { this->RunBatch(running); });
+  });
 }
 
 void FakeGroup::Close(const MemberEvents* events, ConnectionId id) {
@@ -110,6 +118,7 @@
 void FakeGroup::End(const SessionPtr& session) {
   if (!session->open) return;
   session->open = false;
+  this->RollBack(*session);
   --this->open_count[session->member];
 }
 
@@ -149,12 +158,20 @@
   }
   for (const SessionPtr& session : broken) {
     this->sessions.erase({events, session->id});
-    this->End(session);
+    this->queue.After(this->options.notice_delay,
+                      [this, session] { this->End(session); });
   }
 }
 
 bool FakeGroup::Fence(const MemberId& id, std::uint64_t term) {
-  return this->members.at(id).Fence(term);
+  if (!this->members.at(id).Fence(term)) return false;
+  for (const auto& entry : this->sessions) {
+    Session& session = *entry.second;
+    if (session.member != id || session.puts.empty()) continue;
+    session.puts.clear();
+    session.demoted = true;
+  }
+  return true;
 }
 
 bool FakeGroup::Promote(const MemberId& id, std::uint64_t term) {
@@ -168,58 +185,146 @@
   return true;
 }
 
-BatchResult FakeGroup::RunBatch(Session& session, const SqlBatch& batch) {
-  BatchResult result;
-  for (const SqlStatement& statement : batch.statements) {
-    if (!this->RunStatement(session, statement, result)) break;
+void FakeGroup::RunBatch(const RunningBatchPtr& running) {
+  Session& session = *running->session;
+  if (!session.open) return;
+  while (running->next < running->batch.statements.size()) {
+    const SqlStatement& statement = running->batch.statements[running->next];
+    if (this->Blocked(session, statement)) {
+      this->queue.After(kLockPoll,
+                        [this, running] { this->RunBatch(running); });
+      return;
+    }
+    ResultSet rows;
+    running->result.sqlstate = this->RunStatement(session, statement, rows);
+    if (!running->result.sqlstate.empty()) {
+      session.failed = session.in_transaction;
+      break;
+    }
+    running->result.results.push_back(std::move(rows));
+    ++running->next;
+  }
+  this->Answer(running);
+}
+
+void FakeGroup::Answer(const RunningBatchPtr& running) {
+  const SessionPtr& session = running->session;
+  const auto zone = this->members.at(session->member).info.zone;
+  this->network.Deliver(zone, session->zone, [running] {
+    const Session& target = *running->session;
+    if (target.open) target.events->completed(target.id, running->result);
+  });
+}
+
+bool FakeGroup::Blocked(const Session& session,
+                        const SqlStatement& statement) const {
+  if (statement.sql != this->options.record.claim) return false;
+  const std::string key = RecordKey(statement);
+  for (const auto& entry : this->sessions) {
+    const Session& other = *entry.second;
+    if (&other == &session || other.member != session.member) continue;
+    for (const auto& put : other.puts) {
+      if (put.first == key) return true;
+    }
   }
-  return result;
+  return false;
 }
 
-bool FakeGroup::RunStatement(Session& session, const SqlStatement& statement,
-                             BatchResult& result) {
+std::string FakeGroup::RunStatement(Session& session,
+                                    const SqlStatement& statement,
+                                    ResultSet& rows) {
   FakeMember& member = this->members.at(session.member);
-  ResultSet rows;
   const std::string& sql = statement.sql;
-  if (sql == "BEGIN") {
-    session.in_transaction = true;
-  } else if (sql == "ROLLBACK") {
-    session.in_transaction = false;
-    session.puts.clear();
-  } else if (sql == "COMMIT") {
-    if (!session.puts.empty() && !member.primary) {
-      session.in_transaction = false;
-      session.puts.clear();
-      result.sqlstate = "25006";
-      return false;
-    }
-    this->CommitOpen(session, member);
-  } else if (sql == "STATUS") {
+  if (sql == "ROLLBACK") {
+    this->RollBack(session);
+    return "";
+  }
+  if (session.failed) return "25P02";
+  if (sql == "BEGIN" || sql == "COMMIT") return this->RunControl(session, sql);
+  if (sql == "STATUS") {
     rows = member.StatusRows();
-  } else if (sql == "GET") {
+    return "";
+  }
+  if (sql == "GET") {
     const auto found = member.state.find(*statement.parameters.at(0));
     if (found != member.state.end()) rows.rows.push_back({found->second});
-  } else if (sql == "PUT" || sql == "PUTNEW") {
-    if (!member.primary) {
-      result.sqlstate = "25006";
-      return false;
-    }
-    if (sql == "PUTNEW" &&
-        member.state.count(*statement.parameters.at(0)) > 0) {
-      result.sqlstate = "23505";
-      return false;
+    return "";
+  }
+  if (sql == "PUT" || sql == "PUTNEW") {
+    return this->RunPut(session, statement, rows);
+  }
+  return this->RunRecord(session, statement, rows);
+}
+
+std::string FakeGroup::RunControl(Session& session, const std::string& sql) {
+  if (sql == "BEGIN") {
+    session.in_transaction = true;
+    return "";
+  }
+  FakeMember& member = this->members.at(session.member);
+  const bool demoted =
+      session.demoted || (!session.puts.empty() && !member.primary);
+  if (demoted) {
+    this->RollBack(session);
+    return "25006";
+  }
+  this->CommitOpen(session, member);
+  return "";
+}
+
+std::string FakeGroup::RunPut(Session& session, const SqlStatement& statement,
+                              ResultSet& rows) {
+  FakeMember& member = this->members.at(session.member);
+  if (!member.primary || session.demoted) return "25006";
+  const std::string& key = *statement.parameters.at(0);
+  if (statement.sql == "PUTNEW" && member.state.count(key) > 0) return "23505";
+  session.puts.emplace_back(key, *statement.parameters.at(1));
+  rows.affected_rows = 1;
+  if (!session.in_transaction) this->CommitOpen(session, member);
+  return "";
+}
+
+std::string FakeGroup::RunRecord(Session& session,
+                                 const SqlStatement& statement,
+                                 ResultSet& rows) {
+  const RequestRecordSql& record = this->options.record;
+  FakeMember& member = this->members.at(session.member);
+  if (statement.sql == record.find) {
+    const auto found = member.state.find(RecordKey(statement));
+    if (found == member.state.end()) return "";
+    const std::size_t end = found->second.find(kFieldEnd);
+    rows.rows.push_back(
+        {found->second.substr(0, end), found->second.substr(end + 1)});
+    return "";
+  }
+  if (!member.primary || session.demoted) return "25006";
+  if (statement.sql == record.create) {
+    session.puts.emplace_back(kRecordTable, "");
+    this->CommitOpen(session, member);
+    return "";
+  }
+  const std::string key = RecordKey(statement);
+  if (statement.sql == record.claim) {
+    if (member.state.count(kRecordTable) == 0) return "42P01";
+    if (member.state.count(key) > 0) return "23505";
+    session.puts.emplace_back(
+        key, *statement.parameters.at(1) + std::string(1, kFieldEnd));
+    return "";
+  }
+  if (statement.sql == record.store) {
+    for (auto& put : session.puts) {
+      if (put.first == key) put.second += *statement.parameters.at(1);
     }
-    session.puts.emplace_back(*statement.parameters.at(0),
-                              *statement.parameters.at(1));
-    rows.affected_rows = 1;
-    if (!session.in_transaction) this->CommitOpen(session, member);
-  } else {
-    result.sqlstate = "42601";
-    result.message = "unknown statement " + sql;
-    return false;
+    return "";
   }
-  result.results.push_back(std::move(rows));
-  return true;
+  return "42601";
+}
+
+void FakeGroup::RollBack(Session& session) {
+  session.in_transaction = false;
+  session.failed = false;
+  session.demoted = false;
+  session.puts.clear();
 }
 
 void FakeGroup::CommitOpen(Session& session, FakeMember& member) {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -16,6 +16,7 @@
 #include "bench/model/event_queue.h"
 #include "bench/model/fake_member.h"
 #include "bench/model/network.h"
+#include "lacewingferry/decisions/traffic/request_record.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry::model {
@@ -28,6 +29,10 @@
   std::function<std::chrono::nanoseconds(const SqlBatch&)> service_time;
   /** The time from an entry's arrival at a replica until reads see it. */
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
+  /** The time until a member notices that a proxy has died. */
+  std::chrono::nanoseconds notice_delay{0};
+  /** The statements on the table of identified requests. */
+  RequestRecordSql record;
 };
 
 /** Members that replicate asynchronously, and the connections of proxies to
@@ -73,6 +78,10 @@
     ConnectionId id = 0;
     bool open = false;
     bool in_transaction = false;
+    /** A statement of the transaction failed; only ROLLBACK helps. */
+    bool failed = false;
+    /** The member was fenced during the transaction. */
+    bool demoted = false;
     std::vector<std::pair<std::string, std::string>> puts;
   };
   using SessionPtr = std::shared_ptr<Session>;
@@ -85,9 +94,27 @@
   void Close(const MemberEvents* events, ConnectionId id);
   void End(const SessionPtr& session);
   void ReportLost(const SessionPtr& session, ConnectionFailure failure);
-  BatchResult RunBatch(Session& session, const SqlBatch& batch);
-  bool RunStatement(Session& session, const SqlStatement& statement,
-                    BatchResult& result);
+  /** A batch on its way through a member. */
+  struct RunningBatch {
+    SessionPtr session;
+    SqlBatch batch;
+    std::size_t next = 0;
+    BatchResult result;
+  };
+  using RunningBatchPtr = std::shared_ptr<RunningBatch>;
+
+  void RunBatch(const RunningBatchPtr& running);
+  void Answer(const RunningBatchPtr& running);
+  bool Blocked(const Session& session, const SqlStatement& statement) const;
+  /** Runs a statement; returns an error code, empty for success. */
+  std::string RunStatement(Session& session, const SqlStatement& statement,
+                           ResultSet& rows);
+  std::string RunControl(Session& session, const std::string& sql);
+  std::string RunRecord(Session& session, const SqlStatement& statement,
+                        ResultSet& rows);
+  std::string RunPut(Session& session, const SqlStatement& statement,
+                     ResultSet& rows);
+  void RollBack(Session& session);
   void CommitOpen(Session& session, FakeMember& member);
   void Replicate(const MemberId& primary);
   void Deliver(const MemberId& primary, const MemberId& replica,
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -15,6 +15,18 @@
 /** The numbers of two runs of a proxy are this far apart. */
 constexpr std::uint64_t kIncarnationStep = 1ULL << 32U;
 
+/** Stores how many rows a statement changed, which is all that the fake's
+ * writes answer. */
+AnswerCodec PlainCodec() {
+  return AnswerCodec{
+      [](const ResultSet& rows) { return std::to_string(rows.affected_rows); },
+      [](const std::string& text) {
+        ResultSet rows;
+        rows.affected_rows = std::stoull(text);
+        return rows;
+      }};
+}
+
 }  // namespace
 
 FleetOptions KraanwaterOptions() {
@@ -76,6 +88,8 @@
   hooks.send = [this, &proxy](const NodeId& to, const PeerBody& body) {
     this->Send(proxy, to, body);
   };
+  hooks.codec = PlainCodec();
+  hooks.observe = this->options.observe;
   TrafficSettings settings;
   settings.node = proxy.info.id;
   settings.zone = proxy.info.zone;
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -26,6 +26,8 @@
   /** One-way from a caller to its proxy. */
   std::chrono::nanoseconds to_callers{std::chrono::milliseconds(1)};
   FakeGroupOptions group;
+  /** Told the signs that each proxy sees; may be empty. */
+  MemberSignHook observe;
 };
 
 /** The deployments of the users' brief: three places, one member in each. */
--- a/src/lacewingferry/decisions/traffic/answer_gate.h
+++ b/src/lacewingferry/decisions/traffic/answer_gate.h
@@ -31,10 +31,8 @@
     return now < this->lease_until && term > this->released_term;
   }
 
-  /** Whether the term was given up. */
-  bool Released(std::uint64_t term) const {
-    return term <= this->released_term;
-  }
+  /** The last term that was given up; 0 for none. */
+  std::uint64_t ReleasedTerm() const { return this->released_term; }
 
  private:
   std::chrono::steady_clock::time_point lease_until =
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -16,14 +16,6 @@
 /** The pause before a request that no member could serve is routed anew. */
 constexpr milliseconds kRouteAgainPause{10};
 
-/** Whether another member, or the same one later, may serve the request. */
-bool MayRouteAgain(RefusalCode code) {
-  return code == RefusalCode::kNoPrimary ||
-         code == RefusalCode::kNoReplicaFreshEnough ||
-         code == RefusalCode::kNoOwner ||
-         code == RefusalCode::kMemberUnreachable;
-}
-
 /** Spreads the forwards of several proxies over a member's owners in the
  * ratio of their shares. */
 const SlotShare& PickOwner(const RoutedMember& member, std::uint64_t turn) {
@@ -83,21 +75,13 @@
           this->executors.erase(member.info.id);
           continue;
         }
-        const MemberId member_id = member.info.id;
-        executor = std::make_unique<MemberExecutor>(
-            ExecutorHooks{
-                this->hooks.port, this->hooks.events,
-                this->hooks.next_connection,
-                [this, member_id] { return this->NextTransaction(member_id); },
-                [this](steady_clock::time_point at, std::uint64_t term) {
-                  return this->gate.Open(at, term);
-                },
-                this->hooks.observe},
-            this->settings.status_sql);
+        executor = this->MakeExecutor(member.info.id);
       }
-      executor->Configure(this->now, member.info, share,
-                          member.info.id == this->database->primary,
-                          this->database->term, this->database->group_size);
+      executor->Configure(
+          this->now,
+          ExecutorRole{member.info, share,
+                       member.info.id == this->database->primary,
+                       this->database->term, this->database->group_size});
     }
   }
   for (auto& entry : this->executors) {
@@ -105,6 +89,27 @@
   }
 }
 
+std::unique_ptr<MemberExecutor> DatabaseTraffic::MakeExecutor(
+    const MemberId& member) {
+  ExecutorHooks own{this->hooks.port,
+                    this->hooks.events,
+                    this->hooks.next_connection,
+                    [this, member] { return this->NextTransaction(member); },
+                    [this](steady_clock::time_point at, std::uint64_t term) {
+                      return this->gate.Open(at, term);
+                    },
+                    this->hooks.observe};
+  ExecutorSettings own_settings{
+      RunSettings{
+          FlightSql{this->settings.status_sql, this->settings.request_record},
+          this->hooks.codec},
+      this->settings.transactions,
+      std::hash<MemberId>()(member) ^ std::hash<NodeId>()(this->settings.node) ^
+          this->settings.incarnation};
+  return std::make_unique<MemberExecutor>(std::move(own),
+                                          std::move(own_settings));
+}
+
 TransactionId DatabaseTraffic::NextTransaction(const MemberId& member) {
   return FormatTransactionName(
       TransactionName{this->settings.node, member, this->next_transaction++});
@@ -125,6 +130,7 @@
 void DatabaseTraffic::Submit(steady_clock::time_point present,
                              StatementRequest request, ReplyHook reply) {
   this->now = present;
+  this->retries.OnRequest();
   auto routed = std::make_shared<Routed>();
   routed->job.deadline = present + request.timeout;
   routed->job.request = std::move(request);
@@ -179,8 +185,8 @@
   routed->excluded.clear();
   const auto again = this->now + kRouteAgainPause;
   if (again >= routed->job.deadline) {
-    routed->job.reply(NotRun{RefusalCode::kNoPrimary,
-                             "no member could serve the request in time"});
+    this->Tell(routed, NotRun{RefusalCode::kNoPrimary,
+                              "no member could serve the request in time"});
     return;
   }
   this->delayed.emplace(again, routed);
@@ -205,6 +211,7 @@
     return;
   }
   Job job = routed->job;
+  job.term = this->SetAttemptTerm(*routed);
   job.reply = [this, routed](const Outcome& outcome) {
     this->OnOutcome(routed, outcome);
   };
@@ -215,7 +222,7 @@
                               const MemberId& member) {
   ForwardRequest forward;
   forward.member = member;
-  forward.term = this->database == nullptr ? 0 : this->database->term;
+  forward.term = this->SetAttemptTerm(*routed);
   forward.request = routed->job.request;
   forward.request.timeout = std::chrono::duration_cast<milliseconds>(
       routed->job.deadline - this->now);
@@ -235,6 +242,7 @@
   Job job;
   job.request = forward.request;
   job.deadline = present + forward.request.timeout;
+  job.term = forward.term;
   job.reply = [this, from,
                forward_id = forward.forward_id](const Outcome& outcome) {
     this->hooks.send(from, ForwardReply{forward_id, this->id, outcome});
@@ -266,16 +274,28 @@
       UnknownOutcome{"the owner of the connection did not answer"});
 }
 
+std::uint64_t DatabaseTraffic::SetAttemptTerm(Routed& routed) const {
+  routed.job.term = this->database == nullptr ? 0 : this->database->term;
+  return routed.job.term;
+}
+
+void DatabaseTraffic::Tell(const RoutedPtr& routed, const Outcome& outcome) {
+  const Job& job = routed->job;
+  job.reply(routed->history.Truth(job.request, job.term, outcome));
+}
+
 void DatabaseTraffic::OnOutcome(const RoutedPtr& routed,
                                 const Outcome& outcome) {
-  const auto* refusal = std::get_if<NotRun>(&outcome);
-  const bool again = refusal != nullptr && MayRouteAgain(refusal->code) &&
-                     routed->job.request.transaction.Empty() &&
-                     this->now < routed->job.deadline;
-  if (!again) {
-    routed->job.reply(outcome);
+  Job& job = routed->job;
+  const auto verdict = routed->history.Judge(
+      job.request, job.term, outcome, this->now < job.deadline, this->retries);
+  if (verdict == AttemptVerdict::kTell) {
+    this->Tell(routed, outcome);
     return;
   }
+  if (verdict == AttemptVerdict::kSettle) {
+    job.request.transaction = TransactionId();
+  }
   routed->excluded.insert(routed->member);
   // Routed by the next tick: the refusal may come from within the executor
   // that this request would enter again.
@@ -286,14 +306,18 @@
                               steady_clock::time_point until) {
   this->now = present;
   this->gate.SetLease(until);
-  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+  for (auto& entry : this->executors) {
+    entry.second->OnGateChanged(present, this->gate.ReleasedTerm());
+  }
 }
 
 void DatabaseTraffic::ReleaseTerm(steady_clock::time_point present,
                                   std::uint64_t term) {
   this->now = present;
   this->gate.ReleaseTerm(term);
-  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+  for (auto& entry : this->executors) {
+    entry.second->OnGateChanged(present, this->gate.ReleasedTerm());
+  }
 }
 
 void DatabaseTraffic::RunControlStatement(steady_clock::time_point present,
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/decisions/traffic/answer_gate.h"
+#include "lacewingferry/decisions/traffic/attempt_history.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/member_executor.h"
@@ -32,6 +33,8 @@
   std::function<ConnectionId()> next_connection;
   /** Told what the traffic shows of the members; may be empty. */
   MemberSignHook observe;
+  /** Writes and reads the stored answers of identified requests. */
+  AnswerCodec codec;
 };
 
 /** Who decides, and how. */
@@ -41,6 +44,8 @@
   std::string status_sql;
   /** Differs between the runs of a process. */
   std::uint64_t incarnation = 0;
+  RequestRecordSql request_record{};
+  TransactionLimits transactions{};
 };
 
 /**
@@ -116,6 +121,7 @@
     Job job;
     std::set<MemberId> excluded;
     MemberId member;
+    AttemptHistory history;
   };
   using RoutedPtr = std::shared_ptr<Routed>;
 
@@ -124,8 +130,11 @@
   void RunHere(const RoutedPtr& routed, const MemberId& member);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
                const MemberId& member);
+  void Tell(const RoutedPtr& routed, const Outcome& outcome);
   void OnOutcome(const RoutedPtr& routed, const Outcome& outcome);
   void OnOwnerSilent(const ForwardedJob& forwarded);
+  std::uint64_t SetAttemptTerm(Routed& routed) const;
+  std::unique_ptr<MemberExecutor> MakeExecutor(const MemberId& member);
   void RouteLater(const RoutedPtr& routed);
   MemberExecutor* FindExecutor(const MemberId& member);
   MemberExecutor* FindExecutor(ConnectionId id);
@@ -139,6 +148,7 @@
   RoutingViewPtr view;
   const DatabaseView* database = nullptr;
   AnswerGate gate;
+  RetryBudget retries;
   std::chrono::steady_clock::time_point now;
   std::map<MemberId, std::unique_ptr<MemberExecutor>> executors;
   ForwardTable forwards;
--- a/src/lacewingferry/decisions/traffic/job.h
+++ b/src/lacewingferry/decisions/traffic/job.h
@@ -4,6 +4,7 @@
 // Defines Job, a request that waits for or runs on a connection of a member.
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 #include "lacewingferry/core/outcome.h"
@@ -19,6 +20,11 @@
   StatementRequest request;
   std::chrono::steady_clock::time_point deadline;
   ReplyHook reply;
+  /** The term that the request was routed by; 0 for any. An owner that knows
+   * another term doesn't run it. */
+  std::uint64_t term = 0;
+  /** Whether the caller no longer waits; empty for never. */
+  std::function<bool()> caller_gone{};
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/job_queue.cc
+++ b/src/lacewingferry/decisions/traffic/job_queue.cc
@@ -9,47 +9,65 @@
 
 /** More waiting requests than this could not be served within a deadline. */
 constexpr std::size_t kMostWaiting = 1000;
+/** Turns of writes before a waiting read has one. */
+constexpr std::uint32_t kWritesPerRead = 3;
+
+bool IsRead(const Job& job) { return job.request.kind == RequestKind::kRead; }
+
+std::vector<Job> Join(std::vector<Job> first, std::vector<Job> second) {
+  std::move(second.begin(), second.end(), std::back_inserter(first));
+  return first;
+}
 
 }  // namespace
 
-bool JobQueue::Push(Job& job) {
-  if (this->jobs.size() >= kMostWaiting) return false;
-  this->jobs.push_back(std::move(job));
-  return true;
+std::optional<Job> JobQueue::Push(Job job) {
+  FairQueue& queue = IsRead(job) ? this->reads : this->writes;
+  queue.Push(std::move(job));
+  if (this->Size() <= kMostWaiting) return std::nullopt;
+  FairQueue& longer =
+      this->reads.Size() > this->writes.Size() ? this->reads : this->writes;
+  return longer.TakeFromLongest();
 }
 
 std::optional<Job> JobQueue::Pop() {
-  if (this->jobs.empty()) return std::nullopt;
-  Job job = std::move(this->jobs.front());
-  this->jobs.pop_front();
-  return job;
+  const bool reads_turn =
+      this->writes.Size() == 0 || this->writes_in_a_row >= kWritesPerRead;
+  if (reads_turn && this->reads.Size() > 0) {
+    this->writes_in_a_row = 0;
+    return this->reads.Pop();
+  }
+  ++this->writes_in_a_row;
+  return this->writes.Pop();
+}
+
+std::size_t JobQueue::CountAhead(const Job& job) const {
+  if (IsRead(job)) {
+    const std::size_t reads_ahead = this->reads.CountAhead(job);
+    return reads_ahead +
+           std::min(this->writes.Size(), kWritesPerRead * (reads_ahead + 1));
+  }
+  const std::size_t writes_ahead = this->writes.CountAhead(job);
+  return writes_ahead +
+         std::min(this->reads.Size(), writes_ahead / kWritesPerRead + 1);
 }
 
 std::vector<Job> JobQueue::TakeExpired(
     std::chrono::steady_clock::time_point now) {
-  std::vector<Job> expired;
-  const auto live = std::stable_partition(
-      this->jobs.begin(), this->jobs.end(),
-      [now](const Job& job) { return job.deadline > now; });
-  std::move(live, this->jobs.end(), std::back_inserter(expired));
-  this->jobs.erase(live, this->jobs.end());
-  return expired;
+  return Join(this->writes.TakeExpired(now), this->reads.TakeExpired(now));
 }
 
 std::vector<Job> JobQueue::TakeAll() {
-  std::vector<Job> all(std::make_move_iterator(this->jobs.begin()),
-                       std::make_move_iterator(this->jobs.end()));
-  this->jobs.clear();
-  return all;
+  return Join(this->writes.TakeAll(), this->reads.TakeAll());
 }
 
 std::optional<std::chrono::steady_clock::time_point> JobQueue::NextDeadline()
     const {
-  std::optional<std::chrono::steady_clock::time_point> earliest;
-  for (const Job& job : this->jobs) {
-    if (!earliest || job.deadline < *earliest) earliest = job.deadline;
-  }
-  return earliest;
+  const auto write = this->writes.NextDeadline();
+  const auto read = this->reads.NextDeadline();
+  if (!write) return read;
+  if (!read) return write;
+  return std::min(*write, *read);
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/job_queue.h
+++ b/src/lacewingferry/decisions/traffic/job_queue.h
@@ -5,23 +5,29 @@
 
 #include <chrono>
 #include <cstddef>
-#include <deque>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "lacewingferry/decisions/traffic/fair_queue.h"
 #include "lacewingferry/decisions/traffic/job.h"
 
 namespace lacewingferry {
 
-/** Holds requests in the order of their arrival, each until its deadline. */
+/** Holds writes and reads, each until its deadline. While both wait, writes
+ * take three turns of four. */
 class JobQueue {
  public:
-  /** Adds a job; returns false without taking it if the queue is full. */
-  bool Push(Job& job);
+  /** Adds a job. Returns the job that finds no place in a full queue: the
+   * latest of the customer that has the most. */
+  std::optional<Job> Push(Job job);
 
   /** Takes the next job; none if the queue is empty. */
   std::optional<Job> Pop();
 
+  /** How many jobs are served before a new one at the most. */
+  std::size_t CountAhead(const Job& job) const;
+
   /** Takes all jobs whose deadline has passed. */
   std::vector<Job> TakeExpired(std::chrono::steady_clock::time_point now);
 
@@ -31,10 +37,12 @@
   /** The earliest deadline; none if the queue is empty. */
   std::optional<std::chrono::steady_clock::time_point> NextDeadline() const;
 
-  std::size_t Size() const { return this->jobs.size(); }
+  std::size_t Size() const { return this->writes.Size() + this->reads.Size(); }
 
  private:
-  std::deque<Job> jobs;
+  FairQueue writes;
+  FairQueue reads;
+  std::uint32_t writes_in_a_row = 0;
 };
 
 }  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/load_estimate.h
@@ -0,0 +1,42 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
+
+// Defines LoadEstimate, how long a new request will take, from the times of
+// earlier ones.
+
+#include <chrono>
+#include <cstddef>
+
+namespace lacewingferry {
+
+/** Keeps moving averages of the time that requests hold a connection and of
+ * the time that answers wait for their confirmation. */
+class LoadEstimate {
+ public:
+  /** Takes how long a request held its connection. */
+  void AddHold(std::chrono::nanoseconds time);
+
+  /** Takes how long an answer waited for its confirmation. */
+  void AddConfirmation(std::chrono::nanoseconds time);
+
+  /** Lowers the averages a little. Called when a request is refused because
+   * of them, so that old slow times don't refuse requests for ever. */
+  void Relax();
+
+  std::chrono::nanoseconds Hold() const { return this->hold; }
+  std::chrono::nanoseconds Confirmation() const { return this->confirmation; }
+
+  /** The time until a request is answered that has others ahead of it, each
+   * of which needs one of the connections. */
+  std::chrono::nanoseconds TimeToAnswer(std::size_t ahead,
+                                        std::size_t connections,
+                                        bool confirmed) const;
+
+ private:
+  std::chrono::nanoseconds hold{0};
+  std::chrono::nanoseconds confirmation{0};
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
+
+#include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/traffic/statement_check.h"
 
 namespace lacewingferry {
 namespace {
@@ -10,71 +12,118 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/** The pause between two questions to the primary about its replicas. */
-constexpr milliseconds kConfirmPollInterval{2};
-/** The pause after a connection could not be opened. */
-constexpr milliseconds kReopenPause{100};
-/** A batch or an attempt to connect that takes longer is a sign of trouble. */
-constexpr milliseconds kSilenceThreshold{250};
-/** "unique_violation" in PostgreSQL's list of error codes. */
-constexpr char kUniqueViolation[] = "23505";
-/** "read_only_sql_transaction": the member is no primary. */
-constexpr char kReadOnly[] = "25006";
+/** The pause before the first entry of a term is tried again. */
+constexpr milliseconds kTermEntryPause{50};
+/** How long the first entry of a term may take. */
+constexpr milliseconds kTermEntryLimit{1000};
+/** A connection that is silent for this long after its batch was of use is
+ * closed. */
+constexpr milliseconds kHungLimit{5000};
+
+/** The identifier under which a term's first entry is written. */
+RequestId TermEntryId(std::uint64_t term) {
+  return RequestId("ferry/term/" + std::to_string(term));
+}
 
-bool Ran(const BatchResult& result, std::size_t place) {
-  return place != StatementBatch::kNoPlace && place < result.results.size();
+/** A request of the executor's own that appends an entry to the log. */
+Job MakeTermEntry(const DatabaseId& database, std::uint64_t term,
+                  steady_clock::time_point deadline) {
+  Job job;
+  job.request.database = database;
+  job.request.kind = RequestKind::kCommit;
+  job.request.request_id = TermEntryId(term);
+  job.deadline = deadline;
+  job.reply = [](const Outcome&) {};
+  return job;
 }
 
 }  // namespace
 
-MemberExecutor::MemberExecutor(ExecutorHooks executor_hooks, std::string status)
-    : hooks(std::move(executor_hooks)), status_sql(std::move(status)) {}
+MemberExecutor::MemberExecutor(ExecutorHooks executor_hooks,
+                               ExecutorSettings executor_settings)
+    : hooks(std::move(executor_hooks)),
+      settings(std::move(executor_settings)),
+      pool(PoolHooks{this->hooks.port, this->hooks.next_connection,
+                     this->hooks.observe},
+           this->settings.seed),
+      pending(this->hooks.may_answer,
+              [this](std::chrono::nanoseconds waited) {
+                this->load.AddConfirmation(waited);
+              }),
+      transactions(this->settings.transactions) {}
 
 void MemberExecutor::Configure(steady_clock::time_point now,
-                               const MemberInfo& member, std::uint32_t slots,
-                               bool is_primary, std::uint64_t current_term,
-                               std::uint32_t group_size) {
-  const bool moved = !(this->info.endpoint == member.endpoint);
-  this->info = member;
-  this->share = slots;
-  this->primary = is_primary;
-  this->term = current_term;
-  this->confirmer.SetGroupSize(group_size);
-  this->confirmer.EndTermsBefore(current_term);
-  if (moved) {
-    std::vector<ConnectionId> all;
-    for (const auto& entry : this->connections) all.push_back(entry.first);
-    for (const ConnectionId id : all) {
-      this->OnLost(now, id, ConnectionFailure::kLost);
-      this->hooks.port.close(id);
-    }
-    this->reopen_at = now;
-  }
-  for (auto idle = this->FindIdle(); this->connections.size() > this->share &&
-                                     idle != this->connections.end();
-       idle = this->FindIdle()) {
-    this->CloseConnection(idle->first);
+                               const ExecutorRole& new_role) {
+  const bool new_term = new_role.term != this->role.term;
+  this->role = new_role;
+  this->confirmer.SetGroupSize(new_role.group_size);
+  this->confirmer.SetTerm(new_role.term);
+  for (const ConnectionId id :
+       this->pool.Configure(new_role.info, new_role.share)) {
+    this->FailActive(id);
+  }
+  if (new_term || !new_role.primary) {
+    const std::uint64_t first_valid =
+        new_role.primary ? new_role.term : new_role.term + 1;
+    this->pending.EndTerms(first_valid - 1);
+    this->AbortTransactions(this->transactions.OfTermsBefore(first_valid));
+    this->term_entry_at = now;
   }
-  this->OpenMissing(now);
   this->Dispatch(now);
 }
 
 void MemberExecutor::Withdraw(steady_clock::time_point now) {
-  this->Configure(now, this->info, 0, false, this->term,
-                  this->confirmer.GroupSize());
+  ExecutorRole none = this->role;
+  none.share = 0;
+  none.primary = false;
+  this->Configure(now, none);
   for (const Job& job : this->queue.TakeAll()) {
-    this->ReplyNotRun(job, RefusalCode::kMemberUnreachable,
-                      "the member is gone");
+    this->Refuse(job,
+                 NotRun{RefusalCode::kMemberUnreachable, "the member is gone"});
   }
+  this->control_calls.FailAll();
+}
+
+void MemberExecutor::Refuse(const Job& job, const NotRun& refusal) {
+  this->hooks.events.record(Event{EventCode::kRequestRefused,
+                                  EventLevel::kDebug,
+                                  {{"member", this->role.info.id.Value()},
+                                   {"code", RefusalName(refusal.code)}}});
+  job.reply(refusal);
+}
+
+void MemberExecutor::OnGateChanged(steady_clock::time_point now,
+                                   std::uint64_t released) {
+  this->released_term = std::max(this->released_term, released);
+  this->pending.EndTerms(this->released_term);
+  this->AbortTransactions(
+      this->transactions.OfTermsBefore(this->released_term + 1));
+  this->pending.Release(now, this->confirmer);
+  this->Dispatch(now);
+}
+
+void MemberExecutor::OnOpened(steady_clock::time_point now, ConnectionId id) {
+  this->hooks.events.record(Event{EventCode::kConnectionOpened,
+                                  EventLevel::kDebug,
+                                  {{"member", this->role.info.id.Value()}}});
+  this->pool.OnOpened(now, id);
+  this->Dispatch(now);
+}
+
+void MemberExecutor::OnLost(steady_clock::time_point now, ConnectionId id,
+                            ConnectionFailure failure) {
+  if (!this->pool.Owns(id)) return;
+  this->hooks.events.record(Event{EventCode::kConnectionLost,
+                                  EventLevel::kDebug,
+                                  {{"member", this->role.info.id.Value()}}});
+  this->pool.OnLost(now, id, failure);
+  this->FailActive(id);
+  this->Dispatch(now);
 }
 
-void MemberExecutor::ReplyNotRun(const Job& job, RefusalCode code,
-                                 std::string detail) {
-  this->hooks.events.record(
-      Event{EventCode::kRequestRefused,
-            EventLevel::kDebug,
-            {{"member", this->info.id.Value()}, {"code", RefusalName(code)}}});
-  job.reply(NotRun{code, std::move(detail)});
+AdmissionState MemberExecutor::Admission(steady_clock::time_point now) const {
+  return AdmissionState{this->role.share, this->role.primary, this->role.term,
+                        this->hooks.may_answer(now, this->role.term)};
 }
 
 void MemberExecutor::Submit(steady_clock::time_point now, Job job) {
@@ -82,433 +131,408 @@
     this->SubmitInTransaction(now, std::move(job));
     return;
   }
-  if (this->share == 0) {
-    this->ReplyNotRun(job, RefusalCode::kNoOwner,
-                      "this proxy holds no connection to the member");
-    return;
+  auto refusal = CheckRole(this->Admission(now), job);
+  if (!refusal) {
+    refusal = CheckExpectedWait(now, job, this->queue.CountAhead(job),
+                                this->pool.Size(), this->load);
   }
-  if (!this->queue.Push(job)) {
-    this->ReplyNotRun(job, RefusalCode::kOverloaded, "the queue is full");
+  if (refusal) {
+    this->Refuse(job, *refusal);
     return;
   }
+  const auto displaced = this->queue.Push(std::move(job));
+  if (displaced) {
+    this->Refuse(*displaced,
+                 NotRun{RefusalCode::kOverloaded, "the queue is full"});
+  }
   this->Dispatch(now);
 }
 
 void MemberExecutor::SubmitInTransaction(steady_clock::time_point now,
                                          Job job) {
-  const auto found = this->transactions.find(job.request.transaction);
-  if (found == this->transactions.end()) {
-    this->ReplyNotRun(
-        job, RefusalCode::kUnknownTransaction,
-        "transaction " + job.request.transaction.Value() + " is not open");
+  OpenTransaction* transaction =
+      this->transactions.Find(job.request.transaction);
+  if (transaction == nullptr) {
+    job.reply(this->transactions.OutcomeOfClosed(job.request));
     return;
   }
-  Connection& connection = this->connections.at(found->second);
-  if (connection.state == State::kBusy) {
-    this->ReplyNotRun(job, RefusalCode::kInvalidRequest,
-                      "the transaction still runs an earlier statement");
+  if (const auto refusal = CheckInTransaction(*transaction, job)) {
+    this->Refuse(job, *refusal);
     return;
   }
-  this->Run(now, found->second, connection, std::move(job));
-}
-
-std::map<ConnectionId, MemberExecutor::Connection>::iterator
-MemberExecutor::FindIdle() {
-  return std::find_if(
-      this->connections.begin(), this->connections.end(),
-      [](const auto& entry) { return entry.second.state == State::kIdle; });
-}
-
-void MemberExecutor::OpenMissing(steady_clock::time_point now) {
-  if (now < this->reopen_at) return;
-  while (this->connections.size() < this->share) {
-    const ConnectionId id = this->hooks.next_connection();
-    this->connections[id].began = now;
-    this->hooks.port.open(id, this->info);
-  }
-}
-
-void MemberExecutor::Dispatch(steady_clock::time_point now) {
-  for (auto idle = this->FindIdle();
-       idle != this->connections.end() && !this->control_calls.Empty();
-       idle = this->FindIdle()) {
-    this->RunControl(now, idle->first, idle->second,
-                     *this->control_calls.Pop());
+  const ConnectionId id = transaction->connection;
+  // The begin has recorded the same identifier already.
+  job.request.request_id =
+      transaction->request_id.Empty() ? job.request.request_id : RequestId();
+  if (this->pool.IsPinned(id)) {
+    this->StartRun(now, id, std::move(job));
+    return;
   }
-  if (this->confirmer.Waiting()) this->PollPrimary(now);
-  for (auto idle = this->FindIdle(); idle != this->connections.end();
-       idle = this->FindIdle()) {
-    std::optional<Job> job = this->queue.Pop();
-    if (!job) return;
-    this->Run(now, idle->first, idle->second, std::move(*job));
+  Active& running = this->active.at(id);
+  if (!running.run && !running.next) {
+    running.next = std::move(job);
+    return;
   }
+  this->Refuse(job, NotRun{RefusalCode::kInvalidRequest,
+                           "the transaction still runs an earlier statement"});
 }
 
 void MemberExecutor::RunControlStatement(steady_clock::time_point now,
                                          ControlCall call) {
+  if (this->role.share == 0) {
+    call.reply(std::nullopt);
+    return;
+  }
+  const bool changes_role = call.statement.sql != this->settings.run.sql.status;
   this->control_calls.Push(std::move(call));
   this->Dispatch(now);
+  const auto held = this->pool.FindPinned();
+  if (changes_role && held && !this->control_calls.Empty()) {
+    this->AbortTransactions({this->transactions.IdOn(*held)});
+    this->Dispatch(now);
+  }
 }
 
-void MemberExecutor::RunControl(steady_clock::time_point now, ConnectionId id,
-                                Connection& connection, ControlCall call) {
-  SqlBatch batch{{call.statement}};
-  connection.control = std::move(call);
-  this->RunInternal(now, id, connection, std::move(batch));
-}
-
-void MemberExecutor::OnGateChanged(steady_clock::time_point now) {
-  this->Dispatch(now);
-}
-
-void MemberExecutor::Observe(steady_clock::time_point now, MemberSign sign) {
-  if (this->hooks.observe) this->hooks.observe(this->info.id, sign, now);
+void MemberExecutor::Dispatch(steady_clock::time_point now) {
+  this->pool.OpenMissing(now);
+  if (now >= this->term_entry_at && !this->TermEntryDue(now)) {
+    this->term_entry_at = now + kTermEntryPause;
+  }
+  for (auto idle = this->pool.FindIdle(); idle; idle = this->pool.FindIdle()) {
+    if (!this->DispatchTo(now, *idle)) break;
+  }
+  this->PollIfDue(now);
+}
+
+bool MemberExecutor::DispatchTo(steady_clock::time_point now, ConnectionId id) {
+  if (auto call = this->control_calls.Pop()) {
+    this->StartControl(now, id, std::move(*call));
+  } else if (this->TermEntryDue(now)) {
+    this->term_entry_at = now + kTermEntryPause;
+    this->StartRun(now, id,
+                   MakeTermEntry(this->role.info.database, this->role.term,
+                                 now + kTermEntryLimit));
+  } else if (this->PollOverdue(now)) {
+    this->StartPoll(now, id);
+  } else if (auto job = this->NextJob(now)) {
+    this->StartRun(now, id, std::move(*job));
+  } else {
+    return false;
+  }
+  return true;
 }
 
-void MemberExecutor::ObserveSilence(steady_clock::time_point now) {
-  for (auto& entry : this->connections) {
-    Connection& connection = entry.second;
-    const bool waits =
-        connection.state == State::kOpening || connection.state == State::kBusy;
-    if (!waits || connection.reported_silent ||
-        now - connection.began < kSilenceThreshold) {
-      continue;
-    }
-    connection.reported_silent = true;
-    this->Observe(now, MemberSign::kSilent);
-  }
+bool MemberExecutor::TermEntryDue(steady_clock::time_point now) const {
+  return this->role.primary && !this->confirmer.TermBegun() &&
+         now >= this->term_entry_at &&
+         this->hooks.may_answer(now, this->role.term);
 }
 
-void MemberExecutor::Run(steady_clock::time_point now, ConnectionId id,
-                         Connection& connection, Job job) {
-  connection.began = now;
-  connection.reported_silent = false;
-  connection.batch = BuildStatementBatch(job.request, this->status_sql);
-  connection.job = std::move(job);
-  connection.internal = false;
-  connection.state = State::kBusy;
-  this->hooks.port.execute(id, connection.batch.batch);
+bool MemberExecutor::PollOverdue(steady_clock::time_point now) const {
+  const auto oldest = this->pending.OldestSince();
+  if (!oldest) return false;
+  const auto overdue = this->polls.Overdue(*oldest, this->load.Confirmation());
+  return overdue && *overdue <= now;
 }
 
-void MemberExecutor::RunInternal(steady_clock::time_point now, ConnectionId id,
-                                 Connection& connection, SqlBatch batch) {
-  connection.began = now;
-  connection.reported_silent = false;
-  connection.batch = StatementBatch{std::move(batch)};
-  connection.job.reset();
-  connection.internal = true;
-  connection.state = State::kBusy;
-  this->hooks.port.execute(id, connection.batch.batch);
+void MemberExecutor::PollIfDue(steady_clock::time_point now) {
+  const auto oldest = this->pending.OldestSince();
+  if (!oldest) return;
+  const auto due = this->polls.Due(*oldest, this->load.Confirmation());
+  if (!due || *due > now) return;
+  auto id = this->pool.FindIdle();
+  if (!id) id = this->pool.FindPinned();
+  if (id) this->StartPoll(now, *id);
 }
 
-void MemberExecutor::PollPrimary(steady_clock::time_point now) {
-  if (this->polling || now < this->next_poll) return;
-  const auto idle = this->FindIdle();
-  if (idle == this->connections.end()) return;
-  this->polling = true;
-  this->next_poll = now + kConfirmPollInterval;
-  this->RunInternal(now, idle->first, idle->second,
-                    SqlBatch{{SqlStatement{this->status_sql, {}}}});
-  idle->second.batch.status_after = 0;
+std::optional<Job> MemberExecutor::NextJob(steady_clock::time_point now) {
+  for (auto job = this->queue.Pop(); job; job = this->queue.Pop()) {
+    auto refusal = CheckRole(this->Admission(now), *job);
+    if (!refusal) {
+      refusal = CheckTimeLeft(now, *job, this->load);
+      if (refusal) this->load.Relax();
+    }
+    if (!refusal) return job;
+    this->Refuse(*job, *refusal);
+  }
+  return std::nullopt;
 }
 
-void MemberExecutor::OnOpened(steady_clock::time_point now, ConnectionId id) {
-  this->connections.at(id).state = State::kIdle;
-  this->hooks.events.record(Event{EventCode::kConnectionOpened,
-                                  EventLevel::kDebug,
-                                  {{"member", this->info.id.Value()}}});
-  this->Observe(now, MemberSign::kAnswered);
-  this->Release(now, id);
+void MemberExecutor::StartRun(steady_clock::time_point now, ConnectionId id,
+                              Job job) {
+  RunContext context;
+  context.member = this->role.info.id;
+  context.primary = this->role.primary;
+  context.term = this->role.term;
+  context.group_size = this->role.group_size;
+  context.next_transaction = this->hooks.next_transaction;
+  Active& running = this->active[id];
+  running = Active{};
+  running.since = now;
+  running.run.emplace(std::move(job), std::move(context), &this->settings.run);
+  this->pool.Send(now, id, running.run->Start());
 }
 
-void MemberExecutor::CloseConnection(ConnectionId id) {
-  this->connections.erase(id);
-  this->hooks.port.close(id);
+void MemberExecutor::StartControl(steady_clock::time_point now, ConnectionId id,
+                                  ControlCall call) {
+  Active& running = this->active[id];
+  running = Active{};
+  running.since = now;
+  const SqlBatch batch{{call.statement}};
+  running.control = std::move(call);
+  this->pool.Send(now, id, batch);
 }
 
-void MemberExecutor::Release(steady_clock::time_point now, ConnectionId id) {
-  if (this->connections.size() > this->share) {
-    this->CloseConnection(id);
-  } else {
-    this->connections.at(id).state = State::kIdle;
-  }
-  this->OpenMissing(now);
-  this->Dispatch(now);
+void MemberExecutor::StartPoll(steady_clock::time_point now, ConnectionId id) {
+  this->active[id] = Active{};
+  this->active[id].since = now;
+  this->polls.OnSent(now);
+  this->pool.Send(now, id, SqlBatch{{{this->settings.run.sql.status, {}}}});
 }
 
-void MemberExecutor::OnLost(steady_clock::time_point now, ConnectionId id,
-                            ConnectionFailure failure) {
-  auto node = this->connections.extract(id);
-  if (node.empty()) return;
-  Connection& connection = node.mapped();
-  this->hooks.events.record(
-      Event{EventCode::kConnectionLost,
-            EventLevel::kDebug,
-            {{"member", this->info.id.Value()},
-             {"opening", connection.state == State::kOpening ? "yes" : "no"}}});
-  if (connection.state == State::kOpening ||
-      failure == ConnectionFailure::kTooManyConnections) {
-    this->reopen_at = now + kReopenPause;
-  }
-  this->transactions.erase(connection.transaction);
-  if (connection.internal && connection.batch.status_after == 0) {
-    this->polling = false;
-  }
-  this->Observe(now, connection.state == State::kOpening ? MemberSign::kRefused
-                                                         : MemberSign::kLost);
-  if (connection.control) connection.control->reply(std::nullopt);
-  if (connection.job) {
-    const Job& job = *connection.job;
-    const bool harmless = job.request.kind == RequestKind::kRead ||
-                          job.request.kind == RequestKind::kBegin ||
-                          job.request.kind == RequestKind::kRollback ||
-                          (!job.request.transaction.Empty() &&
-                           job.request.kind != RequestKind::kCommit);
-    if (harmless) {
-      this->ReplyNotRun(job,
-                        job.request.transaction.Empty()
-                            ? RefusalCode::kMemberUnreachable
-                            : RefusalCode::kTransactionAborted,
-                        "the connection to the member was lost");
+void MemberExecutor::OnCompleted(steady_clock::time_point now, ConnectionId id,
+                                 const BatchResult& result) {
+  const auto found = this->active.find(id);
+  if (found == this->active.end()) return;
+  this->pool.OnCompleted(now, id);
+  try {
+    if (found->second.run) {
+      this->OnRunResult(now, id, result);
+    } else if (found->second.control) {
+      this->OnControlResult(now, id, result);
     } else {
-      job.reply(UnknownOutcome{"the connection was lost during the write"});
+      this->OnPollResult(now, id, result);
     }
+  } catch (const DecodeError&) {
+    this->CloseInDoubt(id);
   }
-  this->OpenMissing(now);
   this->Dispatch(now);
 }
 
-void MemberExecutor::OnCompleted(steady_clock::time_point now, ConnectionId id,
+void MemberExecutor::OnRunResult(steady_clock::time_point now, ConnectionId id,
                                  const BatchResult& result) {
-  this->present = now;
-  const auto found = this->connections.find(id);
-  if (found == this->connections.end()) return;
-  Connection& connection = found->second;
-  this->Observe(now, MemberSign::kAnswered);
-  if (connection.control) {
-    const ControlCall call = *std::exchange(connection.control, std::nullopt);
-    this->Release(now, id);
-    call.reply(result.results.empty() ? std::nullopt
-                                      : std::optional(result.results.front()));
+  RunStep step = this->active.at(id).run->OnResult(result);
+  const JobRun run = *this->active.at(id).run;
+  const auto* answer =
+      step.outcome ? std::get_if<Answered>(&*step.outcome) : nullptr;
+  const bool silenced = answer != nullptr &&
+                        step.fate == ConnectionFate::kPinned &&
+                        !this->hooks.may_answer(now, run.Term());
+  if (silenced) {
+    this->transactions.Abort(run.TheJob().request.transaction);
+    this->EndActive(now, id, ConnectionFate::kClose);
+    this->Tell(run, NotRun{RefusalCode::kTransactionAborted,
+                           "this proxy may not answer for the primary now"});
     return;
   }
-  if (connection.internal) {
-    this->polling = false;
-    this->TakeStatus(result, connection.batch.status_after);
-    this->Release(now, id);
-    return;
-  }
-  const Job job = std::move(*connection.job);
-  connection.job.reset();
-  const bool clean = result.sqlstate.empty();
-  if (!clean) {
-    this->FinishFailed(connection, job, result);
-  } else if (!job.request.transaction.Empty() ||
-             job.request.kind == RequestKind::kBegin) {
-    this->FinishInTransaction(connection, job, result);
-  } else if (job.request.kind == RequestKind::kRead) {
-    this->FinishRead(now, connection, job, result);
+  this->NoteTransaction(now, id, run, step);
+  if (step.next) this->pool.Send(now, id, *step.next);
+  if (step.fate) this->EndActive(now, id, *step.fate);
+  if (!step.status.empty()) this->TakeStatus(now, step.status);
+  if (step.held) this->HoldAnswer(now, run, std::move(*step.held));
+  if (step.outcome) this->Tell(run, *step.outcome);
+}
+
+void MemberExecutor::NoteTransaction(steady_clock::time_point now,
+                                     ConnectionId id, const JobRun& run,
+                                     const RunStep& step) {
+  const StatementRequest& request = run.TheJob().request;
+  if (step.fate == ConnectionFate::kPinned) {
+    const auto& answer = std::get<Answered>(*step.outcome);
+    OpenTransaction* open = this->transactions.Find(answer.transaction);
+    if (open == nullptr) {
+      this->transactions.Add(
+          answer.transaction,
+          OpenTransaction{id, run.Term(), request.request_id, now, now});
+    } else {
+      open->last_used = now;
+    }
+  } else if (step.outcome && std::holds_alternative<NotRun>(*step.outcome)) {
+    this->transactions.Abort(request.transaction);
+  } else if (step.outcome || step.held) {
+    this->transactions.Remove(request.transaction);
+  }
+}
+
+void MemberExecutor::EndActive(steady_clock::time_point now, ConnectionId id,
+                               ConnectionFate fate) {
+  const Active ended = std::move(this->active.extract(id).mapped());
+  const bool whole_request = ended.run &&
+                             ended.run->TheJob().request.transaction.Empty() &&
+                             fate == ConnectionFate::kReusable;
+  if (whole_request) this->load.AddHold(now - ended.since);
+  if (fate == ConnectionFate::kPinned) {
+    this->pool.Pin(id);
+  } else if (fate == ConnectionFate::kReusable) {
+    this->pool.GiveBack(id);
   } else {
-    this->FinishWrite(now, connection, job, result);
-  }
-  if (connection.state == State::kPinned) return;
-  if (!clean) {
-    // The failed transaction is still open on the connection.
-    this->transactions.erase(connection.transaction);
-    this->CloseConnection(id);
-    this->OpenMissing(now);
-    this->Dispatch(now);
-    return;
+    this->pool.Close(id);
   }
-  this->Release(now, id);
 }
 
-void MemberExecutor::TakeStatus(const BatchResult& result, std::size_t place) {
-  if (!Ran(result, place)) return;
-  this->confirmer.OnStatus(ParseMemberStatus(result.results[place]));
+void MemberExecutor::Tell(const JobRun& run, const Outcome& outcome) {
+  if (const auto* refusal = std::get_if<NotRun>(&outcome)) {
+    this->Refuse(run.TheJob(), *refusal);
+  } else {
+    run.TheJob().reply(outcome);
+  }
 }
 
-void MemberExecutor::FinishRead(steady_clock::time_point now,
-                                const Connection& connection, const Job& job,
-                                const BatchResult& result) {
-  const auto before =
-      ParseMemberStatus(result.results[connection.batch.status_before]);
-  const auto after =
-      ParseMemberStatus(result.results[connection.batch.status_after]);
-  const MemberStatus& self = SelfStatus(before);
-  if (job.request.session_position &&
-      self.applied < *job.request.session_position) {
-    this->ReplyNotRun(job, RefusalCode::kNoReplicaFreshEnough,
-                      "the member has not yet applied the session's writes");
-    return;
-  }
-  if (this->primary && (!self.primary || self.term != this->term)) {
-    this->ReplyNotRun(job, RefusalCode::kNoPrimary,
-                      "the member is not the primary of this term");
-    return;
-  }
-  if (this->primary && !this->hooks.may_answer(now, this->term)) {
-    this->ReplyNotRun(job, RefusalCode::kTermLost,
-                      "this proxy may no longer answer for the primary");
+void MemberExecutor::HoldAnswer(steady_clock::time_point now, const JobRun& run,
+                                HeldAnswer held) {
+  const bool stands = this->role.primary && run.Term() == this->role.term &&
+                      run.Term() > this->released_term;
+  if (!stands) {
+    this->Tell(run, held.otherwise);
     return;
   }
-  Answered answer;
-  answer.result = result.results[connection.batch.statement];
-  answer.served_by = this->info.id;
-  answer.served_by_replica = !this->primary;
-  answer.position =
-      this->primary ? this->confirmer.Confirmed() : SelfStatus(after).applied;
-  if (job.request.session_position) {
-    answer.position = std::max(answer.position, *job.request.session_position);
+  this->pending.Add(PendingAnswer{run.TheJob(), std::move(held.answer),
+                                  held.position, run.Term(),
+                                  std::move(held.otherwise), now});
+  this->pending.Release(now, this->confirmer);
+}
+
+void MemberExecutor::OnControlResult(steady_clock::time_point now,
+                                     ConnectionId id,
+                                     const BatchResult& result) {
+  const ControlCall call = *this->active.at(id).control;
+  this->EndActive(now, id, ConnectionFate::kReusable);
+  call.reply(result.results.empty() ? std::nullopt
+                                    : std::optional(result.results.front()));
+}
+
+void MemberExecutor::OnPollResult(steady_clock::time_point now, ConnectionId id,
+                                  const BatchResult& result) {
+  this->polls.OnEnded();
+  std::optional<Job> next = std::move(this->active.at(id).next);
+  const bool in_transaction = !this->transactions.IdOn(id).Empty();
+  this->EndActive(
+      now, id,
+      in_transaction ? ConnectionFate::kPinned : ConnectionFate::kReusable);
+  if (next) this->StartRun(now, id, std::move(*next));
+  if (!result.results.empty()) {
+    this->TakeStatus(now, ParseMemberStatus(result.results.front()));
   }
-  job.reply(answer);
 }
 
-void MemberExecutor::FinishWrite(steady_clock::time_point now,
-                                 const Connection& connection, const Job& job,
-                                 const BatchResult& result) {
-  const auto rows =
-      ParseMemberStatus(result.results[connection.batch.status_after]);
-  Answered answer;
-  if (connection.batch.statement != StatementBatch::kNoPlace) {
-    answer.result = result.results[connection.batch.statement];
-  }
-  answer.served_by = this->info.id;
-  answer.position = SelfStatus(rows).durable;
-  this->next_poll = now;
-  this->AwaitConfirmation(job, std::move(answer));
+void MemberExecutor::TakeStatus(steady_clock::time_point now,
+                                const std::vector<MemberStatus>& rows) {
+  if (!this->role.primary) return;
   this->confirmer.OnStatus(rows);
+  this->polls.OnStatus(now);
+  this->pending.Release(now, this->confirmer);
 }
 
-void MemberExecutor::FinishInTransaction(Connection& connection, const Job& job,
-                                         const BatchResult& result) {
-  Answered answer;
-  answer.served_by = this->info.id;
-  if (job.request.kind == RequestKind::kBegin) {
-    connection.transaction = this->hooks.next_transaction();
-    answer.transaction = connection.transaction;
-    for (auto& entry : this->connections) {
-      if (&entry.second == &connection) {
-        this->transactions[connection.transaction] = entry.first;
-      }
-    }
-    connection.state = State::kPinned;
-    job.reply(answer);
+void MemberExecutor::CloseInDoubt(ConnectionId id) {
+  if (!this->pool.Owns(id)) return;
+  this->pool.Close(id);
+  this->FailActive(id);
+}
+
+void MemberExecutor::FailActive(ConnectionId id) {
+  const TransactionId transaction = this->transactions.IdOn(id);
+  const auto node = this->active.extract(id);
+  if (node.empty()) {
+    this->transactions.Abort(transaction);
     return;
   }
-  if (job.request.kind == RequestKind::kRead ||
-      job.request.kind == RequestKind::kWrite) {
-    answer.result = result.results[connection.batch.statement];
-    answer.transaction = connection.transaction;
-    connection.state = State::kPinned;
-    job.reply(answer);
-    return;
+  const Active& failed = node.mapped();
+  if (failed.run && failed.run->CommitSent()) {
+    this->transactions.Remove(transaction);
+  } else {
+    this->transactions.Abort(transaction);
   }
-  this->transactions.erase(connection.transaction);
-  connection.transaction = TransactionId();
-  if (job.request.kind == RequestKind::kRollback) {
-    job.reply(answer);
-    return;
+  if (!failed.run && !failed.control) this->polls.OnEnded();
+  if (failed.run) {
+    const auto outcome = failed.run->OnLost();
+    if (outcome) this->Tell(*failed.run, *outcome);
   }
-  const auto rows =
-      ParseMemberStatus(result.results[connection.batch.status_after]);
-  answer.position = SelfStatus(rows).durable;
-  this->AwaitConfirmation(job, std::move(answer));
-  this->confirmer.OnStatus(rows);
-}
-
-void MemberExecutor::FinishFailed(const Connection& connection, const Job& job,
-                                  const BatchResult& result) {
-  const std::size_t failed_at = result.results.size();
-  if (result.sqlstate == kUniqueViolation &&
-      failed_at == connection.batch.identifier) {
-    Answered answer;
-    answer.served_by = this->info.id;
-    answer.repeated = true;
-    job.reply(answer);
-  } else if (result.sqlstate == kReadOnly) {
-    this->ReplyNotRun(job, RefusalCode::kNoPrimary, result.message);
-  } else {
-    job.reply(StatementFailed{result.sqlstate, result.message});
+  if (failed.control) failed.control->reply(std::nullopt);
+  if (failed.next) {
+    this->Refuse(*failed.next, NotRun{RefusalCode::kTransactionAborted,
+                                      "the connection was lost"});
   }
 }
 
-void MemberExecutor::AwaitConfirmation(const Job& job, Answered answer) {
-  const std::uint64_t waiting_id = this->next_waiting_id++;
-  const LogPosition position = answer.position;
-  this->awaiting.emplace(waiting_id, Awaiting{job, std::move(answer)});
-  this->confirmer.Add(position, [this, waiting_id](Confirmation confirmation) {
-    this->OnConfirmed(waiting_id, confirmation);
-  });
-}
-
-void MemberExecutor::OnConfirmed(std::uint64_t waiting_id,
-                                 Confirmation confirmation) {
-  auto node = this->awaiting.extract(waiting_id);
-  if (node.empty()) return;
-  const Awaiting& waiting = node.mapped();
-  if (confirmation == Confirmation::kConfirmed &&
-      waiting.answer.position.term == this->term &&
-      this->hooks.may_answer(this->present, this->term)) {
-    waiting.job.reply(waiting.answer);
-  } else {
-    waiting.job.reply(
-        UnknownOutcome{"the primary was replaced before a majority had it"});
+void MemberExecutor::AbortTransactions(const std::vector<TransactionId>& ids) {
+  for (const TransactionId& id : ids) {
+    const OpenTransaction* transaction = this->transactions.Find(id);
+    if (transaction != nullptr) this->CloseInDoubt(transaction->connection);
   }
 }
 
-void MemberExecutor::ExpireAwaiting(steady_clock::time_point now) {
-  for (auto it = this->awaiting.begin(); it != this->awaiting.end();) {
-    if (it->second.job.deadline > now) {
-      ++it;
-      continue;
+void MemberExecutor::AbandonOverdue(steady_clock::time_point now) {
+  std::vector<ConnectionId> hung;
+  for (auto& [id, running] : this->active) {
+    auto useful_until = running.since;
+    if (running.run) {
+      useful_until = std::max(useful_until, running.run->TheJob().deadline);
+    }
+    if (useful_until + kHungLimit <= now) hung.push_back(id);
+    const bool overdue = running.run && running.run->Undecided() &&
+                         running.run->TheJob().deadline <= now;
+    if (!overdue) continue;
+    const TransactionId& transaction =
+        running.run->TheJob().request.transaction;
+    if (running.run->CommitSent()) {
+      this->transactions.Remove(transaction);
+    } else {
+      this->transactions.Abort(transaction);
     }
-    it->second.job.reply(
-        UnknownOutcome{"no majority had the write within the time limit"});
-    it = this->awaiting.erase(it);
+    this->Tell(*running.run, running.run->Abandon());
   }
+  for (const ConnectionId id : hung) this->CloseInDoubt(id);
 }
 
 void MemberExecutor::OnTick(steady_clock::time_point now) {
   this->control_calls.Expire(now);
-  this->ObserveSilence(now);
+  this->pool.ObserveSilence(now);
   for (const Job& job : this->queue.TakeExpired(now)) {
-    this->ReplyNotRun(job, RefusalCode::kDeadline,
-                      "no connection was free within the time limit");
+    this->Refuse(job, NotRun{RefusalCode::kDeadline,
+                             "no connection was free within the time limit"});
   }
-  this->ExpireAwaiting(now);
-  this->OpenMissing(now);
+  this->pending.Expire(now);
+  this->AbandonOverdue(now);
+  this->AbortTransactions(this->transactions.Overdue(now));
+  this->pending.Release(now, this->confirmer);
   this->Dispatch(now);
 }
 
 std::optional<steady_clock::time_point> MemberExecutor::NextWakeup() const {
   std::optional<steady_clock::time_point> next = this->queue.NextDeadline();
-  const auto consider = [&next](steady_clock::time_point time) {
-    if (!next || time < *next) next = time;
+  const auto consider = [&next](std::optional<steady_clock::time_point> time) {
+    if (time && (!next || *time < *next)) next = time;
   };
-  if (this->connections.size() < this->share) consider(this->reopen_at);
-  if (const auto control = this->control_calls.NextDeadline()) {
-    consider(*control);
-  }
-  if (this->confirmer.Waiting() && !this->polling) consider(this->next_poll);
-  for (const auto& entry : this->awaiting) consider(entry.second.job.deadline);
-  for (const auto& entry : this->connections) {
-    const Connection& connection = entry.second;
-    const bool waits =
-        connection.state == State::kOpening || connection.state == State::kBusy;
-    if (waits && !connection.reported_silent) {
-      consider(connection.began + kSilenceThreshold);
+  consider(this->control_calls.NextDeadline());
+  consider(this->pending.NextDeadline());
+  consider(this->transactions.NextDeadline());
+  consider(this->pool.NextWakeup());
+  for (const auto& [id, running] : this->active) {
+    auto useful_until = running.since;
+    if (running.run) {
+      const auto deadline = running.run->TheJob().deadline;
+      useful_until = std::max(useful_until, deadline);
+      if (running.run->Undecided()) consider(deadline);
     }
+    consider(useful_until + kHungLimit);
+  }
+  const bool may_send = this->pool.FindIdle() || this->pool.FindPinned();
+  if (const auto oldest = this->pending.OldestSince(); oldest && may_send) {
+    consider(this->polls.Due(*oldest, this->load.Confirmation()));
+  }
+  if (this->role.primary && !this->confirmer.TermBegun() &&
+      this->pool.FindIdle()) {
+    consider(this->term_entry_at);
   }
   return next;
 }
 
 std::size_t MemberExecutor::Unfinished() const {
   std::size_t running = 0;
-  for (const auto& entry : this->connections) {
-    if (entry.second.job) ++running;
+  for (const auto& [id, entry] : this->active) {
+    if (entry.run && entry.run->Undecided()) ++running;
   }
-  return this->queue.Size() + this->awaiting.size() + running;
+  return this->queue.Size() + this->pending.Size() + running;
 }
 
 }  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/retry_budget.cc
@@ -0,0 +1,17 @@
+#include "lacewingferry/decisions/traffic/retry_budget.h"
+
+#include <algorithm>
+
+namespace lacewingferry {
+
+void RetryBudget::OnRequest() {
+  this->parts = std::min(this->parts + 1, kMostParts);
+}
+
+bool RetryBudget::Take() {
+  if (this->parts < kRequestsPerRetry) return false;
+  this->parts -= kRequestsPerRetry;
+  return true;
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/statement_check.h
@@ -0,0 +1,19 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
+
+// Defines which statements a caller may not send, because they would change
+// a transaction or a connection that is not the caller's own.
+
+#include <string>
+
+namespace lacewingferry {
+
+/** Whether the statement begins or ends a transaction, or changes the state of
+ * its connection beyond the transaction. Such a statement is never run: a
+ * COMMIT inside a request would end the transaction that records the request,
+ * and a SET would be seen by the connection's next user. */
+bool ChangesConnection(const std::string& sql);
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
--- a/src/lacewingferry/decisions/traffic/write_confirmer.h
+++ b/src/lacewingferry/decisions/traffic/write_confirmer.h
@@ -1,12 +1,10 @@
 #ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_WRITE_CONFIRMER_H_
 #define LACEWINGFERRY_DECISIONS_TRAFFIC_WRITE_CONFIRMER_H_
 
-// Defines WriteConfirmer, which holds back the answers of committed writes
-// until a majority of the members have them.
+// Defines WriteConfirmer, which knows up to where a majority of the members
+// holds a database's log.
 
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <vector>
 
 #include "lacewingferry/core/log_position.h"
@@ -14,47 +12,41 @@
 
 namespace lacewingferry {
 
-/** What became of a write that waited for its confirmation. */
-enum class Confirmation : std::uint8_t {
-  /** A majority holds the write. */
-  kConfirmed,
-  /** The term ended first; the write may or may not survive. */
-  kTermEnded,
-};
-
 /**
- * Waits for a majority of the whole group, the primary included, to hold each
- * write's position in the primary's term. One status report confirms all
- * writes up to the position that the majority reached.
+ * Counts a majority of the whole group, the primary included. A position is
+ * confirmed only once the majority holds an entry of the primary's own term:
+ * entries of an earlier term can still lose against those of a term between,
+ * even while a majority holds them. One report confirms all positions up to
+ * the one that the majority reached.
  */
 class WriteConfirmer {
  public:
-  using ConfirmHook = std::function<void(Confirmation)>;
-
   /** Sets how many members the group has when whole. */
   void SetGroupSize(std::uint32_t members) { this->group_size = members; }
 
-  std::uint32_t GroupSize() const { return this->group_size; }
+  /** Takes the term whose primary is asked. */
+  void SetTerm(std::uint64_t current) { this->term = current; }
 
-  /** Adds a committed write. */
-  void Add(const LogPosition& position, ConfirmHook on_confirmed);
-
-  /** Takes the primary's rows and answers what they confirm. */
+  /** Takes the primary's rows; those of another term change nothing. */
   void OnStatus(const std::vector<MemberStatus>& rows);
 
-  /** Ends every wait of a term before the given one. */
-  void EndTermsBefore(std::uint64_t term);
+  /** Whether no promotion can lose the position any longer. */
+  bool Covers(const LogPosition& position) const {
+    return this->confirmed.term == this->term && position <= this->confirmed;
+  }
+
+  /** Whether the primary's log has an entry of its own term. Until then
+   * nothing can be confirmed. */
+  bool TermBegun() const { return this->newest.term == this->term; }
 
   /** The newest position that a majority is known to hold. */
   const LogPosition& Confirmed() const { return this->confirmed; }
 
-  /** Whether any write waits. */
-  bool Waiting() const { return !this->pending.empty(); }
-
  private:
   std::uint32_t group_size = 3;
+  std::uint64_t term = 0;
+  LogPosition newest;
   LogPosition confirmed;
-  std::multimap<LogPosition, ConfirmHook> pending;
 };
 
 }  // namespace lacewingferry
