--- a/src/lacewingferry/adapters/json/json_fields.cc
+++ b/src/lacewingferry/adapters/json/json_fields.cc
@@ -71,12 +71,13 @@
     this->asked.insert(name);
     return std::nullopt;
   }
-  try {
-    return ParseDuration(this->Text(name, false));
-  } catch (const UserError& error) {
-    this->Report(std::string(name) + ": " + error.what());
-    return std::nullopt;
+  const std::string text = this->Text(name, false);
+  const auto duration = ParseDuration(text);
+  if (!duration) {
+    this->Report(std::string(name) + " '" + text +
+                 "' is not a duration such as 250ms, 2s or 1min");
   }
+  return duration;
 }
 
 nlohmann::json JsonFields::Raw(const char* name) {
