--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -6,7 +6,6 @@
 
 namespace lacewingferry::model {
 
-using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
--- a/src/lacewingferry/decisions/consensus/raft_leader.cc
+++ b/src/lacewingferry/decisions/consensus/raft_leader.cc
@@ -174,8 +174,8 @@
   if (reply.success) {
     this->Accept(reply, follower);
     this->AdvanceCommit();
-  } else {
-    this->Reject(reply, follower);
+  } else if (!this->Reject(reply, follower)) {
+    return;
   }
   const bool waits = follower.resend_at && now < *follower.resend_at;
   const ControlMember* member =
@@ -201,12 +201,15 @@
   if (follower.match >= follower.in_flight_last) follower.resend_at.reset();
 }
 
-void RaftLeader::Reject(const AppendReply& reply,
+bool RaftLeader::Reject(const AppendReply& reply,
                         FollowerProgress& follower) const {
-  // A late refusal only makes the leader send again what is there already.
-  follower.next =
-      std::max(follower.match + 1, std::min(follower.next, reply.index + 1));
+  // Only a refusal that moves the follower's next entry back is answered at
+  // once: answering doubled refusals too would multiply messages.
+  const std::uint64_t next = std::max(follower.match + 1, reply.index + 1);
+  if (next >= follower.next) return false;
+  follower.next = next;
   follower.resend_at.reset();
+  return true;
 }
 
 /**
--- a/src/lacewingferry/decisions/consensus/raft_leader.h
+++ b/src/lacewingferry/decisions/consensus/raft_leader.h
@@ -73,7 +73,8 @@
   void Confirm(std::chrono::steady_clock::time_point now,
                const AppendReply& reply, FollowerProgress& follower) const;
   void Accept(const AppendReply& reply, FollowerProgress& follower) const;
-  void Reject(const AppendReply& reply, FollowerProgress& follower) const;
+  /** Whether the follower's next entry moved back. */
+  bool Reject(const AppendReply& reply, FollowerProgress& follower) const;
   void AdvanceCommit();
   bool HearsQuorum(std::chrono::steady_clock::time_point now) const;
   bool Connected(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/consensus/raft_settings.h
+++ b/src/lacewingferry/decisions/consensus/raft_settings.h
@@ -36,7 +36,7 @@
   /** Between two join requests of a replica that no leader knows. */
   std::chrono::milliseconds join_retry{1000};
   /** The payload of one append, unless a single entry is larger. */
-  std::size_t max_append_bytes = 64 * 1024;
+  std::size_t max_append_bytes = 65'536;
   /** Proposals that wait for a quorum; more are refused. */
   std::uint64_t max_uncommitted_entries = 1024;
   /** Applied entries between two snapshots. */
--- a/src/lacewingferry/decisions/consensus/voter_identity.cc
+++ b/src/lacewingferry/decisions/consensus/voter_identity.cc
@@ -12,8 +12,9 @@
  * VMs meet about once in 10^12 fleets. */
 constexpr int kIdentityDigits = 12;
 
+constexpr char kDigits[] = "0123456789abcdef";
+
 VoterId RandomIdentity(std::mt19937_64& random) {
-  constexpr char kDigits[] = "0123456789abcdef";
   std::uniform_int_distribution<int> digit(0, 15);
   std::string text;
   for (int i = 0; i < kIdentityDigits; ++i) text += kDigits[digit(random)];
@@ -33,7 +34,7 @@
     }
     throw StorageError("identity: holds a record of another kind");
   }
-  const VoterId voter = RandomIdentity(random);
+  VoterId voter = RandomIdentity(random);
   storage.replace(kIdentityFile, {codec.encode(IdentityRecord{voter})});
   return voter;
 }
