--- a/src/lacewingferry/decisions/consensus/control_log.cc
+++ b/src/lacewingferry/decisions/consensus/control_log.cc
@@ -226,14 +226,14 @@
 
 void ControlLog::InstallSnapshot(std::uint64_t last_index,
                                  std::uint64_t last_term,
-                                 const ControlConfiguration& configuration,
+                                 ControlConfiguration configuration,
                                  std::string state) {
   const bool continues = this->TermAt(last_index) == last_term;
   if (!continues) this->entries.clear();
   SnapshotRecord next;
   next.last_index = next.base_index = last_index;
   next.last_term = next.base_term = last_term;
-  next.configuration = configuration;
+  next.configuration = std::move(configuration);
   next.state = std::move(state);
   this->ReplaceSnapshot(std::move(next));
 }
