--- a/standin/member_functions.cc
+++ b/standin/member_functions.cc
@@ -1,5 +1,6 @@
 #include "standin/member_functions.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,9 @@
 }
 
 Endpoint ReadEndpoint(const std::string& host, const std::string& port) {
+  boost::system::error_code bad_host;
+  boost::asio::ip::make_address(host, bad_host);
+  if (bad_host) throw SqlError("22P02", "not an IP number: \"" + host + "\"");
   return Endpoint{host, static_cast<std::uint16_t>(ReadNumber(
                             port, std::numeric_limits<std::uint16_t>::max()))};
 }
--- a/standin/postgres_session.cc
+++ b/standin/postgres_session.cc
@@ -230,20 +230,19 @@
 }
 
 void PostgresSession::Handle(const QueryRequest& request) {
-  this->query = request.sql;
-  if (ClassifyStatement(request.sql).kind == StatementKind::kEmpty)
-    this->answer.EmptyQuery();
+  this->query = SimpleQuery{request.sql, false};
 }
 
 void PostgresSession::StepQuery() {
   try {
     std::string_view rest;
-    const auto statement = this->sql->Prepare(*this->query, rest);
-    this->query = std::string(rest);
+    const auto statement = this->sql->Prepare(this->query->rest, rest);
     if (statement->classified.kind == StatementKind::kEmpty) {
+      if (!this->query->any) this->answer.EmptyQuery();
       this->EndQuery();
       return;
     }
+    this->query = SimpleQuery{std::string(rest), true};
     this->Run(statement, {}, [this](const StatementResult& result) {
       this->AnswerQuery(result);
     });
--- a/standin/postgres_session.h
+++ b/standin/postgres_session.h
@@ -67,6 +67,12 @@
     std::vector<SqlValue> parameters;
   };
 
+  /** What is left of a simple query, and whether it held a statement. */
+  struct SimpleQuery {
+    std::string rest;
+    bool any = false;
+  };
+
   void Read();
   void Process();
   bool Step();
@@ -109,8 +115,8 @@
   std::unordered_map<std::string, PreparedStatementPtr> statements;
   std::unordered_map<std::string, Portal> portals;
   std::array<char, 65536> chunk{};
-  /** What is left of a simple query; none outside one. */
-  std::optional<std::string> query;
+  /** The simple query that is running; none outside one. */
+  std::optional<SimpleQuery> query;
   bool started = false;
   bool reading = false;
   bool processing = false;
