--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -15,6 +15,8 @@
 
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/answer_gate.h"
+#include "lacewingferry/decisions/traffic/attempt_history.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/member_executor.h"
@@ -29,6 +31,10 @@
   std::function<void(const NodeId&, const PeerBody&)> send;
   /** A number for a new connection, unique in the process. */
   std::function<ConnectionId()> next_connection;
+  /** Told what the traffic shows of the members; may be empty. */
+  MemberSignHook observe;
+  /** Writes and reads the stored answers of identified requests. */
+  AnswerCodec codec;
 };
 
 /** Who decides, and how. */
@@ -38,6 +44,8 @@
   std::string status_sql;
   /** Differs between the runs of a process. */
   std::uint64_t incarnation = 0;
+  RequestRecordSql request_record{};
+  TransactionLimits transactions{};
 };
 
 /**
@@ -72,6 +80,19 @@
   void OnForwardReply(std::chrono::steady_clock::time_point now,
                       const NodeId& from, const ForwardReply& reply);
 
+  /** Takes the end of this proxy's lease by its own clock. A write is
+   * acknowledged, and a read at the primary answered, only before it. */
+  void OnLease(std::chrono::steady_clock::time_point now,
+               std::chrono::steady_clock::time_point until);
+
+  /** Gives up a term and all before it for good. */
+  void ReleaseTerm(std::chrono::steady_clock::time_point now,
+                   std::uint64_t term);
+
+  /** Runs a statement of control on an own connection of the member. */
+  void RunControlStatement(std::chrono::steady_clock::time_point now,
+                           const MemberId& member, ControlCall call);
+
   /** The events of this database's connections. */
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
@@ -100,6 +121,7 @@
     Job job;
     std::set<MemberId> excluded;
     MemberId member;
+    AttemptHistory history;
   };
   using RoutedPtr = std::shared_ptr<Routed>;
 
@@ -108,8 +130,11 @@
   void RunHere(const RoutedPtr& routed, const MemberId& member);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
                const MemberId& member);
+  void Tell(const RoutedPtr& routed, const Outcome& outcome);
   void OnOutcome(const RoutedPtr& routed, const Outcome& outcome);
   void OnOwnerSilent(const ForwardedJob& forwarded);
+  std::uint64_t SetAttemptTerm(Routed& routed) const;
+  std::unique_ptr<MemberExecutor> MakeExecutor(const MemberId& member);
   void RouteLater(const RoutedPtr& routed);
   MemberExecutor* FindExecutor(const MemberId& member);
   MemberExecutor* FindExecutor(ConnectionId id);
@@ -122,6 +147,8 @@
   TrafficSettings settings;
   RoutingViewPtr view;
   const DatabaseView* database = nullptr;
+  AnswerGate gate;
+  RetryBudget retries;
   std::chrono::steady_clock::time_point now;
   std::map<MemberId, std::unique_ptr<MemberExecutor>> executors;
   ForwardTable forwards;
