Record who sent a note, and show observers of the log what it writes

The history names the operator whose signature a note came with beside its author; they may differ, for example when a note is taken over to another system.

--- a/src/lacewingferry/adapters/http/operator_signature.cc
+++ b/src/lacewingferry/adapters/http/operator_signature.cc
@@ -16,7 +16,6 @@
 constexpr std::size_t kMostNonceCharacters = 64;
 constexpr int kHexBase = 16;
 
-const char* const kOperatorHeader = "x-ferry-operator";
 const char* const kTimeHeader = "x-ferry-time";
 const char* const kNonceHeader = "x-ferry-nonce";
 const char* const kSignatureHeader = "x-ferry-signature";
--- a/src/lacewingferry/adapters/http/operator_signature.h
+++ b/src/lacewingferry/adapters/http/operator_signature.h
@@ -12,6 +12,9 @@
 
 namespace lacewingferry {
 
+/** The header that names the operator. */
+constexpr char kOperatorHeader[] = "x-ferry-operator";
+
 /** Signs a request by HMAC-SHA256 and adds the headers x-ferry-operator,
  * x-ferry-time (microseconds since 1970 in UTC), x-ferry-nonce and
  * x-ferry-signature (hexadecimal), with a nonce of its own. */
--- a/src/lacewingferry/app/operator_api.cc
+++ b/src/lacewingferry/app/operator_api.cc
@@ -81,6 +81,11 @@
   return event;
 }
 
+/** The operator whose signature has been checked. */
+std::string OperatorOf(const HttpRequest& request) {
+  return request.headers.at(kOperatorHeader);
+}
+
 Json ConfigurationToJson(const Configuration& configuration) {
   const std::string author = configuration.history.empty()
                                  ? "lacewingferry"
@@ -173,7 +178,7 @@
             this->hooks.wall_now().time_since_epoch());
     const EventPort events = this->hooks.events;
     this->hooks.apply(
-        NoteSubmission{placed.note, received_at},
+        NoteSubmission{placed.note, received_at, OperatorOf(request)},
         [placed, respond, events](const std::optional<NoteAnswer>& answer) {
           if (!answer) {
             respond(MakeError(kStatusUnavailable, "unknown",
--- a/src/lacewingferry/app/operator_api.h
+++ b/src/lacewingferry/app/operator_api.h
@@ -22,7 +22,8 @@
 
 /** What the interface acts through, all on the control thread. */
 struct OperatorApiHooks {
-  /** Whether this process leads. */
+  /** Whether this process leads and no other can: it holds a majority's lease
+   * or has just confirmed its leadership. Else reads may be old. */
   std::function<bool()> leading;
   /** The leader's address for operators, IP:PORT; empty while none is known. */
   std::function<std::string()> leader;
--- a/src/lacewingferry/app/operator_json.cc
+++ b/src/lacewingferry/app/operator_json.cc
@@ -85,6 +85,7 @@
         Json{{"revision", entry.revision},
              {"note", entry.note.id.Value()},
              {"author", entry.note.author},
+             {"sender", entry.sender},
              {"received_at", FormatTime(HybridTime(entry.received_at))},
              {"added", CountItems(entry.note.added)},
              {"changed", CountItems(entry.note.changed)},
--- a/src/lacewingferry/app/operator_report.cc
+++ b/src/lacewingferry/app/operator_report.cc
@@ -88,9 +88,9 @@
   for (const Json& entry : history) {
     out << NumberAt(entry, "revision") << "  " << TextAt(entry, "received_at")
         << "  " << TextAt(entry, "note") << "  by " << TextAt(entry, "author")
-        << "  +" << NumberAt(entry, "added") << " ~"
-        << NumberAt(entry, "changed") << " -" << NumberAt(entry, "withdrawn")
-        << "\n";
+        << ", sent by " << TextAt(entry, "sender") << "  +"
+        << NumberAt(entry, "added") << " ~" << NumberAt(entry, "changed")
+        << " -" << NumberAt(entry, "withdrawn") << "\n";
   }
   return out.str();
 }
--- a/src/lacewingferry/core/release_note.h
+++ b/src/lacewingferry/core/release_note.h
@@ -165,11 +165,14 @@
   /** When control received the note: UTC, since 1970-01-01. For the history
    * only; no decision depends on it. */
   std::chrono::microseconds received_at{0};
+  /** The operator who sent the note; need not be its author. */
+  std::string sender;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("note", self.note);
     visit("received_at", self.received_at);
+    visit("sender", self.sender);
   }
 };
 
--- a/src/lacewingferry/decisions/configuration/configuration.h
+++ b/src/lacewingferry/decisions/configuration/configuration.h
@@ -51,12 +51,15 @@
   ReleaseNote note;
   /** When control received the note: UTC, since 1970-01-01. */
   std::chrono::microseconds received_at{0};
+  /** The operator who sent the note. */
+  std::string sender;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("revision", self.revision);
     visit("note", self.note);
     visit("received_at", self.received_at);
+    visit("sender", self.sender);
   }
 };
 
--- a/src/lacewingferry/decisions/configuration/note_application.cc
+++ b/src/lacewingferry/decisions/configuration/note_application.cc
@@ -36,8 +36,8 @@
   if (answer.verdict == NoteVerdict::kAccepted) {
     RecordWithdrawals(note, configuration);
     ApplyItems(note, &configuration->in_force);
-    configuration->history.push_back(
-        HistoryEntry{answer.revision, note, submission.received_at});
+    configuration->history.push_back(HistoryEntry{
+        answer.revision, note, submission.received_at, submission.sender});
   } else {
     configuration->rejected.push_back(RejectedNote{note, answer});
   }
--- a/src/lacewingferry/decisions/configuration/note_judgement.cc
+++ b/src/lacewingferry/decisions/configuration/note_judgement.cc
@@ -78,7 +78,10 @@
   }
   std::vector<NoteFinding> findings = CheckNote(note, configuration);
   if (findings.size() > kMostFindings) {
+    const std::size_t more = findings.size() - kMostFindings;
     findings.resize(kMostFindings);
+    findings.push_back(
+        NoteFinding{"", "and " + std::to_string(more) + " more findings"});
   }
   return findings;
 }
--- a/tests/correctness/event_log_test.cc
+++ b/tests/correctness/event_log_test.cc
@@ -8,6 +8,10 @@
 #include <thread>
 #include <vector>
 
+#include "lacewingferry/app/hybrid_wall_clock.h"
+#include "lacewingferry/app/recent_events.h"
+#include "lacewingferry/app/timeline_json.h"
+#include "lacewingferry/app/timeline_text.h"
 #include "lacewingferry/core/errors.h"
 #include "tests/support/temporary_file.h"
 
@@ -30,6 +34,7 @@
   CPPUNIT_TEST_SUITE(EventLogTest);
   CPPUNIT_TEST(WritesOneJsonObjectALine);
   CPPUNIT_TEST(LeavesOutLowerLevels);
+  CPPUNIT_TEST(ShowsAnObserverWhatItWrites);
   CPPUNIT_TEST(KeepsLinesOfSeveralThreadsWhole);
   CPPUNIT_TEST(ReportsAFileThatCannotBeOpened);
   CPPUNIT_TEST_SUITE_END();
@@ -60,6 +65,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), file.Content());
   }
 
+  void ShowsAnObserverWhatItWrites() {
+    const TemporaryFile file("");
+    RecentEvents recent(2);
+    const EventPort log =
+        MakeEventLog(LogSettings{file.Path(), "info"}, NodeId("proxy-1"),
+                     "proxy", MakeHybridWallClock(FixedClock()).clock,
+                     [&](const TimelineEntry& entry) { recent.Add(entry); });
+    for (const char* text : {"a", "b", "c"}) {
+      log.record(
+          Event{EventCode::kListening, EventLevel::kInfo, {{"x", text}}});
+    }
+    log.record(Event{EventCode::kListening, EventLevel::kDebug, {}});
+    std::vector<TimelineEntry> written = ReadLogLines(file.Content());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, written.size());
+    CPPUNIT_ASSERT(written[0].time < written[1].time);
+    written.erase(written.begin());
+    CPPUNIT_ASSERT_EQUAL(TimelineText(written), TimelineText(recent.All()));
+  }
+
   void KeepsLinesOfSeveralThreadsWhole() {
     const TemporaryFile file("");
     const EventPort log =
--- a/tests/correctness/note_application_test.cc
+++ b/tests/correctness/note_application_test.cc
@@ -117,8 +117,7 @@
 
  private:
   NoteAnswer Apply(const ReleaseNote& note) {
-    return ApplyNote(NoteSubmission{note, std::chrono::microseconds(0)},
-                     &this->configuration);
+    return ApplyNote(NoteSubmission{note, {}, ""}, &this->configuration);
   }
 
   ReleaseNote AddProxy(const std::string& id, std::uint64_t base, int number) {
--- a/tests/correctness/note_history_test.cc
+++ b/tests/correctness/note_history_test.cc
@@ -112,7 +112,7 @@
   for (int i = 1; i <= count; ++i) {
     const std::uint64_t before = run.state.Current().in_force.revision;
     run.submitted.push_back(writer.Write(revisions));
-    run.answers.push_back(run.state.Apply({run.submitted.back(), {}},
+    run.answers.push_back(run.state.Apply({run.submitted.back(), {}, ""},
                                           static_cast<std::uint64_t>(i)));
     const NoteAnswer& answer = run.answers.back();
     const bool applied =
@@ -200,14 +200,15 @@
       const int cut = Pick(static_cast<int>(run.submitted.size()) + 1);
       ConfigurationState early;
       for (int i = 0; i < cut; ++i) {
-        early.Apply({run.submitted[i], {}}, static_cast<std::uint64_t>(i) + 1);
+        early.Apply({run.submitted[i], {}, ""},
+                    static_cast<std::uint64_t>(i) + 1);
       }
       const std::string bytes = Encoded(early.Current());
       ConfigurationState restored;
       restored.Restore(
           detail::DecodeFields<Configuration>(bytes.data(), bytes.size()));
       for (std::size_t i = 0; i < run.submitted.size(); ++i) {
-        restored.Apply({run.submitted[i], {}}, i + 1);
+        restored.Apply({run.submitted[i], {}, ""}, i + 1);
       }
       RC_ASSERT(Encoded(restored.Current()) == Encoded(run.state.Current()));
       for (const ReleaseNote& note : run.submitted) {
@@ -219,12 +220,12 @@
 
   void TakesNoLogEntryTwice() {
     ConfigurationState state;
-    state.Apply({FirstNote(), {}}, 5);
+    state.Apply({FirstNote(), {}, ""}, 5);
     ReleaseNote second = EmptyNote("second", 1);
     second.added.proxies = {SampleProxy(3)};
-    state.Apply({second, {}}, 5);
+    state.Apply({second, {}, ""}, 5);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.Current().in_force.revision);
-    state.Apply({second, {}}, 6);
+    state.Apply({second, {}, ""}, 6);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.Current().in_force.revision);
   }
 
@@ -256,7 +257,8 @@
       const ReleaseNote note = MakeNoteInForce(expected, "marit");
       RC_PRE(!(note.added == NoteItems()));
       ConfigurationState fresh;
-      RC_ASSERT(fresh.Apply({note, {}}, 1).verdict == NoteVerdict::kAccepted);
+      RC_ASSERT(fresh.Apply({note, {}, ""}, 1).verdict ==
+                NoteVerdict::kAccepted);
       expected.revision = 1;
       RC_ASSERT(fresh.Current().in_force == expected);
     }));
--- a/tests/correctness/operator_program_test.cc
+++ b/tests/correctness/operator_program_test.cc
@@ -48,10 +48,10 @@
     CPPUNIT_ASSERT_EQUAL(
         std::string("0 accepted as revision 1 (the first answer again)\n"),
         this->Run({"apply", "first.yaml"}));
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("0 1  2027-01-15T08:00:00.000000Z  first  by marit  +4 ~0 "
-                    "-0\n"),
-        this->Run({"history"}));
+    CPPUNIT_ASSERT_EQUAL(std::string("0 1  2027-01-15T08:00:00.000000Z  first  "
+                                     "by marit, sent by marit  +4 ~0 "
+                                     "-0\n"),
+                         this->Run({"history"}));
     CPPUNIT_ASSERT_EQUAL(
         std::string("1 revision 1 is in force on 0 of 2\n"
                     "  not on proxy-1, which runs revision 0\n"
--- a/tests/error/release_note_findings_test.cc
+++ b/tests/error/release_note_findings_test.cc
@@ -13,7 +13,7 @@
 /** The findings of a note against a system that holds FirstNote. */
 std::string MistakesOf(const ReleaseNote& note) {
   Configuration configuration;
-  ApplyNote(NoteSubmission{FirstNote(), {}}, &configuration);
+  ApplyNote(NoteSubmission{FirstNote(), {}, ""}, &configuration);
   std::string all;
   for (const NoteFinding& finding : CheckNote(note, configuration)) {
     all += finding.item + ": " + finding.message + "\n";
