--- /dev/null
+++ b/src/lacewingferry/app/control_replica.cc
@@ -0,0 +1,161 @@
+#include "lacewingferry/app/control_replica.h"
+
+#include <algorithm>
+#include <random>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "lacewingferry/adapters/disk/disk_storage.h"
+#include "lacewingferry/adapters/msgpack/field_codec.h"
+#include "lacewingferry/adapters/msgpack/log_codec.h"
+#include "lacewingferry/decisions/consensus/voter_identity.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kRepairInterval{1};
+
+std::mt19937_64 SeedFromDevice() {
+  std::random_device device;
+  return std::mt19937_64((static_cast<std::uint64_t>(device()) << 32U) ^
+                         device());
+}
+
+RepairSettings MakeRepairSettings(const ControlSettings& settings) {
+  RepairSettings repair;
+  repair.voters = settings.voters.size();
+  return repair;
+}
+
+/** The part of a peer message that belongs to the log, if it is one. */
+std::optional<ConsensusMessage> AsConsensus(const PeerBody& body) {
+  return std::visit(
+      [](const auto& message) -> std::optional<ConsensusMessage> {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (std::is_constructible_v<ConsensusMessage, Message>) {
+          return ConsensusMessage(message);
+        } else {
+          return std::nullopt;
+        }
+      },
+      body);
+}
+
+}  // namespace
+
+ControlReplica::ControlReplica(const ControlSettings& settings,
+                               ControlReplicaHooks replica_hooks)
+    : hooks(std::move(replica_hooks)), repair(MakeRepairSettings(settings)) {
+  const StoragePort storage = MakeDiskStorage(settings.data_folder);
+  std::mt19937_64 random = SeedFromDevice();
+  RaftParts parts;
+  parts.codec = MakeLogCodec();
+  parts.self = LoadOrCreateIdentity(storage, parts.codec, random);
+  parts.storage = storage;
+  parts.hooks = this->MakeRaftHooks();
+  parts.seed = random();
+  for (const PeerAddress& voter : settings.voters) {
+    if (voter.id != settings.node) parts.settings.seeds.push_back(voter.id);
+  }
+  this->raft = std::make_unique<RaftNode>(std::move(parts), this->hooks.now());
+}
+
+RaftHooks ControlReplica::MakeRaftHooks() {
+  RaftHooks raft_hooks;
+  raft_hooks.send = [this](const NodeId& to, const ConsensusMessage& message) {
+    std::visit([this, &to](const auto& body) { this->hooks.send(to, body); },
+               message);
+  };
+  raft_hooks.apply = [this](const ControlEntry& entry) { this->Apply(entry); };
+  raft_hooks.take_snapshot = [this] {
+    return detail::EncodeFields(this->state.TakeSnapshot());
+  };
+  raft_hooks.restore_snapshot = [this](const std::string& bytes) {
+    this->state.Restore(bytes.empty() ? ControlSnapshot{}
+                                      : detail::DecodeFields<ControlSnapshot>(
+                                            bytes.data(), bytes.size()));
+  };
+  raft_hooks.leadership_changed = [this](const Leadership& leadership) {
+    if (!leadership.self) this->AbandonProposed();
+  };
+  raft_hooks.join_requested = [this](const NodeId& node, const VoterId& voter) {
+    this->repair.OnJoinRequested(this->hooks.now(), node, voter);
+  };
+  raft_hooks.failed = [this](const std::string& reason) {
+    this->hooks.failed(reason);
+  };
+  return raft_hooks;
+}
+
+void ControlReplica::Apply(const ControlEntry& entry) {
+  if (entry.kind != EntryKind::kCommand) return;
+  const auto command = detail::DecodeFields<ControlCommand>(
+      entry.payload.data(), entry.payload.size());
+  const ControlOutcome outcome = this->state.Apply(command, entry.index);
+  this->applied_index = entry.index;
+  this->applied_outcome = outcome;
+  this->hooks.applied(this->hooks.now(), command, outcome);
+  auto node = this->proposed.extract(entry.index);
+  if (node.empty()) return;
+  const Proposed& waiting = node.mapped();
+  if (waiting.term == entry.term) {
+    waiting.on_outcome(outcome);
+  } else {
+    waiting.on_outcome(std::nullopt);
+  }
+}
+
+void ControlReplica::AbandonProposed() {
+  const auto abandoned = std::move(this->proposed);
+  this->proposed.clear();
+  for (const auto& entry : abandoned) entry.second.on_outcome(std::nullopt);
+}
+
+bool ControlReplica::OnMessage(const NodeId& from, const PeerBody& body) {
+  const auto message = AsConsensus(body);
+  if (!message) return false;
+  this->raft->OnMessage(this->hooks.now(), from, *message);
+  return true;
+}
+
+void ControlReplica::OnTick() {
+  const auto now = this->hooks.now();
+  this->raft->OnTick(now);
+  if (now >= this->next_repair) this->Repair(now);
+}
+
+void ControlReplica::Repair(steady_clock::time_point now) {
+  this->next_repair = now + kRepairInterval;
+  if (!this->Serving()) return;
+  const auto change = this->repair.Decide(now, this->raft->Status(now));
+  if (change) this->raft->ProposeChange(now, *change);
+}
+
+steady_clock::time_point ControlReplica::NextWakeup() const {
+  return std::min(this->raft->NextWakeup(), this->next_repair);
+}
+
+void ControlReplica::Propose(const ControlCommand& command,
+                             OutcomeHook on_outcome) {
+  const auto index = this->raft->Propose(this->hooks.now(),
+                                         detail::EncodeFields(command));
+  if (!index) {
+    on_outcome(std::nullopt);
+    return;
+  }
+  // A log of one replica has applied the command already.
+  if (this->applied_index >= *index) {
+    on_outcome(this->applied_outcome);
+    return;
+  }
+  this->proposed[*index] = Proposed{this->raft->Term(), std::move(on_outcome)};
+}
+
+bool ControlReplica::Serving() const {
+  return this->raft->IsLeader() && this->raft->CanServeReads(this->hooks.now());
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/app/control_replica.h
@@ -0,0 +1,88 @@
+#ifndef LACEWINGFERRY_APP_CONTROL_REPLICA_H_
+#define LACEWINGFERRY_APP_CONTROL_REPLICA_H_
+
+// Defines ControlReplica, the control log together with the state that it
+// builds.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lacewingferry/core/control_command.h"
+#include "lacewingferry/core/messages/peer_message.h"
+#include "lacewingferry/core/settings.h"
+#include "lacewingferry/decisions/consensus/raft_node.h"
+#include "lacewingferry/decisions/consensus/voter_repair.h"
+#include "lacewingferry/decisions/control/control_state.h"
+
+namespace lacewingferry {
+
+/** What a ControlReplica acts through, on its own thread. */
+struct ControlReplicaHooks {
+  std::function<void(const NodeId&, const PeerBody&)> send;
+  /** A command was applied, here and in the same order everywhere. */
+  std::function<void(std::chrono::steady_clock::time_point,
+                     const ControlCommand&, const ControlOutcome&)>
+      applied;
+  /** The disk failed; the replica takes no further part. */
+  std::function<void(const std::string& reason)> failed;
+  std::function<std::chrono::steady_clock::time_point()> now;
+};
+
+/** Encodes commands and snapshots for the log and applies what it commits. */
+class ControlReplica {
+ public:
+  using OutcomeHook =
+      std::function<void(const std::optional<ControlOutcome>&)>;
+
+  /** Reads the disk. Throws StorageError. */
+  ControlReplica(const ControlSettings& settings, ControlReplicaHooks hooks);
+
+  /** Takes a message; returns whether it was one of the log's. */
+  bool OnMessage(const NodeId& from, const PeerBody& body);
+
+  /** Does what is due. */
+  void OnTick();
+
+  /** When OnTick has to be called next. */
+  std::chrono::steady_clock::time_point NextWakeup() const;
+
+  /** Puts a command into the log. The hook gets its outcome once, or nothing
+   * if that isn't known. Call from outside the replica's own hooks. */
+  void Propose(const ControlCommand& command, OutcomeHook on_outcome);
+
+  /** Whether this replica leads and its state is current. */
+  bool Serving() const;
+
+  const ControlState& State() const { return this->state; }
+  Leadership CurrentLeadership() const { return this->raft->CurrentLeadership(); }
+
+ private:
+  struct Proposed {
+    std::uint64_t term = 0;
+    OutcomeHook on_outcome;
+  };
+
+  RaftHooks MakeRaftHooks();
+  void Apply(const ControlEntry& entry);
+  void AbandonProposed();
+  void Repair(std::chrono::steady_clock::time_point now);
+
+  ControlReplicaHooks hooks;
+  ControlState state;
+  VoterRepair repair;
+  std::chrono::steady_clock::time_point next_repair;
+  std::map<std::uint64_t, Proposed> proposed;
+  /** The command that was applied last. */
+  std::uint64_t applied_index = 0;
+  ControlOutcome applied_outcome;
+  std::unique_ptr<RaftNode> raft;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_APP_CONTROL_REPLICA_H_
--- a/src/lacewingferry/app/daemon_main.cc
+++ b/src/lacewingferry/app/daemon_main.cc
@@ -17,6 +17,10 @@
       ("check-settings", "check the settings, report all findings and end")  //
       ("v,version", "print the version and end")                             //
       ("h,help", "print this help and end");
+  if (daemon.found) {
+    options.add_options()(
+        "found", "found a new control log on the empty disk and end");
+  }
   return options;
 }
 
@@ -32,6 +36,8 @@
   if (arguments.count("check-settings") > 0) {
     daemon.check(path);
     std::cout << path << ": no findings\n";
+  } else if (daemon.found && arguments.count("found") > 0) {
+    daemon.found(path);
   } else {
     daemon.run(path);
   }
--- a/src/lacewingferry/app/daemon_main.h
+++ b/src/lacewingferry/app/daemon_main.h
@@ -23,6 +23,8 @@
   std::function<void(const std::string& path)> check;
   /** Reads the settings file and runs until a planned stop. */
   std::function<void(const std::string& path)> run;
+  /** Founds the control log; empty for a daemon without one. */
+  std::function<void(const std::string& path)> found{};
 };
 
 /** Takes --settings, --check-settings, --help and --version, and turns errors
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/messages/configuration_messages.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
 #include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
@@ -24,7 +25,8 @@
                  JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
                  LeaseReleased, MemberCommand, MemberCommandResult,
                  PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
-                 ClusterUpdateRequest, ControlRedirect>;
+                 ClusterUpdateRequest, ControlRedirect, ConfigurationOffer,
+                 ConfigurationReport>;
 
 /** A message with its sender. */
 struct PeerMessage {
