Wire the proxy's control state to leases, failover and the configuration

ProxyControl makes the view of announcements, control's terms and the configuration in force; traffic threads answer in a primary's name only under a lease. Messages carry hybrid time. ferrycontrold runs the control log.

--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -131,7 +131,7 @@
     this->disk_failure = reason;
     this->control.stop();
   };
-  hooks.now = this->parts.clock.now;
+  hooks.now = this->parts.hybrid.clock.now;
   return hooks;
 }
 
@@ -169,7 +169,7 @@
         this->replica.State().CurrentConfiguration().in_force);
   };
   hooks.timeline = this->parts.timeline;
-  hooks.wall_now = this->parts.clock.wall_now;
+  hooks.wall_now = this->parts.hybrid.clock.wall_now;
   hooks.events = this->parts.events;
   return hooks;
 }
@@ -211,10 +211,12 @@
   if (url == this->urls.end() || this->peers == nullptr) return;
   this->peers->Port().send(
       url->second,
-      PeerMessage{this->settings.node, this->settings.peer_url, body});
+      PeerMessage{this->settings.node, this->settings.peer_url, body,
+                  this->parts.hybrid.time_to_send().time_since_epoch()});
 }
 
 void ControlProgram::Impl::OnPeerMessage(const PeerMessage& message) {
+  this->parts.hybrid.receive(HybridTime(message.sent_at));
   if (!message.from_url.empty()) this->urls[message.from] = message.from_url;
   if (this->replica.OnMessage(message.from, message.body)) {
     // The log's own message.
@@ -226,7 +228,7 @@
                  std::get_if<ConfigurationReport>(&message.body)) {
     this->OnReport(message.from, *report);
   } else {
-    this->manager.OnMessage(this->parts.clock.now(), message.from,
+    this->manager.OnMessage(this->parts.hybrid.clock.now(), message.from,
                             message.body);
   }
   this->Advance();
@@ -234,14 +236,14 @@
 
 void ControlProgram::Impl::OnMembership(const PeerMessage& message) {
   const auto& update = std::get<MembershipUpdate>(message.body);
-  const auto now = this->parts.clock.now();
+  const auto now = this->parts.hybrid.clock.now();
   try {
     this->directory.OnUpdate(now, update);
   } catch (const UserError& error) {
-    this->parts.events.record(Event{
-        EventCode::kPeerMessageRejected,
-        EventLevel::kWarning,
-        {{"from", message.from.Value()}, {"reason", error.what()}}});
+    this->parts.events.record(
+        Event{EventCode::kPeerMessageRejected,
+              EventLevel::kWarning,
+              {{"from", message.from.Value()}, {"reason", error.what()}}});
     return;
   }
   for (const MemberAnnouncement& announcement : update.announcements) {
@@ -280,7 +282,8 @@
     return;
   }
   const auto& answer = std::get<NoteAnswer>(outcome);
-  const bool made = answer.verdict == NoteVerdict::kAccepted && !answer.repeated;
+  const bool made =
+      answer.verdict == NoteVerdict::kAccepted && !answer.repeated;
   if (!made || !this->serving) return;
   for (const NodeId& proxy : this->ProxyIds()) this->OfferConfiguration(proxy);
 }
@@ -325,13 +328,13 @@
 }
 
 void ControlProgram::Impl::Sweep() {
-  const auto now = this->parts.clock.now();
+  const auto now = this->parts.hybrid.clock.now();
   this->next_sweep = now + kSweepInterval;
   this->directory.Expire(now);
 }
 
 void ControlProgram::Impl::Advance() {
-  const auto now = this->parts.clock.now();
+  const auto now = this->parts.hybrid.clock.now();
   const bool serves = this->replica.Serving();
   if (serves != this->serving) {
     this->serving = serves;
@@ -342,7 +345,7 @@
   this->timer.expires_at(next);
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    const auto present = this->parts.clock.now();
+    const auto present = this->parts.hybrid.clock.now();
     this->replica.OnTick();
     if (present >= this->next_sweep) this->Sweep();
     this->manager.OnTick(present);
@@ -351,12 +354,12 @@
 }
 
 void ControlProgram::Impl::Run() {
-  this->parts.events.record(
-      Event{EventCode::kListening,
-            EventLevel::kInfo,
-            {{"operators", this->settings.listen.host + ":" +
-                               std::to_string(this->http->Port())},
-             {"peers", this->settings.peer_url}}});
+  this->parts.events.record(Event{
+      EventCode::kListening,
+      EventLevel::kInfo,
+      {{"operators",
+        this->settings.listen.host + ":" + std::to_string(this->http->Port())},
+       {"peers", this->settings.peer_url}}});
   this->signals.async_wait([this](boost::system::error_code error, int) {
     if (error) return;
     this->parts.events.record(Event{EventCode::kProcessStopping});
--- a/src/lacewingferry/app/control_program.h
+++ b/src/lacewingferry/app/control_program.h
@@ -8,9 +8,9 @@
 #include <memory>
 #include <vector>
 
+#include "lacewingferry/app/hybrid_wall_clock.h"
 #include "lacewingferry/core/settings.h"
 #include "lacewingferry/core/timeline_entry.h"
-#include "lacewingferry/ports/clock.h"
 #include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
@@ -19,7 +19,7 @@
 struct ControlProgramParts {
   ControlSettings settings;
   EventPort events;
-  ClockPort clock;
+  HybridWallClock hybrid;
   /** The process's recent events, for the time line. */
   std::function<std::vector<TimelineEntry>()> timeline;
 };
--- /dev/null
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -0,0 +1,234 @@
+#include "lacewingferry/app/proxy_control.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/configuration/configured_view.h"
+#include "lacewingferry/decisions/failover/member_command_sql.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kHeartbeatInterval{200};
+/** How often control is told which configuration is in force here; it answers
+ * with a newer one. */
+constexpr milliseconds kReportInterval{1000};
+/** How long a probe of a member may take. */
+constexpr milliseconds kProbeTimeout{200};
+
+}  // namespace
+
+ProxyControl::ProxyControl(ProxySettings proxy_settings,
+                           std::uint64_t run_incarnation,
+                           ProxyControlHooks control_hooks)
+    : settings(std::move(proxy_settings)),
+      incarnation(run_incarnation),
+      hooks(std::move(control_hooks)),
+      directory(ProxyInfo{this->settings.node, this->settings.zone,
+                          this->settings.peer_url, false}),
+      configuration([this](const ConfigurationHolder::ConfigurationPtr&) {
+        this->Publish(this->hooks.now());
+      }),
+      failover(this->FailoverParts(), this->FailoverTimes()) {}
+
+ProxyFailoverSettings ProxyControl::FailoverTimes() const {
+  ProxyFailoverSettings times;
+  times.self = this->settings.node;
+  times.incarnation = this->incarnation;
+  for (const PeerAddress& replica : this->settings.control) {
+    times.control.push_back(replica.id);
+  }
+  return times;
+}
+
+ProxyFailoverHooks ProxyControl::FailoverParts() {
+  ProxyFailoverHooks parts;
+  parts.send = [this](const NodeId& to, const PeerBody& body) {
+    this->SendToControl(to, body);
+  };
+  parts.run_command = [this](steady_clock::time_point,
+                             const MemberCommand& command,
+                             const ProxyFailoverHooks::CommandHook& on_result) {
+    this->RunCommand(command, on_result);
+  };
+  parts.probe = [this](steady_clock::time_point, const MemberInfo& member,
+                       const PrimaryObserverHooks::SightHook& on_sight) {
+    this->Probe(member, on_sight);
+  };
+  parts.on_lease = [this](steady_clock::time_point, const DatabaseStamp& stamp,
+                          steady_clock::time_point until) {
+    this->hooks.lease(stamp.database, until);
+  };
+  parts.release_term = [this](steady_clock::time_point,
+                              const DatabaseId& database, std::uint64_t term) {
+    this->hooks.release(database, term);
+  };
+  parts.changed = [this](steady_clock::time_point now) { this->Publish(now); };
+  return parts;
+}
+
+void ProxyControl::SendToControl(const NodeId& to, const PeerBody& body) {
+  for (const PeerAddress& replica : this->settings.control) {
+    if (replica.id != to) continue;
+    if (const auto* released = std::get_if<LeaseReleased>(&body)) {
+      this->hooks.send_released(replica.url, *released);
+    } else {
+      this->hooks.send(replica.url, body);
+    }
+  }
+}
+
+void ProxyControl::RunCommand(
+    const MemberCommand& command,
+    const ProxyFailoverHooks::CommandHook& on_result) {
+  this->hooks.run_statement(
+      command.database, command.member.id,
+      BuildMemberCommand(this->settings.dialect, command),
+      this->hooks.now() + command.timeout,
+      [this, command, on_result](const std::optional<ResultSet>& rows) {
+        on_result(this->hooks.now(), ReadMemberCommandResult(command, rows));
+      });
+}
+
+void ProxyControl::Probe(const MemberInfo& member,
+                         const PrimaryObserverHooks::SightHook& on_sight) {
+  this->hooks.run_statement(
+      member.database, member.id, {this->settings.dialect.status, {}},
+      this->hooks.now() + kProbeTimeout,
+      [this, id = member.id, on_sight](const std::optional<ResultSet>& rows) {
+        if (rows) {
+          on_sight(this->hooks.now(), MemberSight::kAnswers);
+        } else if (this->last_signs[id] == MemberSign::kRefused) {
+          on_sight(this->hooks.now(), MemberSight::kRefuses);
+        }
+      });
+}
+
+std::string ProxyControl::Announce(const MemberAnnouncement& announcement) {
+  try {
+    this->directory.OnAnnouncement(this->hooks.now(), announcement);
+  } catch (const UserError& error) {
+    this->hooks.events.record(Event{EventCode::kAnnouncementRejected,
+                                    EventLevel::kWarning,
+                                    {{"reason", error.what()}}});
+    return error.what();
+  }
+  // News of a leaving member can't wait for the next heartbeat.
+  if (announcement.info.leaving) this->next_heartbeat = this->hooks.now();
+  return "";
+}
+
+void ProxyControl::OnMessage(const PeerMessage& message) {
+  const auto now = this->hooks.now();
+  if (const auto* update = std::get_if<MembershipUpdate>(&message.body)) {
+    try {
+      this->directory.OnUpdate(now, *update);
+    } catch (const UserError& error) {
+      this->hooks.events.record(
+          Event{EventCode::kPeerMessageRejected,
+                EventLevel::kWarning,
+                {{"from", message.from.Value()}, {"reason", error.what()}}});
+    }
+  } else if (const auto* offer =
+                 std::get_if<ConfigurationOffer>(&message.body)) {
+    this->configuration.OfferWhole(offer->configuration);
+    this->SendToControl(
+        message.from,
+        ConfigurationReport{this->incarnation,
+                            this->configuration.Current()->revision});
+  } else {
+    this->failover.OnMessage(now, message.from, message.body);
+  }
+}
+
+void ProxyControl::OnSign(steady_clock::time_point now, const MemberId& member,
+                          MemberSign sign) {
+  this->last_signs[member] = sign;
+  this->failover.OnSign(now, member, sign);
+}
+
+void ProxyControl::Heartbeat(steady_clock::time_point now) {
+  this->next_heartbeat = now + kHeartbeatInterval;
+  for (const MemberId& lost : this->directory.Expire(now)) {
+    this->hooks.events.record(Event{EventCode::kMemberLost,
+                                    EventLevel::kWarning,
+                                    {{"member", lost.Value()}}});
+  }
+  std::vector<std::string> urls;
+  for (const ProxyInfo& peer : this->directory.Peers()) {
+    urls.push_back(peer.peer_url);
+  }
+  for (const PeerAddress& peer : this->settings.peers) urls.push_back(peer.url);
+  for (const PeerAddress& replica : this->settings.control) {
+    urls.push_back(replica.url);
+  }
+  std::sort(urls.begin(), urls.end());
+  urls.erase(std::unique(urls.begin(), urls.end()), urls.end());
+  const MembershipUpdate update = this->directory.TakeUpdate();
+  for (const std::string& url : urls) {
+    if (url != this->settings.peer_url) this->hooks.send(url, update);
+  }
+  this->Publish(now);
+}
+
+void ProxyControl::ReportConfiguration(steady_clock::time_point now) {
+  this->next_report = now + kReportInterval;
+  const ConfigurationReport report{this->incarnation,
+                                   this->configuration.Current()->revision};
+  for (const PeerAddress& replica : this->settings.control) {
+    this->hooks.send(replica.url, report);
+  }
+}
+
+void ProxyControl::Publish(steady_clock::time_point now) {
+  auto view = std::make_shared<RoutingView>(this->directory.BuildView());
+  ApplyConfiguration(*this->configuration.Current(), *view);
+  this->failover.Overlay(*view);
+  this->RecordNewPrimaries(*view);
+  this->hooks.publish(view);
+  this->failover.OnView(now, *view);
+}
+
+void ProxyControl::RecordNewPrimaries(const RoutingView& view) {
+  for (const auto& entry : view.databases) {
+    const DatabaseView& database = entry.second;
+    std::uint64_t& routed = this->routed_terms[entry.first];
+    if (database.primary.Empty() || database.term <= routed) continue;
+    routed = database.term;
+    this->hooks.events.record(Event{EventCode::kPrimaryRouted,
+                                    EventLevel::kInfo,
+                                    {{"database", entry.first.Value()},
+                                     {"term", std::to_string(database.term)},
+                                     {"member", database.primary.Value()}}});
+  }
+}
+
+void ProxyControl::StartDraining() {
+  this->directory.StartDraining();
+  this->Heartbeat(this->hooks.now());
+}
+
+void ProxyControl::ReleaseLeases() {
+  this->failover.ReleaseAll(this->hooks.now());
+}
+
+void ProxyControl::OnTick() {
+  const auto now = this->hooks.now();
+  if (now >= this->next_heartbeat) this->Heartbeat(now);
+  if (now >= this->next_report) this->ReportConfiguration(now);
+  this->failover.OnTick(now);
+}
+
+steady_clock::time_point ProxyControl::NextWakeup() const {
+  const auto due = this->failover.NextWakeup();
+  const auto next = std::min(this->next_heartbeat, this->next_report);
+  return due ? std::min(*due, next) : next;
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/app/proxy_control.h
@@ -0,0 +1,117 @@
+#ifndef LACEWINGFERRY_APP_PROXY_CONTROL_H_
+#define LACEWINGFERRY_APP_PROXY_CONTROL_H_
+
+// Defines ProxyControl, the control state of a proxy.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lacewingferry/core/messages/peer_message.h"
+#include "lacewingferry/core/settings.h"
+#include "lacewingferry/decisions/configuration/configuration_holder.h"
+#include "lacewingferry/decisions/failover/proxy_failover.h"
+#include "lacewingferry/decisions/membership/member_directory.h"
+#include "lacewingferry/decisions/traffic/control_calls.h"
+#include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/ports/event_port.h"
+
+namespace lacewingferry {
+
+/** What a ProxyControl acts through. */
+struct ProxyControlHooks {
+  std::function<void(const std::string& peer_url, const PeerBody&)> send;
+  /** Gives the traffic threads a newer view. */
+  std::function<void(const RoutingViewPtr&)> publish;
+  /** Runs a statement on a connection of a member; the reply comes back on
+   * the control thread. */
+  std::function<void(const DatabaseId&, const MemberId&, const SqlStatement&,
+                     std::chrono::steady_clock::time_point deadline,
+                     ControlReply)>
+      run_statement;
+  /** Sets the end of the lease on a database. */
+  std::function<void(const DatabaseId&,
+                     std::chrono::steady_clock::time_point until)>
+      lease;
+  /** Gives up the terms of a database up to one, for good. */
+  std::function<void(const DatabaseId&, std::uint64_t term)> release;
+  /** Sends a promise to control after the traffic thread has carried out all
+   * releases before it. */
+  std::function<void(const std::string& peer_url, const LeaseReleased&)>
+      send_released;
+  EventPort events;
+  std::function<std::chrono::steady_clock::time_point()> now;
+};
+
+/**
+ * Knows the members and proxies, what control decided and which configuration
+ * is in force, and makes the routing view of them:
+ *
+ *   announcements and heartbeats   MemberDirectory
+ *   terms, primaries and leases    ProxyFailover
+ *   release notes                  ConfigurationHolder
+ *   Publish                        all three make the view
+ *
+ * Belongs to the control thread.
+ */
+class ProxyControl {
+ public:
+  /** The incarnation is larger for each later run of the process. */
+  ProxyControl(ProxySettings settings, std::uint64_t incarnation,
+               ProxyControlHooks hooks);
+
+  /** Takes a backend server's announcement. Returns the problem with one that
+   * makes no sense; empty if it was taken. */
+  std::string Announce(const MemberAnnouncement& announcement);
+
+  /** Takes any message but those of forwarded requests. */
+  void OnMessage(const PeerMessage& message);
+
+  /** Takes what the traffic shows of a member. */
+  void OnSign(std::chrono::steady_clock::time_point now, const MemberId& member,
+              MemberSign sign);
+
+  /** Tells peers and control that this proxy takes no new work. */
+  void StartDraining();
+
+  /** Gives up all leases; for the end of a planned stop. */
+  void ReleaseLeases();
+
+  /** Does what is due. */
+  void OnTick();
+
+  /** When OnTick has to be called next. */
+  std::chrono::steady_clock::time_point NextWakeup() const;
+
+ private:
+  ProxyFailoverHooks FailoverParts();
+  ProxyFailoverSettings FailoverTimes() const;
+  void SendToControl(const NodeId& to, const PeerBody& body);
+  void RunCommand(const MemberCommand& command,
+                  const ProxyFailoverHooks::CommandHook& on_result);
+  void Probe(const MemberInfo& member,
+             const PrimaryObserverHooks::SightHook& on_sight);
+  void Heartbeat(std::chrono::steady_clock::time_point now);
+  void ReportConfiguration(std::chrono::steady_clock::time_point now);
+  void Publish(std::chrono::steady_clock::time_point now);
+  void RecordNewPrimaries(const RoutingView& view);
+
+  ProxySettings settings;
+  std::uint64_t incarnation;
+  ProxyControlHooks hooks;
+  MemberDirectory directory;
+  ConfigurationHolder configuration;
+  ProxyFailover failover;
+  std::map<MemberId, MemberSign> last_signs;
+  std::map<DatabaseId, std::uint64_t> routed_terms;
+  std::chrono::steady_clock::time_point next_heartbeat;
+  std::chrono::steady_clock::time_point next_report;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_APP_PROXY_CONTROL_H_
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -15,16 +15,14 @@
 #include "lacewingferry/adapters/http/caller_api.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/app/proxy_control.h"
 #include "lacewingferry/app/traffic_thread.h"
-#include "lacewingferry/core/errors.h"
-#include "lacewingferry/decisions/membership/member_directory.h"
 
 namespace lacewingferry {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kHeartbeatInterval{200};
 /** How often a planned stop looks whether requests are unfinished. */
 constexpr milliseconds kDrainCheckInterval{50};
 /** Peers that have not yet heard of the stop still send requests for this
@@ -47,7 +45,7 @@
  */
 class ProxyProgram::Impl {
  public:
-  Impl(ProxySettings settings, EventPort events, ClockPort clock);
+  Impl(ProxySettings settings, EventPort events, HybridWallClock hybrid);
   ~Impl();
 
   void Run();
@@ -58,28 +56,33 @@
   CallerApiHooks ApiHooksFor(boost::asio::io_context& io);
   TrafficThread& ThreadOf(const DatabaseId& database);
   void OnPeerMessage(PeerMessage message);
-  void OnMembershipUpdate(const PeerMessage& message);
-  void Announce(boost::asio::io_context& io, const MemberAnnouncement& made,
-                const std::function<void(const std::string&)>& done);
-  void OnHeartbeat();
-  void SendHeartbeat();
-  void Publish();
+  ProxyControlHooks ControlHooks();
+  void RunStatement(const DatabaseId& database, const MemberId& member,
+                    const SqlStatement& statement,
+                    std::chrono::steady_clock::time_point deadline,
+                    const ControlReply& reply);
+  void SendPeer(const std::string& url, const PeerBody& body);
+  template <typename Action>
+  void RunOnControl(Action action);
+  void ArmControlTimer();
   void BeginStop();
   void CheckDrained();
   void EndStop();
 
   ProxySettings settings;
   EventPort events;
+  HybridWallClock hybrid;
   ClockPort clock;
   boost::asio::io_context control;
   boost::asio::signal_set signals;
-  boost::asio::steady_timer heartbeat;
+  boost::asio::steady_timer control_timer;
   boost::asio::steady_timer drain_timer;
-  MemberDirectory directory;
+  std::uint64_t incarnation;
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::shared_ptr<HttpServer> http;
   std::unique_ptr<PeerSocket> peers;
   PeerPort peer_port;
+  std::unique_ptr<ProxyControl> state;
   std::atomic<bool> stopping{false};
   std::chrono::steady_clock::time_point stop_began;
   std::size_t counted = 0;
@@ -87,15 +90,15 @@
 };
 
 ProxyProgram::Impl::Impl(ProxySettings proxy_settings, EventPort event_port,
-                         ClockPort clock_port)
+                         HybridWallClock hybrid_clock)
     : settings(std::move(proxy_settings)),
       events(std::move(event_port)),
-      clock(std::move(clock_port)),
+      hybrid(std::move(hybrid_clock)),
+      clock(this->hybrid.clock),
       signals(this->control, SIGTERM, SIGINT),
-      heartbeat(this->control),
+      control_timer(this->control),
       drain_timer(this->control),
-      directory(ProxyInfo{this->settings.node, this->settings.zone,
-                          this->settings.peer_url, false}) {
+      incarnation(IncarnationNow(this->clock)) {
   this->MakeTrafficThreads();
   this->peers = std::make_unique<PeerSocket>(
       this->settings.peer_url,
@@ -109,6 +112,8 @@
                                   {{"reason", reason}}});
                       }});
   this->peer_port = this->peers->Port();
+  this->state = std::make_unique<ProxyControl>(
+      this->settings, this->incarnation, this->ControlHooks());
   this->MakeHttpServer();
 }
 
@@ -122,13 +127,18 @@
   traffic.node = this->settings.node;
   traffic.zone = this->settings.zone;
   traffic.status_sql = this->settings.dialect.status;
-  traffic.incarnation = IncarnationNow(this->clock);
+  traffic.incarnation = this->incarnation;
   const TrafficThreadHooks hooks{
       [this](const std::string& url, const PeerBody& body) {
-        this->peer_port.send(url, PeerMessage{this->settings.node,
-                                              this->settings.peer_url, body});
+        this->SendPeer(url, body);
       },
-      this->events, this->clock};
+      this->events, this->clock,
+      [this](const MemberId& member, MemberSign sign,
+             std::chrono::steady_clock::time_point seen) {
+        this->RunOnControl([this, member, sign, seen] {
+          this->state->OnSign(seen, member, sign);
+        });
+      }};
   for (std::size_t i = 0; i < this->settings.traffic_threads; ++i) {
     this->threads.push_back(std::make_unique<TrafficThread>(
         hooks, traffic, this->settings.dialect.user, i,
@@ -170,8 +180,9 @@
   };
   hooks.announce = [this, &io](const MemberAnnouncement& made,
                                std::function<void(const std::string&)> done) {
-    boost::asio::post(this->control, [this, &io, made, done = std::move(done)] {
-      this->Announce(io, made, done);
+    this->RunOnControl([this, &io, made, done = std::move(done)] {
+      const std::string problem = this->state->Announce(made);
+      boost::asio::post(io, [done, problem] { done(problem); });
     });
   };
   hooks.accepting = [this] { return !this->stopping.load(); };
@@ -184,80 +195,86 @@
 }
 
 void ProxyProgram::Impl::OnPeerMessage(PeerMessage message) {
+  this->hybrid.receive(HybridTime(message.sent_at));
   if (const auto* forward = std::get_if<ForwardRequest>(&message.body)) {
     this->ThreadOf(forward->request.database).OnForward(message.from, *forward);
   } else if (const auto* reply = std::get_if<ForwardReply>(&message.body)) {
     this->ThreadOf(reply->database).OnForwardReply(message.from, *reply);
   } else {
-    boost::asio::post(this->control, [this, message = std::move(message)] {
-      this->OnMembershipUpdate(message);
+    this->RunOnControl([this, message = std::move(message)] {
+      this->state->OnMessage(message);
     });
   }
 }
 
-void ProxyProgram::Impl::OnMembershipUpdate(const PeerMessage& message) {
-  const auto* update = std::get_if<MembershipUpdate>(&message.body);
-  if (update == nullptr) return;
-  try {
-    this->directory.OnUpdate(this->clock.now(), *update);
-  } catch (const UserError& error) {
-    this->events.record(
-        Event{EventCode::kPeerMessageRejected,
-              EventLevel::kWarning,
-              {{"from", message.from.Value()}, {"reason", error.what()}}});
-  }
+template <typename Action>
+void ProxyProgram::Impl::RunOnControl(Action action) {
+  boost::asio::post(this->control, [this, action = std::move(action)] {
+    action();
+    this->ArmControlTimer();
+  });
 }
 
-void ProxyProgram::Impl::Announce(
-    boost::asio::io_context& io, const MemberAnnouncement& made,
-    const std::function<void(const std::string&)>& done) {
-  std::string problem;
-  try {
-    this->directory.OnAnnouncement(this->clock.now(), made);
-  } catch (const UserError& error) {
-    problem = error.what();
-    this->events.record(Event{EventCode::kAnnouncementRejected,
-                              EventLevel::kWarning,
-                              {{"reason", problem}}});
-  }
-  boost::asio::post(io, [done, problem] { done(problem); });
+void ProxyProgram::Impl::ArmControlTimer() {
+  this->control_timer.expires_at(this->state->NextWakeup());
+  this->control_timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->state->OnTick();
+    this->ArmControlTimer();
+  });
 }
 
-void ProxyProgram::Impl::OnHeartbeat() {
-  for (const MemberId& lost : this->directory.Expire(this->clock.now())) {
-    this->events.record(Event{EventCode::kMemberLost,
-                              EventLevel::kWarning,
-                              {{"member", lost.Value()}}});
-  }
-  this->SendHeartbeat();
-  this->Publish();
-  this->heartbeat.expires_after(kHeartbeatInterval);
-  this->heartbeat.async_wait([this](boost::system::error_code error) {
-    if (!error) this->OnHeartbeat();
-  });
+void ProxyProgram::Impl::SendPeer(const std::string& url,
+                                  const PeerBody& body) {
+  this->peer_port.send(
+      url, PeerMessage{this->settings.node, this->settings.peer_url, body,
+                       this->hybrid.time_to_send().time_since_epoch()});
 }
 
-void ProxyProgram::Impl::SendHeartbeat() {
-  const PeerMessage message{this->settings.node, this->settings.peer_url,
-                            this->directory.TakeUpdate()};
-  std::vector<std::string> urls;
-  for (const ProxyInfo& peer : this->directory.Peers()) {
-    urls.push_back(peer.peer_url);
-  }
-  for (const PeerAddress& peer : this->settings.peers) {
-    urls.push_back(peer.url);
-  }
-  std::sort(urls.begin(), urls.end());
-  urls.erase(std::unique(urls.begin(), urls.end()), urls.end());
-  for (const std::string& url : urls) {
-    if (url != this->settings.peer_url) this->peer_port.send(url, message);
-  }
+ProxyControlHooks ProxyProgram::Impl::ControlHooks() {
+  ProxyControlHooks hooks;
+  hooks.send = [this](const std::string& url, const PeerBody& body) {
+    this->SendPeer(url, body);
+  };
+  hooks.publish = [this](const RoutingViewPtr& view) {
+    for (auto& thread : this->threads) thread->Publish(view);
+  };
+  hooks.run_statement = [this](const DatabaseId& database,
+                               const MemberId& member,
+                               const SqlStatement& statement,
+                               std::chrono::steady_clock::time_point deadline,
+                               const ControlReply& reply) {
+    this->RunStatement(database, member, statement, deadline, reply);
+  };
+  hooks.lease = [this](const DatabaseId& database,
+                       std::chrono::steady_clock::time_point until) {
+    this->ThreadOf(database).SetLease(database, until);
+  };
+  hooks.release = [this](const DatabaseId& database, std::uint64_t term) {
+    this->ThreadOf(database).ReleaseTerm(database, term);
+  };
+  // The promise follows the release through the traffic thread's queue, so it
+  // can't leave before the release is in force.
+  hooks.send_released = [this](const std::string& url,
+                               const LeaseReleased& released) {
+    this->ThreadOf(released.database).RunAfterPosted([this, url, released] {
+      this->SendPeer(url, released);
+    });
+  };
+  hooks.events = this->events;
+  hooks.now = this->clock.now;
+  return hooks;
 }
 
-void ProxyProgram::Impl::Publish() {
-  const auto view =
-      std::make_shared<const RoutingView>(this->directory.BuildView());
-  for (auto& thread : this->threads) thread->Publish(view);
+void ProxyProgram::Impl::RunStatement(
+    const DatabaseId& database, const MemberId& member,
+    const SqlStatement& statement,
+    std::chrono::steady_clock::time_point deadline, const ControlReply& reply) {
+  this->ThreadOf(database).RunControlStatement(
+      database, member, statement, deadline,
+      [this, reply](const std::optional<ResultSet>& rows) {
+        this->RunOnControl([reply, rows] { reply(rows); });
+      });
 }
 
 void ProxyProgram::Impl::Run() {
@@ -273,7 +290,7 @@
   for (auto& thread : this->threads) thread->Start();
   boost::asio::post(this->threads.front()->Io(),
                     [server = this->http] { server->Start(); });
-  this->OnHeartbeat();
+  this->RunOnControl([this] { this->state->OnTick(); });
   this->control.run();
 }
 
@@ -281,8 +298,7 @@
   this->events.record(Event{EventCode::kProcessStopping});
   this->stopping = true;
   this->stop_began = this->clock.now();
-  this->directory.StartDraining();
-  this->SendHeartbeat();
+  this->state->StartDraining();
   boost::asio::post(this->threads.front()->Io(),
                     [server = this->http] { server->Stop(); });
   this->CheckDrained();
@@ -308,7 +324,8 @@
   const bool noticed = stopped_for >= kPeerNoticeTime;
   if ((this->unfinished == 0 && noticed) ||
       stopped_for >= this->settings.drain_limit) {
-    this->heartbeat.cancel();
+    this->state->ReleaseLeases();
+    this->control_timer.cancel();
     this->control.stop();
     return;
   }
@@ -319,9 +336,9 @@
 }
 
 ProxyProgram::ProxyProgram(ProxySettings settings, EventPort events,
-                           ClockPort clock)
+                           HybridWallClock hybrid)
     : impl(std::make_unique<Impl>(std::move(settings), std::move(events),
-                                  std::move(clock))) {}
+                                  std::move(hybrid))) {}
 
 ProxyProgram::~ProxyProgram() = default;
 
--- a/src/lacewingferry/app/proxy_program.h
+++ b/src/lacewingferry/app/proxy_program.h
@@ -5,8 +5,8 @@
 
 #include <memory>
 
+#include "lacewingferry/app/hybrid_wall_clock.h"
 #include "lacewingferry/core/settings.h"
-#include "lacewingferry/ports/clock.h"
 #include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
@@ -15,7 +15,8 @@
 class ProxyProgram {
  public:
   /** Listens at once; throws UserError for an address that can't be used. */
-  ProxyProgram(ProxySettings settings, EventPort events, ClockPort clock);
+  ProxyProgram(ProxySettings settings, EventPort events,
+               HybridWallClock hybrid);
   ~ProxyProgram();
   ProxyProgram(const ProxyProgram&) = delete;
   ProxyProgram& operator=(const ProxyProgram&) = delete;
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "lacewingferry/adapters/json/result_json.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -12,11 +14,13 @@
 constexpr steady_clock::time_point kNotArmed = steady_clock::time_point::max();
 
 TrafficHooks MakeHooks(
-    MemberPort port, EventPort events,
+    MemberPort port, EventPort events, MemberSignHook observe,
     std::function<void(const NodeId&, const PeerBody&)> send) {
   TrafficHooks hooks;
   hooks.port = std::move(port);
   hooks.events = std::move(events);
+  hooks.observe = std::move(observe);
+  hooks.codec = AnswerCodec{EncodeResult, DecodeResult};
   hooks.send = std::move(send);
   return hooks;
 }
@@ -33,11 +37,14 @@
       armed_for(kNotArmed),
       connections(this->io, database_user),
       shard(MakeHooks(this->connections.Port(), this->hooks.events,
+                      this->hooks.observe,
                       [this](const NodeId& node, const PeerBody& body) {
                         this->Send(node, body);
                       }),
             settings, index, count) {
   this->connections.SetEvents(this->Events());
+  // Nothing is answered in a primary's name before control grants a lease.
+  this->shard.OnLease(this->hooks.clock.now(), this->hooks.clock.now());
 }
 
 TrafficThread::~TrafficThread() { this->Stop(); }
@@ -126,6 +133,37 @@
   });
 }
 
+void TrafficThread::SetLease(const DatabaseId& database,
+                             steady_clock::time_point until) {
+  this->Post([this, database, until](steady_clock::time_point now) {
+    this->shard.OnDatabaseLease(now, database, until);
+  });
+}
+
+void TrafficThread::ReleaseTerm(const DatabaseId& database,
+                                std::uint64_t term) {
+  this->Post([this, database, term](steady_clock::time_point now) {
+    this->shard.ReleaseTerm(now, database, term);
+  });
+}
+
+void TrafficThread::RunAfterPosted(std::function<void()> action) {
+  this->Post(
+      [action = std::move(action)](steady_clock::time_point) { action(); });
+}
+
+void TrafficThread::RunControlStatement(const DatabaseId& database,
+                                        const MemberId& member,
+                                        const SqlStatement& statement,
+                                        steady_clock::time_point deadline,
+                                        ControlReply reply) {
+  this->Post([this, database, member, statement, deadline,
+              reply = std::move(reply)](steady_clock::time_point now) {
+    this->shard.RunControlStatement(now, database, member, statement, deadline,
+                                    reply);
+  });
+}
+
 void TrafficThread::CountUnfinished(
     std::function<void(std::size_t, std::size_t)> report) {
   this->Post([this, report = std::move(report)](steady_clock::time_point) {
--- a/src/lacewingferry/app/traffic_thread.h
+++ b/src/lacewingferry/app/traffic_thread.h
@@ -23,6 +23,8 @@
   std::function<void(const std::string& peer_url, const PeerBody&)> send;
   EventPort events;
   ClockPort clock;
+  /** Told on the traffic thread what the traffic shows of the members. */
+  MemberSignHook observe;
 };
 
 /** Runs the decisions of one shard. The methods may be called from any thread;
@@ -47,6 +49,23 @@
   void OnForward(const NodeId& from, const ForwardRequest& forward);
   void OnForwardReply(const NodeId& from, const ForwardReply& reply);
 
+  /** Sets the end of the lease on a database. Until the first call no answer
+   * of a primary leaves. */
+  void SetLease(const DatabaseId& database,
+                std::chrono::steady_clock::time_point until);
+
+  /** Gives up the terms of a database up to one, for good. */
+  void ReleaseTerm(const DatabaseId& database, std::uint64_t term);
+
+  /** Runs an action on this thread after everything that was posted before. */
+  void RunAfterPosted(std::function<void()> action);
+
+  /** Runs a statement of control; the reply comes on this thread. */
+  void RunControlStatement(const DatabaseId& database, const MemberId& member,
+                           const SqlStatement& statement,
+                           std::chrono::steady_clock::time_point deadline,
+                           ControlReply reply);
+
   /** Reports how many requests and transactions are unfinished, on this
    * thread. */
   void CountUnfinished(
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -4,6 +4,7 @@
 // Defines PeerMessage, any message between two processes of the system, with
 // its sender.
 
+#include <chrono>
 #include <string>
 #include <variant>
 
@@ -34,12 +35,15 @@
   /** Where the sender takes answers. */
   std::string from_url;
   PeerBody body;
+  /** The sender's hybrid time, in microseconds since 1970-01-01 UTC. */
+  std::chrono::microseconds sent_at{0};
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("from", self.from);
     visit("from_url", self.from_url);
     visit("body", self.body);
+    visit("sent_at", self.sent_at);
   }
 };
 
--- a/tests/correctness/peer_codec_test.cc
+++ b/tests/correctness/peer_codec_test.cc
@@ -23,7 +23,7 @@
                                {SqlValue("1"), SqlValue()}};
   forward.request.session_position = LogPosition{3, 9};
   forward.request.max_age = milliseconds(250);
-  return PeerMessage{NodeId("proxy-1"), "tcp://127.0.0.1:1", forward};
+  return PeerMessage{NodeId("proxy-1"), "tcp://127.0.0.1:1", forward, {}};
 }
 
 class PeerCodecTest : public CppUnit::TestFixture {
