--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -72,6 +72,7 @@
   }
   std::size_t& open = this->open_count[session->member];
   if (open >= member.info.slots) {
+    ++this->turned_away;
     this->ReportLost(session, ConnectionFailure::kTooManyConnections);
     return;
   }
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -69,6 +69,8 @@
   /** Connections that a member holds now, and the most that it ever held. */
   std::size_t OpenConnections(const MemberId& id) const;
   std::size_t MostConnections(const MemberId& id) const;
+  /** Connections that members turned away because all slots were in use. */
+  std::size_t TurnedAway() const { return this->turned_away; }
 
  private:
   struct Session {
@@ -129,6 +131,7 @@
   std::map<std::pair<const MemberEvents*, ConnectionId>, SessionPtr> sessions;
   std::map<MemberId, std::size_t> open_count;
   std::map<MemberId, std::size_t> most_count;
+  std::size_t turned_away = 0;
 };
 
 }  // namespace lacewingferry::model
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -54,7 +54,8 @@
       network(event_queue, this->options.between_zones,
               this->options.inside_zone),
       group(event_queue, this->network, this->options.group),
-      database("database-1") {
+      database("database-1"),
+      group_size(static_cast<std::uint32_t>(this->options.zones.size())) {
   for (std::size_t i = 0; i < this->options.zones.size(); ++i) {
     MemberInfo info;
     info.id = this->MemberName(i);
@@ -80,7 +81,46 @@
   return MemberId("member-" + std::to_string(number));
 }
 
+void Fleet::Wake(Proxy& proxy, std::function<void(TrafficShard&)> action) {
+  if (!proxy.alive) return;
+  if (proxy.paused_until <= this->queue.Now()) {
+    action(*proxy.shard);
+    this->Arm(proxy);
+    return;
+  }
+  this->queue.At(proxy.paused_until,
+                 [this, &proxy, shard = proxy.shard.get(), action] {
+                   if (proxy.shard.get() == shard) this->Wake(proxy, action);
+                 });
+}
+
+MemberEvents Fleet::EventsOf(Proxy& proxy) {
+  return MemberEvents{
+      [this, &proxy](ConnectionId id) {
+        this->Wake(proxy, [this, id](TrafficShard& shard) {
+          shard.OnOpened(this->queue.Now(), id);
+        });
+      },
+      [this, &proxy](ConnectionId id, ConnectionFailure failure) {
+        this->Wake(proxy, [this, id, failure](TrafficShard& shard) {
+          shard.OnLost(this->queue.Now(), id, failure);
+        });
+      },
+      [this, &proxy](ConnectionId id, const BatchResult& result) {
+        this->Wake(proxy, [this, id, result](TrafficShard& shard) {
+          shard.OnCompleted(this->queue.Now(), id, result);
+        });
+      }};
+}
+
+void Fleet::PauseProxy(std::size_t number, std::chrono::nanoseconds time) {
+  this->proxies[number]->paused_until =
+      this->queue.Now() +
+      std::chrono::duration_cast<steady_clock::duration>(time);
+}
+
 void Fleet::Boot(Proxy& proxy) {
+  proxy.paused_until = {};
   proxy.alive = true;
   TrafficHooks hooks;
   hooks.port = this->group.PortFor(proxy.info.zone, &proxy.events);
@@ -94,21 +134,12 @@
   settings.node = proxy.info.id;
   settings.zone = proxy.info.zone;
   settings.status_sql = kStatus;
+  settings.first_lease = this->options.first_lease;
+  settings.request_record = this->options.record;
+  settings.transactions = this->options.transactions;
   settings.incarnation = ++this->boots * kIncarnationStep;
   proxy.shard = std::make_unique<TrafficShard>(hooks, settings, 0, 1);
-  proxy.events =
-      MemberEvents{[this, &proxy](ConnectionId id) {
-                     proxy.shard->OnOpened(this->queue.Now(), id);
-                     this->Arm(proxy);
-                   },
-                   [this, &proxy](ConnectionId id, ConnectionFailure failure) {
-                     proxy.shard->OnLost(this->queue.Now(), id, failure);
-                     this->Arm(proxy);
-                   },
-                   [this, &proxy](ConnectionId id, const BatchResult& result) {
-                     proxy.shard->OnCompleted(this->queue.Now(), id, result);
-                     this->Arm(proxy);
-                   }};
+  proxy.events = this->EventsOf(proxy);
   proxy.shard->OnView(this->queue.Now(), this->MakeView());
   this->Arm(proxy);
 }
@@ -122,8 +153,9 @@
                    if (!proxy.alive || proxy.shard.get() != shard) return;
                    if (proxy.armed_for != time) return;
                    proxy.armed_for = steady_clock::time_point();
-                   proxy.shard->OnTick(this->queue.Now());
-                   this->Arm(proxy);
+                   this->Wake(proxy, [this](TrafficShard& woken) {
+                     woken.OnTick(this->queue.Now());
+                   });
                  });
 }
 
@@ -138,34 +170,44 @@
   Proxy* target = this->Find(to);
   if (target == nullptr || !from.alive) return;
   ++this->messages;
-  this->network.Deliver(from.info.zone, target->info.zone,
-                        [this, target, sender = from.info.id, body] {
-                          if (target->alive) {
-                            this->Receive(*target, sender, body);
-                          }
-                        });
-}
-
-void Fleet::Receive(Proxy& proxy, const NodeId& from, const PeerBody& body) {
-  if (const auto* forward = std::get_if<ForwardRequest>(&body)) {
-    proxy.shard->OnForward(this->queue.Now(), from, *forward);
-  } else if (const auto* reply = std::get_if<ForwardReply>(&body)) {
-    proxy.shard->OnForwardReply(this->queue.Now(), from, *reply);
-  }
-  this->Arm(proxy);
+  this->network.Deliver(
+      from.info.zone, target->info.zone,
+      [this, target, sender = from.info.id, body, sent_at = this->queue.Now()] {
+        if (target->alive) {
+          this->Receive(*target, sender, body, sent_at);
+        }
+      });
+}
+
+void Fleet::Receive(Proxy& proxy, const NodeId& from, const PeerBody& body,
+                    steady_clock::time_point sent_at) {
+  this->Wake(proxy, [this, from, body, sent_at](TrafficShard& shard) {
+    this->message_sent_at = sent_at;
+    if (const auto* forward = std::get_if<ForwardRequest>(&body)) {
+      shard.OnForward(this->queue.Now(), from, *forward);
+    } else if (const auto* reply = std::get_if<ForwardReply>(&body)) {
+      shard.OnForwardReply(this->queue.Now(), from, *reply);
+    }
+    this->message_sent_at.reset();
+  });
 }
 
 void Fleet::Submit(std::size_t number, const StatementRequest& request,
                    ReplyHook reply) {
   Proxy* proxy = this->proxies[number].get();
   this->queue.After(this->options.to_callers, [this, proxy, request, reply] {
-    if (!proxy->alive) return;
-    proxy->shard->Submit(
-        this->queue.Now(), request, [this, reply](const Outcome& outcome) {
-          this->queue.After(this->options.to_callers,
-                            [reply, outcome] { reply(outcome); });
-        });
-    this->Arm(*proxy);
+    this->Wake(*proxy, [this, request, reply](TrafficShard& shard) {
+      shard.Submit(this->queue.Now(), request,
+                   [this, reply](const Outcome& outcome) {
+                     const auto made_at =
+                         this->message_sent_at.value_or(this->queue.Now());
+                     this->queue.After(this->options.to_callers,
+                                       [this, reply, outcome, made_at] {
+                                         this->answer_made_at = made_at;
+                                         reply(outcome);
+                                       });
+                   });
+    });
   });
 }
 
@@ -190,7 +232,7 @@
   entry.id = this->database;
   entry.term = this->term;
   entry.primary = this->primary;
-  entry.group_size = static_cast<std::uint32_t>(this->options.zones.size());
+  entry.group_size = this->group_size;
   for (const auto& member : this->group.Members()) {
     entry.members.push_back(
         RoutedMember{member.second.info,
@@ -199,14 +241,35 @@
   return view;
 }
 
-void Fleet::Publish(std::uint64_t new_term, const MemberId& new_primary) {
+void Fleet::RenewLeases(const AvailabilityZone& zone,
+                        steady_clock::time_point until) {
+  for (auto& proxy : this->proxies) {
+    if (!proxy->alive || proxy->info.zone != zone) continue;
+    this->Wake(*proxy, [this, until](TrafficShard& shard) {
+      shard.OnLease(this->queue.Now(), until);
+    });
+  }
+}
+
+void Fleet::SetPrimary(std::uint64_t new_term, const MemberId& new_primary) {
   this->term = new_term;
   this->primary = new_primary;
+}
+
+void Fleet::PublishTo(const AvailabilityZone& zone) {
   const RoutingViewPtr view = this->MakeView();
   for (auto& proxy : this->proxies) {
-    if (!proxy->alive) continue;
-    proxy->shard->OnView(this->queue.Now(), view);
-    this->Arm(*proxy);
+    if (!proxy->alive || proxy->info.zone != zone) continue;
+    this->Wake(*proxy, [this, view](TrafficShard& shard) {
+      shard.OnView(this->queue.Now(), view);
+    });
+  }
+}
+
+void Fleet::Publish(std::uint64_t new_term, const MemberId& new_primary) {
+  this->SetPrimary(new_term, new_primary);
+  for (const AvailabilityZone& zone : this->options.zones) {
+    this->PublishTo(zone);
   }
 }
 
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,11 @@
   FakeGroupOptions group;
   /** Told the signs that each proxy sees; may be empty. */
   MemberSignHook observe;
+  RequestRecordSql record;
+  TransactionLimits transactions;
+  /** The end of a starting proxy's lease. */
+  std::chrono::steady_clock::time_point first_lease =
+      std::chrono::steady_clock::time_point::max();
 };
 
 /** The deployments of the users' brief: three places, one member in each. */
@@ -50,9 +57,26 @@
   /** Starts a killed proxy anew. */
   void StartProxy(std::size_t proxy);
 
+  /** Stops a proxy for a time, as a stalled machine does; what reaches it
+   * meanwhile is handled afterwards. */
+  void PauseProxy(std::size_t proxy, std::chrono::nanoseconds time);
+
   /** Tells every live proxy the present view; primary and term as given. */
   void Publish(std::uint64_t term, const MemberId& primary);
 
+  /** Tells the live proxies of one zone the present view. */
+  void PublishTo(const AvailabilityZone& zone);
+  /** Sets what the next views name. */
+  void SetPrimary(std::uint64_t new_term, const MemberId& new_primary);
+
+  /** Renews the lease of every live proxy of a zone. */
+  void RenewLeases(const AvailabilityZone& zone,
+                   std::chrono::steady_clock::time_point until);
+
+  /** Sets how many members the views name as the whole group. */
+  void SetGroupSize(std::uint32_t members) { this->group_size = members; }
+
+  bool Alive(std::size_t proxy) const { return this->proxies[proxy]->alive; }
   std::size_t ProxyCount() const { return this->proxies.size(); }
   TrafficShard& Shard(std::size_t proxy) {
     return *this->proxies[proxy]->shard;
@@ -62,6 +86,11 @@
   const DatabaseId& Database() const { return this->database; }
   MemberId MemberName(std::size_t number) const;
 
+  /** Within a reply: when the proxy that ran the request let its answer go. */
+  std::chrono::steady_clock::time_point AnswerMadeAt() const {
+    return this->answer_made_at;
+  }
+
   /** Messages between proxies so far. */
   std::uint64_t Messages() const { return this->messages; }
 
@@ -72,12 +101,18 @@
     MemberEvents events;
     std::unique_ptr<TrafficShard> shard;
     std::chrono::steady_clock::time_point armed_for;
+    std::chrono::steady_clock::time_point paused_until;
   };
 
+  /** Lets a proxy do something, unless it dies or starts anew before it
+   * runs. */
+  void Wake(Proxy& proxy, std::function<void(TrafficShard&)> action);
+  MemberEvents EventsOf(Proxy& proxy);
   void Boot(Proxy& proxy);
   void Arm(Proxy& proxy);
   void Send(Proxy& from, const NodeId& to, const PeerBody& body);
-  void Receive(Proxy& proxy, const NodeId& from, const PeerBody& body);
+  void Receive(Proxy& proxy, const NodeId& from, const PeerBody& body,
+               std::chrono::steady_clock::time_point sent_at);
   Proxy* Find(const NodeId& id);
   RoutingViewPtr MakeView() const;
 
@@ -88,8 +123,12 @@
   DatabaseId database;
   std::uint64_t term = 1;
   MemberId primary;
+  std::uint32_t group_size;
   std::vector<std::unique_ptr<Proxy>> proxies;
   std::uint64_t messages = 0;
+  /** When the message that is being handled was sent. */
+  std::optional<std::chrono::steady_clock::time_point> message_sent_at;
+  std::chrono::steady_clock::time_point answer_made_at;
   std::uint64_t boots = 0;
 };
 
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -46,6 +46,9 @@
   std::uint64_t incarnation = 0;
   RequestRecordSql request_record{};
   TransactionLimits transactions{};
+  /** The end of the lease before control has granted one. */
+  std::chrono::steady_clock::time_point first_lease =
+      std::chrono::steady_clock::time_point::max();
 };
 
 /**
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -21,7 +21,8 @@
       settings(std::move(traffic_settings)),
       index(shard_index),
       count(shard_count),
-      next_connection(1 + shard_index * kConnectionsPerShard) {}
+      next_connection(1 + shard_index * kConnectionsPerShard),
+      lease_until(this->settings.first_lease) {}
 
 std::size_t TrafficShard::IndexOf(const DatabaseId& database,
                                   std::size_t shard_count) {
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -42,7 +42,9 @@
                    const BatchResult& result);
 
   /** Takes the end of the proxy's one lease, by its own clock, for all its
-   * databases. */
+   * databases. Whoever calls this has to see to it that every change of term
+   * that the grant knew of came before, as a view or a released term: a grant
+   * made after a promotion would else let the replaced primary answer. */
   void OnLease(std::chrono::steady_clock::time_point now,
                std::chrono::steady_clock::time_point until);
 
@@ -83,8 +85,7 @@
   std::size_t count;
   ConnectionId next_connection;
   std::unordered_map<DatabaseId, Entry> databases;
-  std::chrono::steady_clock::time_point lease_until =
-      std::chrono::steady_clock::time_point::max();
+  std::chrono::steady_clock::time_point lease_until;
   std::unordered_map<ConnectionId, DatabaseId> connections;
   std::unordered_map<DatabaseId, std::chrono::steady_clock::time_point> due_at;
   std::set<std::pair<std::chrono::steady_clock::time_point, DatabaseId>> due;
