--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -0,0 +1,170 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
+
+// Defines MemberRuns, what runs on a proxy's own connections to one member and
+// the answers that it holds back.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/admission.h"
+#include "lacewingferry/decisions/traffic/connection_pool.h"
+#include "lacewingferry/decisions/traffic/control_calls.h"
+#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/decisions/traffic/job_run.h"
+#include "lacewingferry/decisions/traffic/load_estimate.h"
+#include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/decisions/traffic/pending_answers.h"
+#include "lacewingferry/decisions/traffic/status_polls.h"
+#include "lacewingferry/decisions/traffic/transaction_table.h"
+#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/ports/event_port.h"
+#include "lacewingferry/ports/member_port.h"
+
+namespace lacewingferry {
+
+/** What an executor acts through. */
+struct ExecutorHooks {
+  MemberPort port;
+  EventPort events;
+  /** A number for a new connection. */
+  std::function<ConnectionId()> next_connection;
+  /** A name for a new transaction. */
+  std::function<TransactionId()> next_transaction;
+  /** Whether an answer of a primary of the term may leave now. */
+  PendingAnswers::GateHook may_answer;
+  /** Told what the traffic shows of the member; may be empty. */
+  MemberSignHook observe;
+};
+
+/** How an executor works. */
+struct ExecutorSettings {
+  RunSettings run;
+  TransactionLimits transactions;
+  /** Varies the pauses of different executors. */
+  std::uint64_t seed = 1;
+};
+
+/** What the member is to this proxy at present. */
+struct ExecutorRole {
+  MemberInfo info;
+  /** This proxy's share of the member's slots. */
+  std::uint32_t share = 0;
+  bool primary = false;
+  std::uint64_t term = 0;
+  std::uint32_t group_size = 3;
+};
+
+/** Runs one batch at a time on each connection and turns the results into
+ * outcomes. What to run next is the executor's choice. A transaction keeps its
+ * connection to itself. */
+class MemberRuns {
+ public:
+  MemberRuns(ExecutorHooks hooks, ExecutorSettings settings);
+  MemberRuns(const MemberRuns&) = delete;
+  MemberRuns& operator=(const MemberRuns&) = delete;
+
+  /** Takes a new role; what an earlier term left unanswered is given up. */
+  void Configure(const ExecutorRole& role);
+
+  /** Answers or gives up what waits after the lease has changed or all terms
+   * up to released_term were released. */
+  void OnGateChanged(std::chrono::steady_clock::time_point now,
+                     std::uint64_t released_term);
+
+  /** Starts something on an idle connection, or a poll on a pinned one. */
+  void StartRun(std::chrono::steady_clock::time_point now, ConnectionId id,
+                Job job);
+  void StartControl(std::chrono::steady_clock::time_point now, ConnectionId id,
+                    ControlCall call);
+  void StartPoll(std::chrono::steady_clock::time_point now, ConnectionId id);
+
+  /** Runs a statement on its transaction's connection. */
+  void SubmitInTransaction(std::chrono::steady_clock::time_point now, Job job);
+
+  /** Rolls back a transaction that runs no statement now, if there is one. */
+  void EndIdleTransaction();
+
+  /** Tells a job that it was refused. */
+  void Refuse(const Job& job, const NotRun& refusal);
+
+  /** The events of the connections. */
+  void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
+  void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
+              ConnectionFailure failure);
+  void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   const BatchResult& result);
+
+  /** Does what is due. */
+  void OnTick(std::chrono::steady_clock::time_point now);
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
+
+  /** Whether the primary has to be asked before anything else runs. */
+  bool PollOverdue(std::chrono::steady_clock::time_point now) const;
+  /** Asks the primary if that is due and a connection is free for it. */
+  void PollIfDue(std::chrono::steady_clock::time_point now);
+
+  ConnectionPool& Pool() { return this->pool; }
+  const ConnectionPool& Pool() const { return this->pool; }
+  LoadEstimate& Load() { return this->load; }
+  /** Whether the primary's log has an entry of its own term. */
+  bool TermBegun() const { return this->confirmer.TermBegun(); }
+  /** Requests that run or await confirmation. */
+  std::size_t Unfinished() const;
+  std::size_t OpenTransactions() const { return this->transactions.Size(); }
+
+ private:
+  /** What runs on a connection: a request, a statement of control, or, with
+   * neither, a question for the member's state. */
+  struct Active {
+    std::optional<JobRun> run;
+    std::optional<ControlCall> control;
+    /** The next statement of the transaction, if it came during a question. */
+    std::optional<Job> next;
+    std::chrono::steady_clock::time_point since;
+  };
+
+  static std::chrono::steady_clock::time_point HungAt(const Active& running);
+  void OnRunResult(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   const BatchResult& result);
+  void NoteTransaction(std::chrono::steady_clock::time_point now,
+                       ConnectionId id, const JobRun& run, const RunStep& step);
+  void EndActive(std::chrono::steady_clock::time_point now, ConnectionId id,
+                 ConnectionFate fate);
+  void Tell(const JobRun& run, const Outcome& outcome);
+  void HoldAnswer(std::chrono::steady_clock::time_point now, const JobRun& run,
+                  HeldAnswer held);
+  void OnControlResult(std::chrono::steady_clock::time_point now,
+                       ConnectionId id, const BatchResult& result);
+  void OnPollResult(std::chrono::steady_clock::time_point now, ConnectionId id,
+                    const BatchResult& result);
+  void TakeStatus(std::chrono::steady_clock::time_point now,
+                  const std::vector<MemberStatus>& rows);
+  void FailActive(ConnectionId id);
+  void CloseInDoubt(ConnectionId id);
+  void AbortTransactions(const std::vector<TransactionId>& ids);
+  void AbandonOverdue(std::chrono::steady_clock::time_point now);
+
+  ExecutorHooks hooks;
+  ExecutorSettings settings;
+  ExecutorRole role;
+  std::uint64_t released_term = 0;
+  ConnectionPool pool;
+  WriteConfirmer confirmer;
+  PendingAnswers pending;
+  StatusPolls polls;
+  LoadEstimate load;
+  TransactionTable transactions;
+  std::map<ConnectionId, Active> active;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
