--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -59,8 +59,31 @@
   session->events = events;
   session->id = id;
   this->sessions[{events, id}] = session;
-  this->network.Deliver(zone, info.zone,
-                        [this, session] { this->Accept(session); });
+  this->network.Deliver(zone, info.zone, [this, session] {
+    this->WhenAwake(session->member,
+                    [this, session] { this->Accept(session); });
+  });
+}
+
+void FakeGroup::Stall(const MemberId& id,
+                      std::chrono::steady_clock::time_point until) {
+  this->stalled_until[id] = until;
+}
+
+bool FakeGroup::Stalled(const MemberId& id) const {
+  const auto found = this->stalled_until.find(id);
+  return found != this->stalled_until.end() &&
+         this->queue.Now() < found->second;
+}
+
+void FakeGroup::WhenAwake(const MemberId& id, std::function<void()> action) {
+  if (!this->Stalled(id)) {
+    action();
+    return;
+  }
+  const auto until = this->stalled_until.at(id);
+  if (until == std::chrono::steady_clock::time_point::max()) return;
+  this->queue.At(until, std::move(action));
 }
 
 void FakeGroup::Accept(const SessionPtr& session) {
@@ -102,7 +125,10 @@
   running->session = session;
   running->batch = batch;
   this->network.Deliver(session->zone, zone, [this, running, service] {
-    this->queue.After(service, [this, running] { this->RunBatch(running); });
+    this->queue.After(service, [this, running] {
+      this->WhenAwake(running->session->member,
+                      [this, running] { this->RunBatch(running); });
+    });
   });
 }
 
@@ -254,6 +280,10 @@
   if (sql == "PUT" || sql == "PUTNEW") {
     return this->RunPut(session, statement, rows);
   }
+  if (auto role_rows = this->RunRoleStatement(member, statement)) {
+    rows = std::move(*role_rows);
+    return "";
+  }
   return this->RunRecord(session, statement, rows);
 }
 
@@ -328,6 +358,30 @@
   session.puts.clear();
 }
 
+std::optional<ResultSet> FakeGroup::RunRoleStatement(
+    FakeMember& member, const SqlStatement& statement) {
+  const bool fence = statement.sql == "FENCE";
+  const bool promote = statement.sql == "PROMOTE";
+  if (!fence && !promote && statement.sql != "FOLLOW") return std::nullopt;
+  const std::uint64_t term = std::stoull(*statement.parameters.at(0));
+  bool accepted = false;
+  if (fence) {
+    accepted = this->Fence(member.info.id, term);
+  } else if (promote) {
+    accepted = member.Promote(term);
+  } else {
+    const MemberId primary(*statement.parameters.at(1));
+    accepted = this->Follow(member.info.id, term, primary);
+  }
+  const LogPosition end = member.Durable();
+  ResultSet rows;
+  rows.rows.push_back({SqlValue(accepted ? "t" : "f"),
+                       SqlValue(std::to_string(member.term)),
+                       SqlValue(std::to_string(end.term)),
+                       SqlValue(std::to_string(end.offset))});
+  return rows;
+}
+
 void FakeGroup::CommitOpen(Session& session, FakeMember& member) {
   session.in_transaction = false;
   if (session.puts.empty()) return;
@@ -353,7 +407,8 @@
   FakeMember& source = this->members.at(primary);
   FakeMember& target = this->members.at(replica);
   const bool streams =
-      source.alive && target.alive && source.primary && source.term == term &&
+      source.alive && target.alive && !this->Stalled(primary) &&
+      !this->Stalled(replica) && source.primary && source.term == term &&
       target.term == term && target.following == primary &&
       this->network.Reaches(source.info.zone, target.info.zone);
   if (!streams) {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,11 @@
   /** Starts it again with the role and term that it had. */
   void Restart(const MemberId& id);
 
+  /** Lets a member's machine do nothing until a time; connections stay. A
+   * machine that is stalled for ever is one that lost its power. */
+  void Stall(const MemberId& id, std::chrono::steady_clock::time_point until);
+  bool Stalled(const MemberId& id) const;
+
   /** Changes of role, as the dialect's statements make them. */
   bool Fence(const MemberId& id, std::uint64_t term);
   bool Promote(const MemberId& id, std::uint64_t term);
@@ -117,6 +123,11 @@
   std::string RunPut(Session& session, const SqlStatement& statement,
                      ResultSet& rows);
   void RollBack(Session& session);
+  /** Runs FENCE, PROMOTE and FOLLOW; none for another statement. */
+  std::optional<ResultSet> RunRoleStatement(FakeMember& member,
+                                            const SqlStatement& statement);
+  /** Runs an action at a member, after its stall if there is one. */
+  void WhenAwake(const MemberId& id, std::function<void()> action);
   void CommitOpen(Session& session, FakeMember& member);
   void Replicate(const MemberId& primary);
   void Deliver(const MemberId& primary, const MemberId& replica,
@@ -129,6 +140,7 @@
   FakeGroupOptions options;
   std::map<MemberId, FakeMember> members;
   std::map<std::pair<const MemberEvents*, ConnectionId>, SessionPtr> sessions;
+  std::map<MemberId, std::chrono::steady_clock::time_point> stalled_until;
   std::map<MemberId, std::size_t> open_count;
   std::map<MemberId, std::size_t> most_count;
   std::size_t turned_away = 0;
--- a/bench/model/fake_member.h
+++ b/bench/model/fake_member.h
@@ -38,6 +38,8 @@
  *   PUTNEW $1 $2          the same, but 23505 if the key is set
  *   GET $1                one row with the value; no row for a missing key
  *   STATUS                the rows that ParseMemberStatus reads
+ *   FENCE $1, PROMOTE $1  changes of role in a term; one row: accepted, term,
+ *   FOLLOW $1 $2          and the end of the log as term and offset
  */
 struct FakeMember {
   MemberInfo info;
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -34,6 +34,36 @@
       return "request_unknown";
     case EventCode::kPeerMessageRejected:
       return "peer_message_rejected";
+    case EventCode::kDatabaseAdopted:
+      return "database_adopted";
+    case EventCode::kPrimarySuspected:
+      return "primary_suspected";
+    case EventCode::kInquiryEnded:
+      return "inquiry_ended";
+    case EventCode::kTermBegun:
+      return "term_begun";
+    case EventCode::kPrimaryChosen:
+      return "primary_chosen";
+    case EventCode::kPrimaryConfirmed:
+      return "primary_confirmed";
+    case EventCode::kTailDropped:
+      return "tail_dropped";
+    case EventCode::kMembersChanged:
+      return "members_changed";
+    case EventCode::kMemberOrdered:
+      return "member_ordered";
+    case EventCode::kLeasesEnded:
+      return "leases_ended";
+    case EventCode::kPrimaryPromoted:
+      return "primary_promoted";
+    case EventCode::kPrimaryRouted:
+      return "primary_routed";
+    case EventCode::kNoteAccepted:
+      return "note_accepted";
+    case EventCode::kNoteRejected:
+      return "note_rejected";
+    case EventCode::kOperatorRefused:
+      return "operator_refused";
   }
   throw InternalError("event code without a name");
 }
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -27,6 +27,21 @@
   kRequestRefused = 3101,
   kRequestUnknown = 3102,
   kPeerMessageRejected = 4001,
+  kDatabaseAdopted = 5001,
+  kPrimarySuspected = 5002,
+  kInquiryEnded = 5003,
+  kTermBegun = 5004,
+  kPrimaryChosen = 5005,
+  kPrimaryConfirmed = 5006,
+  kTailDropped = 5007,
+  kMembersChanged = 5008,
+  kMemberOrdered = 5009,
+  kLeasesEnded = 5102,
+  kPrimaryPromoted = 5103,
+  kPrimaryRouted = 5104,
+  kNoteAccepted = 6001,
+  kNoteRejected = 6002,
+  kOperatorRefused = 6003,
 };
 
 /** How serious an event is. */
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -9,16 +9,22 @@
 
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
+#include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
+#include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
 
 namespace lacewingferry {
 
 /** The messages by purpose. A codec numbers the alternatives by their order,
  * so new ones are added at the end. */
-using PeerBody = std::variant<ForwardRequest, ForwardReply, VoteRequest,
-                              VoteReply, AppendRequest, AppendReply,
-                              SnapshotRequest, MembershipUpdate, JoinRequest>;
+using PeerBody =
+    std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
+                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
+                 JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
+                 LeaseReleased, MemberCommand, MemberCommandResult,
+                 PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
+                 ClusterUpdateRequest, ControlRedirect>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -146,6 +146,15 @@
   }
 }
 
+void TrafficShard::OnDatabaseLease(steady_clock::time_point now,
+                                   const DatabaseId& database,
+                                   steady_clock::time_point until) {
+  DatabaseTraffic* traffic = this->Find(database);
+  if (traffic == nullptr) return;
+  traffic->OnLease(now, until);
+  this->Reschedule(database, *traffic);
+}
+
 void TrafficShard::ReleaseTerm(steady_clock::time_point now,
                                const DatabaseId& database, std::uint64_t term) {
   DatabaseTraffic* traffic = this->Find(database);
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -48,6 +48,11 @@
   void OnLease(std::chrono::steady_clock::time_point now,
                std::chrono::steady_clock::time_point until);
 
+  /** Takes the end of the lease on one database. */
+  void OnDatabaseLease(std::chrono::steady_clock::time_point now,
+                       const DatabaseId& database,
+                       std::chrono::steady_clock::time_point until);
+
   /** Ends all answers of a database's primary in a term and those before it,
    * for good. */
   void ReleaseTerm(std::chrono::steady_clock::time_point now,
