--- /dev/null
+++ b/tests/correctness/raft_group_test.cc
@@ -0,0 +1,185 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/support/raft_chaos.h"
+
+namespace lacewingferry {
+namespace {
+
+using model::ConsensusGroup;
+using model::GroupOptions;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+GroupOptions Calm(std::size_t spares) {
+  GroupOptions options = tests::ChaosGroupOptions(5);
+  options.voters = 3;
+  options.spares = spares;
+  options.repair->voters = 3;
+  if (spares == 0) options.repair.reset();
+  options.loss = options.duplication = 0;
+  options.jitter = microseconds(500);
+  return options;
+}
+
+std::size_t AwaitLeader(ConsensusGroup& group) {
+  group.RunFor(milliseconds(2000));
+  CPPUNIT_ASSERT(group.Leader().has_value());
+  return *group.Leader();
+}
+
+void ProposeMany(ConsensusGroup& group, std::size_t leader, int count) {
+  for (int i = 0; i < count; ++i) {
+    CPPUNIT_ASSERT(group.Propose(leader, "c" + std::to_string(i)));
+    group.RunFor(milliseconds(5));
+  }
+  group.RunFor(milliseconds(500));
+}
+
+class RaftGroupTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RaftGroupTest);
+  CPPUNIT_TEST(CommitsOnAllReplicas);
+  CPPUNIT_TEST(LaggardGetsSnapshot);
+  CPPUNIT_TEST(RestartOfAllComesBackToNewestState);
+  CPPUNIT_TEST(CutOffLeaderStepsDown);
+  CPPUNIT_TEST(FailedDiskStopsReplica);
+  CPPUNIT_TEST(LostDiskIsReplacedWithoutAnOrder);
+  CPPUNIT_TEST(RefusesUnsafeChanges);
+  CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CommitsOnAllReplicas() {
+    ConsensusGroup group(Calm(0));
+    const std::size_t leader = AwaitLeader(group);
+    CPPUNIT_ASSERT(group.CanServeReads(leader));
+    ProposeMany(group, leader, 20);
+    for (std::size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(21), group.Node(i).CommitIndex());
+      CPPUNIT_ASSERT(i == leader || !group.CanServeReads(i));
+    }
+    RequireNoViolations(group);
+  }
+
+  void LaggardGetsSnapshot() {
+    ConsensusGroup group(Calm(0));
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t laggard = (leader + 1) % 3;
+    group.Crash(laggard);
+    ProposeMany(group, leader, 500);
+    group.Start(laggard);
+    group.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(501), group.Node(laggard).CommitIndex());
+    RequireNoViolations(group);
+  }
+
+  void RestartOfAllComesBackToNewestState() {
+    ConsensusGroup group(Calm(0));
+    ProposeMany(group, AwaitLeader(group), 250);
+    const std::uint64_t before = group.Committed();
+    for (std::size_t i = 0; i < 3; ++i) group.Crash(i);
+    for (std::size_t i = 0; i < 3; ++i) group.Start(i);
+    const std::size_t leader = AwaitLeader(group);
+    CPPUNIT_ASSERT(group.Node(leader).CommitIndex() > before);
+    RequireNoViolations(group);
+  }
+
+  void CutOffLeaderStepsDown() {
+    ConsensusGroup group(Calm(0));
+    const std::size_t leader = AwaitLeader(group);
+    group.Isolate(leader, true);
+    group.RunFor(milliseconds(230));
+    CPPUNIT_ASSERT(!group.CanServeReads(leader));
+    group.RunFor(milliseconds(270));
+    CPPUNIT_ASSERT(!group.Node(leader).IsLeader());
+    CPPUNIT_ASSERT(!group.Propose(leader, "lost"));
+    group.RunFor(milliseconds(1000));
+    CPPUNIT_ASSERT(group.Leader().has_value());
+    RequireNoViolations(group);
+  }
+
+  void FailedDiskStopsReplica() {
+    ConsensusGroup group(Calm(0));
+    const std::size_t leader = AwaitLeader(group);
+    group.Disk(leader).FailWrites();
+    CPPUNIT_ASSERT(!group.Propose(leader, "lost"));
+    CPPUNIT_ASSERT(group.Node(leader).Stopped());
+    CPPUNIT_ASSERT(!group.CanServeReads(leader));
+    const std::size_t next = AwaitLeader(group);
+    CPPUNIT_ASSERT(next != leader);
+    ProposeMany(group, next, 5);
+    CPPUNIT_ASSERT(group.Committed() >= 6);
+    RequireNoViolations(group);
+  }
+
+  void LostDiskIsReplacedWithoutAnOrder() {
+    ConsensusGroup group(Calm(1));
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t lost = (leader + 1) % 3;
+    const VoterId old = group.Node(lost).Self();
+    group.LoseDisk(lost);
+    group.Start(lost);
+    CPPUNIT_ASSERT(group.Node(lost).Self() != old);
+    group.RunFor(milliseconds(8000));
+    const ControlConfiguration& now = group.Node(leader).Configuration();
+    CPPUNIT_ASSERT(now.Find(old) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), now.VoterCount());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), now.members.size());
+    RequireNoViolations(group);
+  }
+
+  void RefusesUnsafeChanges() {
+    ConsensusGroup group(Calm(0));
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t other = (leader + 1) % 3;
+    const std::size_t third = (leader + 2) % 3;
+    const MembershipChange remove_other{ChangeKind::kRemove,
+                                        group.Node(other).Self(), NodeId()};
+    const MembershipChange remove_self{ChangeKind::kRemove,
+                                       group.Node(leader).Self(), NodeId()};
+    RequireRefusal(group, other, remove_other, ChangeRefusal::kNotLeader);
+    RequireRefusal(group, leader, remove_self, ChangeRefusal::kNotApplicable);
+    const MembershipChange learner{ChangeKind::kAddLearner, VoterId("x"),
+                                   NodeId("control-1")};
+    CPPUNIT_ASSERT(group.ProposeChange(leader, learner).index.has_value());
+    RequireRefusal(group, leader, remove_other, ChangeRefusal::kChangePending);
+    group.RunFor(milliseconds(500));
+    const MembershipChange promote{ChangeKind::kPromote, VoterId("x"),
+                                   NodeId()};
+    RequireRefusal(group, leader, promote, ChangeRefusal::kNotCaughtUp);
+    group.Crash(third);
+    group.RunFor(milliseconds(1000));
+    RequireRefusal(group, leader, remove_other, ChangeRefusal::kNoMargin);
+  }
+
+  void TooManyWaitingProposalsAreRefused() {
+    GroupOptions options = Calm(0);
+    options.raft.max_uncommitted_entries = 10;
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    for (int i = 0; i < 10; ++i) CPPUNIT_ASSERT(group.Propose(leader, "c"));
+    CPPUNIT_ASSERT(!group.Propose(leader, "c"));
+    group.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT(group.Propose(leader, "c"));
+  }
+
+ private:
+  static void RequireNoViolations(const ConsensusGroup& group) {
+    CPPUNIT_ASSERT_MESSAGE(
+        group.Violations().empty() ? "" : group.Violations().front(),
+        group.Violations().empty());
+  }
+
+  static void RequireRefusal(ConsensusGroup& group, std::size_t at,
+                             const MembershipChange& change,
+                             ChangeRefusal expected) {
+    const ChangeResult result = group.ProposeChange(at, change);
+    CPPUNIT_ASSERT(!result.index);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected),
+                         static_cast<int>(result.refusal));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RaftGroupTest);
+
+}  // namespace
+}  // namespace lacewingferry
--- /dev/null
+++ b/tests/correctness/voter_repair_test.cc
@@ -0,0 +1,192 @@
+#include "lacewingferry/decisions/consensus/voter_repair.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "lacewingferry/core/errors.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+const steady_clock::time_point kNow{seconds(1000)};
+
+MemberStatus Member(const std::string& name, ControlRole role,
+                    milliseconds silence) {
+  MemberStatus status;
+  status.member = {VoterId(name), NodeId("n-" + name), role};
+  status.last_heard = kNow - silence;
+  status.connected = silence < milliseconds(400);
+  status.caught_up = status.connected;
+  return status;
+}
+
+MemberStatus Voter(const std::string& name, milliseconds silence = {}) {
+  return Member(name, ControlRole::kVoter, silence);
+}
+
+MemberStatus Learner(const std::string& name, milliseconds silence = {}) {
+  return Member(name, ControlRole::kLearner, silence);
+}
+
+GroupStatus Group(std::vector<MemberStatus> members) {
+  GroupStatus group;
+  group.leader = members.front().member.voter;
+  group.refusal = ChangeRefusal::kNone;
+  group.members = std::move(members);
+  return group;
+}
+
+/** How many more voters may fail before the quorum is lost; negative without
+ * a quorum. */
+int Margin(const GroupStatus& group) {
+  int voters = 0;
+  int connected = 0;
+  for (const MemberStatus& status : group.members) {
+    if (status.member.role != ControlRole::kVoter) continue;
+    ++voters;
+    connected += status.connected;
+  }
+  return connected - (voters / 2 + 1);
+}
+
+void Make(GroupStatus& group, const MembershipChange& change) {
+  ControlConfiguration configuration;
+  for (const MemberStatus& status : group.members) {
+    configuration.members.push_back(status.member);
+  }
+  configuration = ApplyChange(configuration, change);
+  std::vector<MemberStatus> members;
+  for (const ControlMember& member : configuration.members) {
+    MemberStatus status = Learner(member.voter.Value());
+    for (const MemberStatus& old : group.members) {
+      if (old.member.voter == member.voter) status = old;
+    }
+    status.member = member;
+    members.push_back(status);
+  }
+  group.members = std::move(members);
+}
+
+constexpr seconds kLong{120};
+
+class VoterRepairTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(VoterRepairTest);
+  CPPUNIT_TEST(AddsBeforeItRemoves);
+  CPPUNIT_TEST(ChangesNothingWithoutQuorum);
+  CPPUNIT_TEST(KeepsSilentVoterWithoutSpare);
+  CPPUNIT_TEST(GrowsFromOneVoter);
+  CPPUNIT_TEST(ReplacesVoterThatLostItsDiskAtOnce);
+  CPPUNIT_TEST(NeverLowersTheMargin);
+  CPPUNIT_TEST(RefusesEvenNumbers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AddsBeforeItRemoves() {
+    VoterRepair repair{RepairSettings{}};
+    GroupStatus group =
+        Group({Voter("a"), Voter("b"), Voter("c", kLong), Learner("d")});
+    const auto first = repair.Decide(kNow, group);
+    CPPUNIT_ASSERT(first && first->kind == ChangeKind::kPromote);
+    CPPUNIT_ASSERT(first->voter == VoterId("d"));
+    Make(group, *first);
+    const auto second = repair.Decide(kNow, group);
+    CPPUNIT_ASSERT(second && second->kind == ChangeKind::kRemove);
+    CPPUNIT_ASSERT(second->voter == VoterId("c"));
+    Make(group, *second);
+    CPPUNIT_ASSERT(!repair.Decide(kNow, group));
+  }
+
+  void ChangesNothingWithoutQuorum() {
+    VoterRepair repair{RepairSettings{}};
+    repair.OnJoinRequested(kNow, NodeId("n-e"), VoterId("e"));
+    CPPUNIT_ASSERT(
+        !repair.Decide(kNow, Group({Voter("a"), Voter("b", kLong),
+                                    Voter("c", kLong), Learner("d")})));
+    // A second voter is lost right after the first one's replacement joined.
+    CPPUNIT_ASSERT(!repair.Decide(
+        kNow,
+        Group({Voter("a"), Voter("b"), Voter("c", kLong), Voter("d", kLong)})));
+  }
+
+  void KeepsSilentVoterWithoutSpare() {
+    VoterRepair repair{RepairSettings{}};
+    CPPUNIT_ASSERT(!repair.Decide(
+        kNow, Group({Voter("a"), Voter("b"), Voter("c", kLong)})));
+  }
+
+  void GrowsFromOneVoter() {
+    VoterRepair repair{RepairSettings{}};
+    for (const char* name : {"b", "c", "d", "e"}) {
+      repair.OnJoinRequested(kNow, NodeId(std::string("n-") + name),
+                             VoterId(name));
+    }
+    GroupStatus group = Group({Voter("a")});
+    for (int i = 0; i < 10; ++i) {
+      const auto change = repair.Decide(kNow, group);
+      if (change) Make(group, *change);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Margin(group));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), group.members.size());
+  }
+
+  void ReplacesVoterThatLostItsDiskAtOnce() {
+    VoterRepair repair{RepairSettings{}};
+    GroupStatus group =
+        Group({Voter("a"), Voter("b"), Voter("c", seconds(2)), Learner("d")});
+    CPPUNIT_ASSERT(!repair.Decide(kNow, group));
+    group.members[3].member.node = group.members[2].member.node;
+    const auto change = repair.Decide(kNow, group);
+    CPPUNIT_ASSERT(change && change->kind == ChangeKind::kPromote);
+  }
+
+  void NeverLowersTheMargin() {
+    CPPUNIT_ASSERT(rc::check([](const std::vector<bool>& more_voters,
+                                const std::vector<bool>& learners) {
+      std::vector<MemberStatus> members{Voter("leader")};
+      for (bool lost : more_voters) {
+        if (members.size() == kMaxVoters) break;
+        members.push_back(Voter("v" + std::to_string(members.size()),
+                                lost ? kLong : seconds(0)));
+      }
+      for (bool lost : learners) {
+        members.push_back(Learner("l" + std::to_string(members.size()),
+                                  lost ? kLong : seconds(0)));
+      }
+      RepairSettings settings;
+      settings.voters = 5;
+      VoterRepair repair(settings);
+      GroupStatus group = Group(members);
+      // Each learner goes or is promoted once, and each voter goes once.
+      const std::size_t limit = 2 * group.members.size() + 1;
+      for (std::size_t i = 0; i < limit; ++i) {
+        const int before = Margin(group);
+        const auto change = repair.Decide(kNow, group);
+        if (!change) return;
+        RC_ASSERT(before >= 0);
+        Make(group, *change);
+        RC_ASSERT(Margin(group) >= before ||
+                  Margin(group) >= static_cast<int>(settings.voters / 2));
+      }
+      RC_FAIL("the repair does not end");
+    }));
+  }
+
+  void RefusesEvenNumbers() {
+    RepairSettings settings;
+    settings.voters = 4;
+    CPPUNIT_ASSERT_THROW(VoterRepair{settings}, UserError);
+    settings.voters = 11;
+    CPPUNIT_ASSERT_THROW(VoterRepair{settings}, UserError);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VoterRepairTest);
+
+}  // namespace
+}  // namespace lacewingferry
