--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -14,6 +14,7 @@
 
 void RaftElector::Restart(steady_clock::time_point now) {
   const RaftSettings& settings = this->context.settings;
+  this->yielded = false;
   this->deadline = now + settings.election_timeout_min +
                    this->RandomUpTo(settings.election_timeout_max -
                                     settings.election_timeout_min);
@@ -104,7 +105,7 @@
                                 const VoteRequest& request) {
   if (this->HearsLeader(now)) return;
   if (request.pre_vote) {
-    this->AnswerPreVote(from, request);
+    this->AnswerPreVote(now, from, request);
   } else {
     this->AnswerVote(now, from, request);
   }
@@ -122,11 +123,28 @@
          std::make_tuple(log.LastTerm(), log.LastIndex());
 }
 
-void RaftElector::AnswerPreVote(const NodeId& from,
+void RaftElector::AnswerPreVote(steady_clock::time_point now,
+                                const NodeId& from,
                                 const VoteRequest& request) {
   const bool granted =
       request.term > this->context.log.Term() && this->LogIsUpToDate(request);
   this->Reply(from, request, granted);
+  if (granted) this->YieldTo(now, request.from);
+}
+
+/**
+ * Two voters that ask at nearly the same time would both win their pre-votes
+ * and then split the votes. So of two pre-candidates the one of the smaller
+ * identity lets the other go first. It yields once only: the other might be
+ * heard but hear nobody itself.
+ */
+void RaftElector::YieldTo(steady_clock::time_point now,
+                          const VoterId& candidate) {
+  if (this->context.role != RaftRole::kPreCandidate || this->yielded) return;
+  if (candidate < this->context.self) return;
+  this->context.BecomeFollower();
+  this->yielded = true;
+  this->deadline = now + this->context.settings.election_timeout_min;
 }
 
 void RaftElector::AnswerVote(steady_clock::time_point now, const NodeId& from,
--- a/src/lacewingferry/decisions/consensus/raft_elector.h
+++ b/src/lacewingferry/decisions/consensus/raft_elector.h
@@ -49,7 +49,10 @@
   void RequestVotes(bool pre_vote);
   void CountVotes(std::chrono::steady_clock::time_point now);
   void AskToJoin(std::chrono::steady_clock::time_point now);
-  void AnswerPreVote(const NodeId& from, const VoteRequest& request);
+  void AnswerPreVote(std::chrono::steady_clock::time_point now,
+                     const NodeId& from, const VoteRequest& request);
+  void YieldTo(std::chrono::steady_clock::time_point now,
+               const VoterId& candidate);
   void AnswerVote(std::chrono::steady_clock::time_point now, const NodeId& from,
                   const VoteRequest& request);
   void Reply(const NodeId& to, const VoteRequest& request, bool granted);
@@ -58,6 +61,8 @@
   RaftContext& context;
   std::chrono::steady_clock::time_point deadline;
   std::set<VoterId> votes;
+  /** Whether it has yielded to another candidate since the last Restart. */
+  bool yielded = false;
 };
 
 }  // namespace lacewingferry
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(LaggardGetsSnapshot);
   CPPUNIT_TEST(RestartOfAllComesBackToNewestState);
   CPPUNIT_TEST(CutOffLeaderStepsDown);
+  CPPUNIT_TEST(DeafVoterDoesNotBlockElection);
+  CPPUNIT_TEST(DoubledRefusalsAreNotMultiplied);
   CPPUNIT_TEST(FailedDiskStopsReplica);
   CPPUNIT_TEST(LostDiskIsReplacedWithoutAnOrder);
   CPPUNIT_TEST(RefusesUnsafeChanges);
@@ -97,6 +99,43 @@
     RequireNoViolations(group);
   }
 
+  /** A voter that sends but hears nobody asks for votes all the time. */
+  void DeafVoterDoesNotBlockElection() {
+    for (std::size_t deaf = 0; deaf < 5; ++deaf) {
+      GroupOptions options = Calm(0);
+      options.voters = 5;
+      ConsensusGroup group(options);
+      const std::size_t leader = AwaitLeader(group);
+      if (leader == deaf) continue;
+      for (std::size_t i = 0; i < 5; ++i) group.Cut(i, deaf, true);
+      group.RunFor(milliseconds(1000));
+      group.Crash(leader);
+      group.RunFor(milliseconds(1500));
+      CPPUNIT_ASSERT(group.Leader() && group.CanServeReads(*group.Leader()));
+      RequireNoViolations(group);
+    }
+  }
+
+  /** Each message goes twice; a follower far behind refuses at first. */
+  void DoubledRefusalsAreNotMultiplied() {
+    GroupOptions options = Calm(0);
+    options.raft.snapshot_entries = 100'000;
+    options.duplication = 1;
+    std::uint64_t sent = 0;
+    options.on_send = [&sent](const ConsensusMessage&) { ++sent; };
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t laggard = (leader + 1) % 3;
+    group.Crash(laggard);
+    ProposeMany(group, leader, 300);
+    group.Start(laggard);
+    sent = 0;
+    group.RunFor(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(301), group.Node(laggard).CommitIndex());
+    // Twenty heartbeats to two followers, each answered twice, and the rest.
+    CPPUNIT_ASSERT(sent < 200);
+  }
+
   void FailedDiskStopsReplica() {
     ConsensusGroup group(Calm(0));
     const std::size_t leader = AwaitLeader(group);
