--- a/tests/support/test_runner.cc
+++ b/tests/support/test_runner.cc
@@ -2,11 +2,11 @@
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
-#include <cppunit/TestRunner.h>
 #include <cppunit/TestSuite.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
 #include <iostream>
+#include <memory>
 #include <string>
 
 namespace {
@@ -29,7 +29,9 @@
 
 /** Runs the suite named by the first argument, or every suite without one. */
 int main(int argc, char** argv) {
-  CppUnit::Test* test = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+  const std::unique_ptr<CppUnit::Test> all(
+      CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  CppUnit::Test* test = all.get();
   if (argc > 1) {
     test = FindSuite(test, argv[1]);
     if (test == nullptr) {
@@ -42,9 +44,7 @@
   CppUnit::BriefTestProgressListener progress;
   events.addListener(&collected);
   events.addListener(&progress);
-  CppUnit::TestRunner runner;
-  runner.addTest(test);
-  runner.run(events);
+  events.runTest(test);
   CppUnit::CompilerOutputter(&collected, std::cerr).write();
   const bool ran = collected.runTests() > 0;
   return ran && collected.wasSuccessful() ? 0 : 1;
