--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -21,6 +21,8 @@
   return options;
 }
 
+NodeId NodeOf(std::size_t i) { return NodeId("control-" + std::to_string(i)); }
+
 std::size_t AwaitLeader(ConsensusGroup& group) {
   group.RunFor(milliseconds(2000));
   CPPUNIT_ASSERT(group.Leader().has_value());
@@ -45,6 +47,8 @@
   CPPUNIT_TEST(DoubledRefusalsAreNotMultiplied);
   CPPUNIT_TEST(FailedDiskStopsReplica);
   CPPUNIT_TEST(LostDiskIsReplacedWithoutAnOrder);
+  CPPUNIT_TEST(GrowsFromOneFounder);
+  CPPUNIT_TEST(SecondLossAfterRepairIsRepairedToo);
   CPPUNIT_TEST(RefusesUnsafeChanges);
   CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -166,6 +170,42 @@
     RequireNoViolations(group);
   }
 
+  void GrowsFromOneFounder() {
+    GroupOptions options = Calm(3);
+    options.voters = 1;
+    ConsensusGroup group(options);
+    group.RunFor(milliseconds(15'000));
+    const std::size_t leader = AwaitLeader(group);
+    const ControlConfiguration& now = group.Node(leader).Configuration();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), now.VoterCount());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), now.members.size());
+    RequireNoViolations(group);
+  }
+
+  /** Five voters lose one after the other, each before the repair of the one
+   * before is over. */
+  void SecondLossAfterRepairIsRepairedToo() {
+    GroupOptions options = Calm(2);
+    options.voters = options.repair->voters = 5;
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    group.Crash((leader + 1) % 5);
+    group.RunFor(milliseconds(2200));
+    group.Crash((leader + 2) % 5);
+    group.RunFor(milliseconds(10'000));
+    CPPUNIT_ASSERT(group.Leader() == leader && group.CanServeReads(leader));
+    std::size_t voters = 0;
+    const GroupStatus status = group.Node(leader).Status(group.Queue().Now());
+    for (const MemberStatus& member : status.members) {
+      const bool crashed = member.member.node == NodeOf((leader + 1) % 5) ||
+                           member.member.node == NodeOf((leader + 2) % 5);
+      CPPUNIT_ASSERT(!crashed);
+      voters += member.member.role == ControlRole::kVoter;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), voters);
+    RequireNoViolations(group);
+  }
+
   void RefusesUnsafeChanges() {
     ConsensusGroup group(Calm(0));
     const std::size_t leader = AwaitLeader(group);
--- a/tests/support/raft_chaos.cc
+++ b/tests/support/raft_chaos.cc
@@ -1,6 +1,7 @@
 #include "tests/support/raft_chaos.h"
 
 #include <cstdlib>
+#include <iterator>
 #include <optional>
 #include <random>
 
@@ -143,7 +144,8 @@
   std::mt19937_64 random(seed);
   model::GroupOptions options;
   options.seed = seed;
-  options.voters = random() % 3 == 0 ? 5 : 3;
+  constexpr std::size_t kVoters[] = {3, 3, 3, 3, 5, 5, 5, 7, 9};
+  options.voters = kVoters[random() % std::size(kVoters)];
   options.spares = 2;
   options.codec = MakeLogCodec();
   options.raft.snapshot_entries = 100;
--- a/tests/support/raft_chaos.h
+++ b/tests/support/raft_chaos.h
@@ -31,7 +31,7 @@
 /** Group options with the brief's latencies and the tests' codec. */
 model::GroupOptions ChaosGroupOptions(std::uint64_t seed);
 
-/** Runs a group of 3 or 5 voters and two spares for 12 s of virtual time with
+/** Runs a group of 3 to 9 voters and two spares for 12 s of virtual time with
  * loss, delay, duplication, reordering, partitions, crashes within writes,
  * lost disks and repairs, then heals all and asks for progress. */
 ChaosResult RunRaftChaos(const ChaosOptions& options);
