--- a/standin/delayed_applier.cc
+++ b/standin/delayed_applier.cc
@@ -16,8 +16,9 @@
 
 void DelayedApplier::Add(const std::vector<LogEntry>& entries) {
   const steady_clock::time_point now = steady_clock::now();
-  for (const LogEntry& entry : entries)
+  for (const LogEntry& entry : entries) {
     this->waiting.push_back(Waiting{now + this->lag, entry});
+  }
   this->ApplyUntil(now);
 }
 
@@ -27,8 +28,9 @@
 
 void DelayedApplier::Truncate(std::uint64_t offset) {
   while (!this->waiting.empty() &&
-         this->waiting.back().entry.position.offset > offset)
+         this->waiting.back().entry.position.offset > offset) {
     this->waiting.pop_back();
+  }
 }
 
 void DelayedApplier::ApplyUntil(steady_clock::time_point now) {
--- a/standin/ferry_call.cc
+++ b/standin/ferry_call.cc
@@ -54,8 +54,9 @@
   std::smatch match;
   while (position != text.cend()) {
     if (!std::regex_search(position, text.cend(), match, kArgument,
-                           std::regex_constants::match_continuous))
+                           std::regex_constants::match_continuous)) {
       throw SqlError("42601", "unreadable argument of a ferry function");
+    }
     FerryArgument& argument = arguments.emplace_back();
     if (match[1].matched) {
       argument.parameter = std::stoi(match[1].str());
@@ -79,8 +80,9 @@
 
 int FerryCall::ParameterCount() const {
   int count = 0;
-  for (const FerryArgument& argument : this->arguments)
+  for (const FerryArgument& argument : this->arguments) {
     count = std::max(count, argument.parameter);
+  }
   return count;
 }
 
@@ -93,8 +95,9 @@
       continue;
     }
     const auto index = static_cast<std::size_t>(argument.parameter) - 1;
-    if (index >= parameters.size() || !parameters[index])
+    if (index >= parameters.size() || !parameters[index]) {
       throw SqlError("22004", "a ferry function takes no NULL");
+    }
     values.push_back(*parameters[index]);
   }
   return values;
@@ -112,10 +115,12 @@
   for (const FunctionShape& shape : Shapes()) {
     if (name != shape.name) continue;
     FerryCall call{shape.function, {}};
-    if (!IsBlank(match[2].str()))
+    if (!IsBlank(match[2].str())) {
       call.arguments = ParseArguments(match[2].str());
-    if (call.arguments.size() != shape.argument_count)
+    }
+    if (call.arguments.size() != shape.argument_count) {
       throw SqlError("42883", "wrong number of arguments of ferry_" + name);
+    }
     return call;
   }
   throw SqlError("42883", "unknown function ferry_" + name);
--- a/standin/http_post.cc
+++ b/standin/http_post.cc
@@ -60,9 +60,10 @@
         boost::asio::dynamic_buffer(this->response, kMaxStatusBytes), "\r\n",
         [self = this->shared_from_this()](const error_code& error,
                                           std::size_t /*count*/) {
-          if (!self->Failed(error))
+          if (!self->Failed(error)) {
             self->Finish(self->response.compare(0, 7, "HTTP/1.") == 0 &&
                          self->response.size() > 9 && self->response[9] == '2');
+          }
         });
   }
 
--- a/standin/member.cc
+++ b/standin/member.cc
@@ -38,8 +38,9 @@
   this->applier.SetLag(this->settings.lag);
   this->Load();
   this->Replay();
-  if (this->state.followed.port != 0)
+  if (this->state.followed.port != 0) {
     this->client->Follow(this->state.followed);
+  }
 }
 
 ReplicationClientHooks Member::ClientHooks() {
@@ -63,8 +64,9 @@
     this->state.followed = this->settings.follow;
     this->Persist();
   }
-  if (this->log.CutBytes() > 0)
+  if (this->log.CutBytes() > 0) {
     LogLine("log_tail_cut", {{"bytes", std::to_string(this->log.CutBytes())}});
+  }
 }
 
 void Member::Persist() {
@@ -73,8 +75,9 @@
 
 void Member::Replay() {
   this->applied = LogPosition{};
-  for (std::uint64_t i = 1; i <= this->log.End().offset; ++i)
+  for (std::uint64_t i = 1; i <= this->log.End().offset; ++i) {
     this->engine.Apply(this->log.At(i));
+  }
   this->applied = this->log.End();
 }
 
--- a/standin/member_functions.cc
+++ b/standin/member_functions.cc
@@ -11,12 +11,16 @@
 
 using Row = std::vector<SqlValue>;
 
+/** The longest lag that can be set. */
+constexpr std::chrono::milliseconds kMaxLag = std::chrono::hours(1);
+
 std::uint64_t ReadNumber(const std::string& text, std::uint64_t max) {
   std::uint64_t value = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc{} || stop != end || value > max)
+  if (error != std::errc{} || stop != end || value > max) {
     throw SqlError("22P02", "not a number in range: \"" + text + "\"");
+  }
   return value;
 }
 
@@ -27,7 +31,6 @@
 }
 
 std::chrono::milliseconds ReadLag(const std::string& text) {
-  constexpr std::chrono::milliseconds kMaxLag = std::chrono::hours(1);
   return std::chrono::milliseconds(
       ReadNumber(text, static_cast<std::uint64_t>(kMaxLag.count())));
 }
@@ -55,8 +58,9 @@
 
 std::vector<Row> StatusRows(const Member& member) {
   std::vector<Row> rows;
-  for (const MemberStatus& status : member.Status())
+  for (const MemberStatus& status : member.Status()) {
     rows.push_back(StatusRow(status));
+  }
   return rows;
 }
 
--- a/standin/option_values.cc
+++ b/standin/option_values.cc
@@ -27,11 +27,13 @@
   std::uint32_t count = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, count);
-  if (error != std::errc{})
+  if (error != std::errc{}) {
     throw UserError("\"" + text + "\" isn't a duration such as 10ms");
+  }
   const auto duration = count * UnitOf(std::string(stop, end), text);
-  if (duration > kMaxDuration)
+  if (duration > kMaxDuration) {
     throw UserError("\"" + text + "\" is more than 24 hours");
+  }
   return duration;
 }
 
@@ -40,15 +42,17 @@
   const std::string host = text.substr(0, colon);
   boost::system::error_code bad_host;
   boost::asio::ip::make_address(host, bad_host);
-  if (colon == std::string::npos || bad_host)
+  if (colon == std::string::npos || bad_host) {
     throw UserError("\"" + text + "\" isn't an IP number and a port");
+  }
   std::uint32_t port = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] =
       std::from_chars(text.data() + colon + 1, end, port);
   if (error != std::errc{} || stop != end ||
-      port > std::numeric_limits<std::uint16_t>::max())
+      port > std::numeric_limits<std::uint16_t>::max()) {
     throw UserError("\"" + text + "\" has no port from 0 to 65535");
+  }
   return Endpoint{host, static_cast<std::uint16_t>(port)};
 }
 
--- a/standin/postgres_answer.cc
+++ b/standin/postgres_answer.cc
@@ -11,10 +11,20 @@
 /** The length field of a NULL column. */
 constexpr std::uint32_t kNullLength = 0xFFFFFFFF;
 
+/** The settings that a new session is told. */
+constexpr std::array<std::array<const char*, 2>, 6> kSettings{
+    {{"server_version", "15.0"},
+     {"server_encoding", "UTF8"},
+     {"client_encoding", "UTF8"},
+     {"DateStyle", "ISO, MDY"},
+     {"integer_datetimes", "on"},
+     {"standard_conforming_strings", "on"}}};
+
 std::string Integer(std::uint32_t value, std::size_t bytes) {
   std::string text;
-  for (std::size_t i = bytes; i > 0; --i)
+  for (std::size_t i = bytes; i > 0; --i) {
     text.push_back(static_cast<char>((value >> (8U * (i - 1))) & 0xFFU));
+  }
   return text;
 }
 
@@ -26,9 +36,9 @@
   return Integer(static_cast<std::uint32_t>(value), sizeof(std::uint32_t));
 }
 
-/** Text with its terminating zero byte. */
+/** Text up to its first zero byte, with one at the end. */
 std::string Terminated(const std::string& text) {
-  return std::string(text.c_str()) + '\0';
+  return text.substr(0, text.find('\0')) + '\0';
 }
 
 }  // namespace
@@ -40,16 +50,10 @@
 }
 
 void PostgresAnswer::Welcome(std::uint32_t session_number) {
-  constexpr std::array<std::array<const char*, 2>, 6> kSettings{
-      {{"server_version", "15.0"},
-       {"server_encoding", "UTF8"},
-       {"client_encoding", "UTF8"},
-       {"DateStyle", "ISO, MDY"},
-       {"integer_datetimes", "on"},
-       {"standard_conforming_strings", "on"}}};
   this->Add('R', Int32(0));
-  for (const auto& setting : kSettings)
+  for (const auto& setting : kSettings) {
     this->Add('S', Terminated(setting[0]) + Terminated(setting[1]));
+  }
   this->Add('K', Int32(session_number) + Int32(0));
 }
 
--- a/standin/postgres_frame.cc
+++ b/standin/postgres_frame.cc
@@ -12,8 +12,9 @@
 
 std::uint32_t ReadLength(std::string_view bytes) {
   std::uint32_t value = 0;
-  for (std::size_t i = 0; i < kLengthBytes; ++i)
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
     value = (value << 8U) | static_cast<unsigned char>(bytes[i]);
+  }
   return value;
 }
 
@@ -35,12 +36,13 @@
 
 std::optional<PostgresFrame> PostgresFrameReader::Take(std::size_t type_bytes,
                                                        std::size_t max_bytes) {
-  const std::string_view rest =
-      std::string_view(this->buffer).substr(this->taken);
+  std::string_view rest = this->buffer;
+  rest.remove_prefix(this->taken);
   if (rest.size() < type_bytes + kLengthBytes) return std::nullopt;
   const std::size_t length = ReadLength(rest.substr(type_bytes));
-  if (length < kLengthBytes || length > max_bytes)
+  if (length < kLengthBytes || length > max_bytes) {
     throw DecodeError("frame length " + std::to_string(length));
+  }
   if (rest.size() < type_bytes + length) return std::nullopt;
   PostgresFrame frame;
   if (type_bytes > 0) frame.type = rest[0];
--- a/standin/postgres_request.cc
+++ b/standin/postgres_request.cc
@@ -17,8 +17,9 @@
 
   std::int32_t Integer(std::size_t bytes) {
     std::uint32_t value = 0;
-    for (const char c : this->Bytes(bytes))
+    for (const char c : this->Bytes(bytes)) {
       value = (value << 8U) | static_cast<unsigned char>(c);
+    }
     if (bytes == sizeof(std::int16_t)) return static_cast<std::int16_t>(value);
     return static_cast<std::int32_t>(value);
   }
@@ -50,9 +51,11 @@
 
 void ReadTextFormats(BodyReader& reader) {
   const std::int32_t count = ReadCount(reader);
-  for (std::int32_t i = 0; i < count; ++i)
-    if (reader.Integer(sizeof(std::int16_t)) != 0)
+  for (std::int32_t i = 0; i < count; ++i) {
+    if (reader.Integer(sizeof(std::int16_t)) != 0) {
       throw DecodeError("binary format");
+    }
+  }
 }
 
 SqlValue ReadParameter(BodyReader& reader) {
@@ -68,8 +71,9 @@
   bind.statement = reader.Text();
   ReadTextFormats(reader);
   const std::int32_t count = ReadCount(reader);
-  for (std::int32_t i = 0; i < count; ++i)
+  for (std::int32_t i = 0; i < count; ++i) {
     bind.parameters.push_back(ReadParameter(reader));
+  }
   ReadTextFormats(reader);
   return bind;
 }
@@ -86,8 +90,9 @@
 Request ReadNamed(BodyReader& reader) {
   Request request;
   request.kind = reader.Byte();
-  if (request.kind != 'S' && request.kind != 'P')
+  if (request.kind != 'S' && request.kind != 'P') {
     throw DecodeError("neither a statement nor a portal");
+  }
   request.name = reader.Text();
   return request;
 }
--- a/standin/postgres_server.cc
+++ b/standin/postgres_server.cc
@@ -29,8 +29,9 @@
 }
 
 std::shared_ptr<SqlSession> PostgresServer::Open(std::uint32_t number) {
-  if (this->slots_used >= this->settings.slots)
+  if (this->slots_used >= this->settings.slots) {
     throw SqlError("53300", "sorry, too many clients already");
+  }
   auto session = this->hooks.open(number);
   ++this->slots_used;
   this->connections[number].has_slot = true;
@@ -51,8 +52,9 @@
 
 std::vector<std::shared_ptr<PostgresSession>> PostgresServer::Sessions() const {
   std::vector<std::shared_ptr<PostgresSession>> sessions;
-  for (const auto& [number, connection] : this->connections)
+  for (const auto& [number, connection] : this->connections) {
     sessions.push_back(connection.session);
+  }
   return sessions;
 }
 
--- a/standin/postgres_session.cc
+++ b/standin/postgres_session.cc
@@ -22,11 +22,13 @@
 constexpr std::chrono::milliseconds kShutTimeout{1000};
 
 std::uint32_t StartupCode(const PostgresFrame& frame) {
-  if (frame.body.size() < sizeof(std::uint32_t))
+  if (frame.body.size() < sizeof(std::uint32_t)) {
     throw DecodeError("short startup message");
+  }
   std::uint32_t code = 0;
-  for (std::size_t i = 0; i < sizeof(code); ++i)
+  for (std::size_t i = 0; i < sizeof(code); ++i) {
     code = (code << 8U) | static_cast<unsigned char>(frame.body[i]);
+  }
   return code;
 }
 
@@ -206,8 +208,9 @@
 
 bool PostgresSession::DelayBatch(const PostgresFrame& frame) {
   const bool runs = frame.type == 'Q' || frame.type == 'E';
-  if (!runs || this->batch_delayed || this->delays.statement.count() == 0)
+  if (!runs || this->batch_delayed || this->delays.statement.count() == 0) {
     return false;
+  }
   this->batch_delayed = true;
   this->WaitThen(this->delays.statement, [this, frame] { this->Take(frame); });
   return true;
@@ -258,8 +261,9 @@
     this->EndQuery();
     return;
   }
-  if (!result.rows.columns.empty())
+  if (!result.rows.columns.empty()) {
     this->answer.RowDescription(result.rows.columns);
+  }
   this->AnswerRows(result);
 }
 
@@ -291,8 +295,9 @@
 void PostgresSession::Handle(const ParseRequest& request) {
   std::string_view rest;
   auto statement = this->sql->Prepare(request.sql, rest);
-  if (ClassifyStatement(rest).kind != StatementKind::kEmpty)
+  if (ClassifyStatement(rest).kind != StatementKind::kEmpty) {
     throw SqlError("42601", "cannot prepare more than one statement");
+  }
   this->statements[request.statement] = std::move(statement);
   this->answer.ParseComplete();
 }
@@ -300,11 +305,12 @@
 void PostgresSession::Handle(const BindRequest& request) {
   const auto statement = this->FindStatement(request.statement);
   const auto expected = static_cast<std::size_t>(statement->ParameterCount());
-  if (request.parameters.size() < expected)
+  if (request.parameters.size() < expected) {
     throw SqlError("08P01", "bind message supplies " +
                                 std::to_string(request.parameters.size()) +
                                 " parameters, but the statement requires " +
                                 std::to_string(expected));
+  }
   this->portals[request.portal] = Portal{statement, request.parameters};
   this->answer.BindComplete();
 }
@@ -363,15 +369,17 @@
 PreparedStatementPtr PostgresSession::FindStatement(
     const std::string& name) const {
   const auto found = this->statements.find(name);
-  if (found == this->statements.end())
+  if (found == this->statements.end()) {
     throw SqlError("26000", "no prepared statement \"" + name + "\"");
+  }
   return found->second;
 }
 
 PostgresSession::Portal& PostgresSession::FindPortal(const std::string& name) {
   const auto found = this->portals.find(name);
-  if (found == this->portals.end())
+  if (found == this->portals.end()) {
     throw SqlError("34000", "no portal \"" + name + "\"");
+  }
   return found->second;
 }
 
--- a/standin/record_file.cc
+++ b/standin/record_file.cc
@@ -123,8 +123,9 @@
 }
 
 void RecordFile::Cut(std::uint64_t size) {
-  if (ftruncate(this->descriptor, static_cast<off_t>(size)) != 0)
+  if (ftruncate(this->descriptor, static_cast<off_t>(size)) != 0) {
     this->Fail("truncate");
+  }
   if (fdatasync(this->descriptor) != 0) this->Fail("sync");
 }
 
--- a/standin/replica_stream.cc
+++ b/standin/replica_stream.cc
@@ -13,8 +13,9 @@
   std::size_t bytes = 0;
   for (const SqlStatement& statement : entry.statements) {
     bytes += statement.sql.size();
-    for (const SqlValue& value : statement.parameters)
+    for (const SqlValue& value : statement.parameters) {
       bytes += value ? value->size() : 0;
+    }
   }
   return bytes;
 }
--- a/standin/replication_client.cc
+++ b/standin/replication_client.cc
@@ -55,13 +55,15 @@
   this->channel = std::make_shared<ReplicationChannel>(std::move(socket));
   const std::weak_ptr<ReplicationClient> weak = this->weak_from_this();
   this->channel->Start({[weak](const ReplicationMessage& message) {
-                          if (const auto self = weak.lock())
+                          if (const auto self = weak.lock()) {
                             self->Take(message);
+                          }
                         },
                         nullptr,
                         [weak] {
-                          if (const auto self = weak.lock())
+                          if (const auto self = weak.lock()) {
                             self->ConnectLater();
+                          }
                         }});
   this->channel->Send(this->hooks.hello());
 }
@@ -93,8 +95,9 @@
 }
 
 void ReplicationClient::SendAcknowledgement() {
-  if (this->started && this->channel)
+  if (this->started && this->channel) {
     this->channel->Send(this->hooks.acknowledge());
+  }
 }
 
 }  // namespace lacewingferry::standin
--- a/standin/replication_log.cc
+++ b/standin/replication_log.cc
@@ -8,17 +8,20 @@
 namespace lacewingferry::standin {
 
 ReplicationLog::ReplicationLog(const std::string& path) : file(path) {
-  for (const std::string& record : this->file.TakeRecords())
+  for (const std::string& record : this->file.TakeRecords()) {
     this->Remember(
         detail::DecodeFields<LogEntry>(record.data(), record.size()));
+  }
 }
 
 void ReplicationLog::Remember(LogEntry entry) {
   if (entry.position.offset != this->End().offset + 1 ||
-      entry.position.term < this->End().term)
+      entry.position.term < this->End().term) {
     throw InternalError("a log entry is out of order");
-  if (this->terms.empty() || this->terms.back().term != entry.position.term)
+  }
+  if (this->terms.empty() || this->terms.back().term != entry.position.term) {
     this->terms.push_back(entry.position);
+  }
   this->terms.back() = entry.position;
   this->entries.push_back(std::move(entry));
 }
@@ -39,8 +42,9 @@
   while (!this->terms.empty() &&
          (this->terms.size() == 1
               ? offset == 0
-              : this->terms[this->terms.size() - 2].offset >= offset))
+              : this->terms[this->terms.size() - 2].offset >= offset)) {
     this->terms.pop_back();
+  }
   if (!this->terms.empty()) this->terms.back().offset = offset;
 }
 
@@ -55,8 +59,9 @@
 std::uint64_t ReplicationLog::CommonOffset(
     const std::vector<LogPosition>& others) const {
   for (auto other = others.rbegin(); other != others.rend(); ++other) {
-    for (const LogPosition& mine : this->terms)
+    for (const LogPosition& mine : this->terms) {
       if (mine.term == other->term) return std::min(mine.offset, other->offset);
+    }
   }
   return 0;
 }
--- a/standin/replication_server.cc
+++ b/standin/replication_server.cc
@@ -44,10 +44,13 @@
 std::vector<std::shared_ptr<ReplicaStream>> ReplicationServer::Replicas(
     std::uint64_t term) const {
   std::map<std::string, std::shared_ptr<ReplicaStream>> newest;
-  for (const auto& stream : this->streams)
-    if (!stream->Closed() && stream->Acknowledged().term == term)
+  for (const auto& stream : this->streams) {
+    if (!stream->Closed() && stream->Acknowledged().term == term) {
       newest[stream->Member()] = stream;
+    }
+  }
   std::vector<std::shared_ptr<ReplicaStream>> result;
+  result.reserve(newest.size());
   for (const auto& [member, stream] : newest) result.push_back(stream);
   return result;
 }
--- a/standin/sql_connection.cc
+++ b/standin/sql_connection.cc
@@ -8,6 +8,9 @@
 namespace lacewingferry::standin {
 namespace {
 
+/** The part of an extended error code that holds the primary one. */
+constexpr int kPrimaryCodeMask = 0xFF;
+
 /** The SQLSTATE of an engine error. */
 std::string SqlstateOf(int extended_code, const std::string& message) {
   switch (extended_code) {
@@ -26,7 +29,6 @@
     default:
       break;
   }
-  constexpr int kPrimaryCodeMask = 0xFF;
   const int code = extended_code & kPrimaryCodeMask;
   if (code == SQLITE_CONSTRAINT) return "23000";
   if (code == SQLITE_BUSY || code == SQLITE_LOCKED) return "40001";
@@ -49,13 +51,15 @@
 void Describe(CompiledStatement& statement) {
   sqlite3_stmt* handle = statement.handle.get();
   const int columns = sqlite3_column_count(handle);
-  for (int i = 0; i < columns; ++i)
+  for (int i = 0; i < columns; ++i) {
     statement.columns.emplace_back(sqlite3_column_name(handle, i));
+  }
   const int names = sqlite3_bind_parameter_count(handle);
   for (int i = 1; i <= names; ++i) {
     const int number = ParameterNumber(sqlite3_bind_parameter_name(handle, i));
-    if (number <= 0)
+    if (number <= 0) {
       throw SqlError("42P02", "parameters are named $1, $2, ...");
+    }
     statement.parameter_count = std::max(statement.parameter_count, number);
   }
   statement.read_only = sqlite3_stmt_readonly(handle) != 0;
@@ -119,8 +123,9 @@
     const auto index = static_cast<std::size_t>(ParameterNumber(
                            sqlite3_bind_parameter_name(handle, i))) -
                        1;
-    if (index >= parameters.size())
+    if (index >= parameters.size()) {
       throw SqlError("08P01", "too few parameters are bound");
+    }
     const SqlValue& value = parameters[index];
     if (!value) continue;
     const int code = sqlite3_bind_text64(
@@ -142,16 +147,16 @@
     code = sqlite3_step(handle);
   }
   if (code != SQLITE_DONE) {
-    const SqlError error(SqlstateOf(code, sqlite3_errmsg(this->database.get())),
-                         sqlite3_errmsg(this->database.get()));
+    const std::string message = sqlite3_errmsg(this->database.get());
     sqlite3_reset(handle);
-    throw error;
+    throw SqlError(SqlstateOf(code, message), message);
   }
   sqlite3_reset(handle);
   if (!statement.read_only &&
-      sqlite3_total_changes(this->database.get()) != before)
+      sqlite3_total_changes(this->database.get()) != before) {
     result.affected_rows =
         static_cast<std::uint64_t>(sqlite3_changes(this->database.get()));
+  }
   return result;
 }
 
@@ -163,8 +168,9 @@
 }
 
 void SqlConnection::Rollback() {
-  if (sqlite3_get_autocommit(this->database.get()) == 0)
+  if (sqlite3_get_autocommit(this->database.get()) == 0) {
     this->Run(SqlStatement{"ROLLBACK", {}});
+  }
 }
 
 void SqlConnection::Fail(int code) {
--- a/standin/sql_engine.cc
+++ b/standin/sql_engine.cc
@@ -9,8 +9,9 @@
 SqlEngine::SqlEngine() {
   std::string name =
       (std::filesystem::temp_directory_path() / "standin-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr)
+  if (mkdtemp(name.data()) == nullptr) {
     throw UserError("can't make a temporary folder " + name);
+  }
   this->folder = name;
   this->Reset();
 }
@@ -28,8 +29,9 @@
 void SqlEngine::Apply(const LogEntry& entry) {
   this->writer->Begin();
   try {
-    for (const SqlStatement& statement : entry.statements)
+    for (const SqlStatement& statement : entry.statements) {
       this->writer->Run(statement);
+    }
     this->writer->Commit();
   } catch (const SqlError&) {
     this->writer->Rollback();
@@ -40,8 +42,9 @@
 void SqlEngine::Reset() {
   this->writer.reset();
   std::error_code ignored;
-  for (const char* suffix : {"", "-wal", "-shm"})
+  for (const char* suffix : {"", "-wal", "-shm"}) {
     std::filesystem::remove(this->path + suffix, ignored);
+  }
   ++this->generation;
   this->path = this->folder + "/" + std::to_string(this->generation) + ".db";
   this->writer = this->Open();
--- a/standin/sql_session.cc
+++ b/standin/sql_session.cc
@@ -19,19 +19,23 @@
   std::istringstream words(sql);
   std::string word;
   words >> word >> word;
-  for (char& c : word)
+  for (char& c : word) {
     c = static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  }
   return word;
 }
 
 std::string TagOf(const std::string& keyword, const std::string& sql,
                   const ResultSet& result) {
-  if (keyword == "INSERT" || keyword == "REPLACE")
+  if (keyword == "INSERT" || keyword == "REPLACE") {
     return "INSERT 0 " + std::to_string(result.affected_rows);
-  if (keyword == "UPDATE" || keyword == "DELETE")
+  }
+  if (keyword == "UPDATE" || keyword == "DELETE") {
     return keyword + " " + std::to_string(result.affected_rows);
-  if (!result.columns.empty())
+  }
+  if (!result.columns.empty()) {
     return "SELECT " + std::to_string(result.rows.size());
+  }
   return keyword == "CREATE" || keyword == "DROP" || keyword == "ALTER"
              ? keyword + " " + SecondWord(sql)
              : keyword;
@@ -76,16 +80,18 @@
   prepared->classified = ClassifyStatement(sql);
   const StatementKind kind = prepared->classified.kind;
   this->CheckUsable(kind);
-  if (kind == StatementKind::kForbidden)
+  if (kind == StatementKind::kForbidden) {
     throw SqlError("0A000", prepared->classified.keyword + " isn't served");
+  }
   if (kind == StatementKind::kSql) {
     prepared->compiled = this->connection->Compile(sql, rest);
   } else {
     const auto end = sql.find(';');
     rest = end == std::string_view::npos ? "" : sql.substr(end + 1);
     if (kind == StatementKind::kEmpty) rest = "";
-    if (kind == StatementKind::kFerryCall)
+    if (kind == StatementKind::kFerryCall) {
       prepared->call = ParseFerryCall(sql.substr(0, sql.size() - rest.size()));
+    }
   }
   prepared->sql = std::string(sql.substr(0, sql.size() - rest.size()));
   return prepared;
@@ -94,10 +100,11 @@
 void SqlSession::CheckUsable(StatementKind kind) const {
   const bool ends =
       kind == StatementKind::kCommit || kind == StatementKind::kRollback;
-  if (this->failed && !ends)
+  if (this->failed && !ends) {
     throw SqlError("25P02",
                    "current transaction is aborted, commands ignored until end "
                    "of transaction block");
+  }
 }
 
 void SqlSession::Execute(const PreparedStatementPtr& statement,
@@ -160,9 +167,10 @@
 
 void SqlSession::RequirePrimary() const {
   if (this->demoted) throw DemotedError();
-  if (!this->hooks.is_primary())
+  if (!this->hooks.is_primary()) {
     throw SqlError(kReadOnlySqlstate,
                    "cannot write: this member is not the primary");
+  }
 }
 
 void SqlSession::Write(const PreparedStatementPtr& statement,
@@ -199,8 +207,9 @@
   StatementResult result;
   result.rows = this->connection->Run(statement.compiled, parameters);
   result.tag = TagOf(keyword, statement.sql, result.rows);
-  if (!statement.compiled.read_only && ChangedData(keyword, result.rows))
+  if (!statement.compiled.read_only && ChangedData(keyword, result.rows)) {
     this->changes.push_back(SqlStatement{statement.sql, parameters});
+  }
   return result;
 }
 
--- a/standin/standin_db_main.cc
+++ b/standin/standin_db_main.cc
@@ -48,8 +48,9 @@
     Serve(options);
     return 0;
   } catch (const lacewingferry::FindingsError& error) {
-    for (const auto& finding : error.Findings())
+    for (const auto& finding : error.Findings()) {
       std::cerr << "standin_db: " << finding.message << "\n";
+    }
     return kWrongOptions;
   } catch (const std::exception& error) {
     LogLine("failed", {{"reason", error.what()}});
--- a/standin/standin_options.cc
+++ b/standin/standin_options.cc
@@ -17,6 +17,8 @@
 /** The most sessions that --slots allows. */
 constexpr std::uint32_t kMaxSlots = 1000;
 
+constexpr std::uint32_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
+
 cxxopts::Options Describe() {
   const auto text = [](const char* value) {
     return cxxopts::value<std::string>()->default_value(value);
@@ -89,9 +91,10 @@
     std::uint32_t value = 0;
     const char* end = text.data() + text.size();
     const auto [stop, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc{} || stop != end || value < min || value > max)
+    if (error != std::errc{} || stop != end || value < min || value > max) {
       this->Add(name, "\"" + text + "\" isn't a number from " +
                           std::to_string(min) + " to " + std::to_string(max));
+    }
     return value;
   }
 
@@ -109,14 +112,14 @@
   member.name = reader.Required("member");
   member.data_folder = reader.Text("data");
   member.initial_primary = initial_primary;
-  constexpr std::uint32_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
   member.replication =
       Endpoint{reader.Text("host"), static_cast<std::uint16_t>(reader.Number(
                                         "replication-port", 0, kMaxPort))};
   const std::string follow = reader.Text("follow");
   if (!follow.empty()) member.follow = reader.Address("follow", follow);
-  if (!follow.empty() && initial_primary)
+  if (!follow.empty() && initial_primary) {
     reader.Add("follow", "can't stand beside --initial-primary");
+  }
   member.lag = reader.Duration("lag");
   member.lock_timeout = reader.Duration("lock-timeout");
   return member;
@@ -124,7 +127,6 @@
 
 PostgresServerSettings ReadPostgres(OptionReader& reader) {
   PostgresServerSettings postgres;
-  constexpr std::uint32_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
   postgres.endpoint.host = reader.Text("host");
   reader.Address("host", postgres.endpoint.host + ":0");
   postgres.endpoint.port =
@@ -147,12 +149,16 @@
   settings.postgres = ReadPostgres(reader);
   settings.drain = reader.Duration("drain");
   settings.announcer.interval = reader.Duration("announce-interval");
-  if (parsed.count("announce") > 0)
-    for (const auto& proxy : parsed["announce"].as<std::vector<std::string>>())
+  if (parsed.count("announce") > 0) {
+    for (const auto& proxy :
+         parsed["announce"].as<std::vector<std::string>>()) {
       settings.announcer.proxies.push_back(reader.Address("announce", proxy));
+    }
+  }
   const std::string& folder = settings.member.data_folder;
-  if (!folder.empty() && !std::filesystem::is_directory(folder))
+  if (!folder.empty() && !std::filesystem::is_directory(folder)) {
     reader.Add("data", "\"" + folder + "\" isn't a folder");
+  }
   return settings;
 }
 
@@ -173,8 +179,9 @@
       options.text = "";
       return options;
     }
-    for (const std::string& unknown : parsed.unmatched())
+    for (const std::string& unknown : parsed.unmatched()) {
       findings.push_back(Finding{{}, "unknown option or value: " + unknown});
+    }
     options.settings = ReadSettings(parsed, findings);
   } catch (const cxxopts::exceptions::exception& error) {
     findings.push_back(Finding{{}, error.what()});
--- a/standin/standin_server.cc
+++ b/standin/standin_server.cc
@@ -97,8 +97,9 @@
   this->drain_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) this->FinishDrain();
   });
-  if (this->leave_announced && this->postgres->SessionCount() == 0)
+  if (this->leave_announced && this->postgres->SessionCount() == 0) {
     this->FinishDrain();
+  }
   this->Leave();
 }
 
--- a/standin/statement_kind.cc
+++ b/standin/statement_kind.cc
@@ -67,8 +67,9 @@
   if (text.empty()) return {};
   StatementClass result{StatementKind::kSql, FirstWord(text)};
   result.kind = KindOf(result.keyword);
-  if (result.keyword == "SELECT" && ParseFerryCall(text))
+  if (result.keyword == "SELECT" && ParseFerryCall(text)) {
     result.kind = StatementKind::kFerryCall;
+  }
   return result;
 }
 
--- a/standin/write_lock.cc
+++ b/standin/write_lock.cc
@@ -38,9 +38,10 @@
 
 void WriteLock::CancelWaiting(const SqlError& reason) {
   std::deque<Waiter> cancelled = std::exchange(this->waiting, {});
-  for (Waiter& waiter : cancelled)
+  for (Waiter& waiter : cancelled) {
     boost::asio::post(
         this->io, [done = std::move(waiter.done), reason] { done(reason); });
+  }
 }
 
 void WriteLock::TimeOut(Owner owner) {
--- a/tests/correctness/standin_log_test.cc
+++ b/tests/correctness/standin_log_test.cc
@@ -12,9 +12,10 @@
 
 /** Appends as many entries of a term. */
 void Write(ReplicationLog& log, std::uint64_t term, int count) {
-  for (int i = 0; i < count; ++i)
+  for (int i = 0; i < count; ++i) {
     log.Append(
         {LogEntry{{term, log.End().offset + 1}, {{"SELECT $1", {"x"}}}}});
+  }
 }
 
 class StandinLogTest : public CppUnit::TestFixture {
--- a/tests/correctness/standin_pipeline_test.cc
+++ b/tests/correctness/standin_pipeline_test.cc
@@ -8,6 +8,9 @@
 namespace lacewingferry::testing {
 namespace {
 
+/** More than fit into the buffers of a connection. */
+constexpr int kStatements = 5000;
+
 class StandinPipelineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StandinPipelineTest);
   CPPUNIT_TEST(AnswersInOrder);
@@ -78,14 +81,15 @@
   }
 
   void TakesALongPipeline() {
-    constexpr int kStatements = 5000;
     PQsetnonblocking(this->client->Raw(), 1);
-    for (int i = 0; i < kStatements; ++i)
+    for (int i = 0; i < kStatements; ++i) {
       this->Send("SELECT $1", std::to_string(i).c_str());
+    }
     PQpipelineSync(this->client->Raw());
     PQsetnonblocking(this->client->Raw(), 0);
-    for (int i = 0; i < kStatements; ++i)
+    for (int i = 0; i < kStatements; ++i) {
       CPPUNIT_ASSERT_EQUAL(std::to_string(i), this->Next().rows.at(0).at(0));
+    }
     CPPUNIT_ASSERT_EQUAL(PGRES_PIPELINE_SYNC, this->Sync());
   }
 
@@ -98,7 +102,7 @@
 
   /** Reads one statement's answer and the null that ends it. */
   ClientResult Next() {
-    const ClientResult result =
+    ClientResult result =
         PostgresClient::Read(PQgetResult(this->client->Raw()));
     CPPUNIT_ASSERT(PQgetResult(this->client->Raw()) == nullptr);
     return result;
--- a/tests/error/standin_options_test.cc
+++ b/tests/error/standin_options_test.cc
@@ -72,8 +72,9 @@
         {"--follow", "127.0.0.1"}, {"--follow", "example.org:1"},
         {"--announce", "x"},       {"--data", "/no/such/folder"},
         {"--unknown", ""},         {"--host", "example.org"}};
-    for (const auto& arguments : wrong)
+    for (const auto& arguments : wrong) {
       CPPUNIT_ASSERT_MESSAGE(arguments[0], CountFindings(arguments) > 0);
+    }
     CPPUNIT_ASSERT_EQUAL(
         std::size_t(1),
         CountFindings({"--initial-primary", "--follow", "127.0.0.1:1"}));
--- a/tests/error/standin_protocol_error_test.cc
+++ b/tests/error/standin_protocol_error_test.cc
@@ -49,8 +49,9 @@
     using namespace std::string_literals;
     for (const std::string& frame :
          {"Q\0\0\0\x03"s, "Q\0\0\0\x05x"s, "B\0\0\0\x08\0\0\0\0"s,
-          "B\0\0\0\x0a\0\0\xff\xff\0\0"s, "D\0\0\0\x06Z\0"s, "~\0\0\0\x04"s})
+          "B\0\0\0\x0a\0\0\xff\xff\0\0"s, "D\0\0\0\x06Z\0"s, "~\0\0\0\x04"s}) {
       CPPUNIT_ASSERT(this->ErrorAfter(kStartup + frame));
+    }
   }
 
   void ClosesOnAWrongStartup() {
@@ -81,8 +82,10 @@
 
   void RefusesSessionsAboveTheSlots() {
     std::vector<std::unique_ptr<PostgresClient>> clients;
-    for (int i = 0; i < 5; ++i)
+    clients.reserve(5);
+    for (int i = 0; i < 5; ++i) {
       clients.push_back(std::make_unique<PostgresClient>(this->member->Port()));
+    }
     CPPUNIT_ASSERT(clients.back()->Connected());
     PostgresClient refused(this->member->Port());
     CPPUNIT_ASSERT(!refused.Connected());
--- a/tests/support/postgres_client.cc
+++ b/tests/support/postgres_client.cc
@@ -56,10 +56,11 @@
   read.tag = result == nullptr ? "" : PQcmdStatus(result);
   for (int row = 0; row < PQntuples(result); ++row) {
     auto& values = read.rows.emplace_back();
-    for (int column = 0; column < PQnfields(result); ++column)
+    for (int column = 0; column < PQnfields(result); ++column) {
       values.emplace_back(PQgetisnull(result, row, column) != 0
                               ? "NULL"
                               : PQgetvalue(result, row, column));
+    }
   }
   return read;
 }
--- a/tests/support/standin_cluster.cc
+++ b/tests/support/standin_cluster.cc
@@ -27,8 +27,9 @@
 TemporaryFolder::TemporaryFolder() {
   std::string name =
       (std::filesystem::temp_directory_path() / "ferry-test-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr)
+  if (mkdtemp(name.data()) == nullptr) {
     throw std::runtime_error("no temporary folder");
+  }
   this->path = name;
 }
 
