Document the stand-in; keep its engine in the data folder, locked

A killed member left its engine's folder in the temporary folder, and two processes could have shared a data folder. An announce interval of 0 is an error now.

--- a/standin/announcer.h
+++ b/standin/announcer.h
@@ -25,9 +25,10 @@
  * operations until it is stopped. */
 class Announcer : public std::enable_shared_from_this<Announcer> {
  public:
-  /** current gives what is announced, without the sequence number. */
-  Announcer(boost::asio::io_context& context, AnnouncerSettings settings,
-            std::function<Announcement()> current);
+  /** The hook gives what is announced, without the sequence number. */
+  Announcer(boost::asio::io_context& context,
+            AnnouncerSettings announcer_settings,
+            std::function<Announcement()> current_hook);
 
   /** Announces at once and then at the interval. */
   void Start();
--- a/standin/member.cc
+++ b/standin/member.cc
@@ -21,6 +21,7 @@
       hooks(std::move(member_hooks)),
       state_file(DataPath(this->settings.data_folder, "state")),
       log(DataPath(this->settings.data_folder, "log")),
+      engine(this->settings.data_folder),
       lock(context, this->settings.lock_timeout),
       applier(
           context,
--- a/standin/record_file.cc
+++ b/standin/record_file.cc
@@ -1,6 +1,7 @@
 #include "standin/record_file.h"
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -54,6 +55,7 @@
   this->descriptor =
       open(this->path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
   if (this->descriptor < 0) this->Fail("open");
+  if (flock(this->descriptor, LOCK_EX | LOCK_NB) != 0) this->Fail("lock");
   const auto folder = std::filesystem::path(this->path).parent_path();
   SyncFolder(folder.empty() ? "." : folder);
   this->Load();
--- a/standin/record_file.h
+++ b/standin/record_file.h
@@ -13,8 +13,9 @@
  * can't be written throws UserError, after which it must not be used. */
 class RecordFile {
  public:
-  /** Opens or makes a file and reads its records. A torn or damaged tail is
-   * cut off. An empty path keeps nothing. */
+  /** Opens or makes a file, locks it against other processes and reads its
+   * records. A torn or damaged tail is cut off. An empty path keeps nothing.
+   * Throws UserError. */
   explicit RecordFile(const std::string& path);
   ~RecordFile();
   RecordFile(const RecordFile&) = delete;
--- a/standin/sql_engine.cc
+++ b/standin/sql_engine.cc
@@ -5,14 +5,30 @@
 #include <system_error>
 
 namespace lacewingferry::standin {
+namespace {
 
-SqlEngine::SqlEngine() {
+std::string MakeTemporaryFolder() {
   std::string name =
       (std::filesystem::temp_directory_path() / "standin-XXXXXX").string();
   if (mkdtemp(name.data()) == nullptr) {
     throw UserError("can't make a temporary folder " + name);
   }
-  this->folder = name;
+  return name;
+}
+
+std::string MakeFolder(const std::string& name) {
+  std::error_code error;
+  std::filesystem::remove_all(name, error);
+  std::filesystem::create_directory(name, error);
+  if (error) throw UserError("can't make " + name + ": " + error.message());
+  return name;
+}
+
+}  // namespace
+
+SqlEngine::SqlEngine(const std::string& data_folder)
+    : folder(data_folder.empty() ? MakeTemporaryFolder()
+                                 : MakeFolder(data_folder + "/engine")) {
   this->Reset();
 }
 
--- a/standin/sql_engine.h
+++ b/standin/sql_engine.h
@@ -13,11 +13,13 @@
 namespace lacewingferry::standin {
 
 /** A database file in a folder of its own, made anew by each run. Nothing in
- * it needs to survive, since the log does. */
+ * it needs to survive, since the log does. The folder is removed at the end;
+ * one that a killed run left behind is removed at the start. */
 class SqlEngine {
  public:
-  /** Makes an empty database in a new temporary folder. Throws UserError. */
-  SqlEngine();
+  /** Makes an empty database in a folder named engine in the data folder, or
+   * in a new temporary folder without one. Throws UserError. */
+  explicit SqlEngine(const std::string& data_folder);
   ~SqlEngine();
   SqlEngine(const SqlEngine&) = delete;
   SqlEngine& operator=(const SqlEngine&) = delete;
--- a/standin/standin_options.cc
+++ b/standin/standin_options.cc
@@ -149,6 +149,9 @@
   settings.postgres = ReadPostgres(reader);
   settings.drain = reader.Duration("drain");
   settings.announcer.interval = reader.Duration("announce-interval");
+  if (settings.announcer.interval.count() == 0) {
+    reader.Add("announce-interval", "has to be longer than 0");
+  }
   if (parsed.count("announce") > 0) {
     for (const auto& proxy :
          parsed["announce"].as<std::vector<std::string>>()) {
--- a/tests/correctness/standin_announcement_test.cc
+++ b/tests/correctness/standin_announcement_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(StatesTheMember);
   CPPUNIT_TEST(AsksTheNextProxyAfterAFailure);
   CPPUNIT_TEST(LeavesAtOnceAndDrains);
+  CPPUNIT_TEST(LeavesWhenToldInSql);
   CPPUNIT_TEST(DrainWaitsForSessions);
   CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +112,18 @@
     CPPUNIT_ASSERT(drained);
   }
 
+  void LeavesWhenToldInSql() {
+    AnnouncementSink sink;
+    const RunningStandin member(this->Settings({sink.Address()}));
+    CPPUNIT_ASSERT(!sink.Take()["leaving"].get<bool>());
+    PostgresClient client(member.Port());
+    CPPUNIT_ASSERT_EQUAL(std::string("t"),
+                         client.Value("SELECT ferry_leave()"));
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return sink.Take()["leaving"].get<bool>(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), client.Value("SELECT 1"));
+  }
+
   void DrainWaitsForSessions() {
     RunningStandin member(this->Settings({}));
     auto client = std::make_unique<PostgresClient>(member.Port());
--- a/tests/correctness/standin_fence_test.cc
+++ b/tests/correctness/standin_fence_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(FencedPrimaryRefusesWrites);
   CPPUNIT_TEST(FenceRollsBackOpenTransactions);
   CPPUNIT_TEST(FencedReplicaLeavesThePrimary);
+  CPPUNIT_TEST(RefusesAPrimaryOfALowerTerm);
   CPPUNIT_TEST(FenceIsAcceptedOnceOrAgain);
   CPPUNIT_TEST(PromotionNeedsItsFence);
   CPPUNIT_TEST(FollowerDropsItsDivergedTail);
@@ -101,6 +102,15 @@
     CPPUNIT_ASSERT(!this->Follow(*this->at_replica, 1, *this->primary));
   }
 
+  void RefusesAPrimaryOfALowerTerm() {
+    CPPUNIT_ASSERT(this->Follow(*this->at_replica, 5, *this->primary));
+    this->at_primary->Run("INSERT INTO gate VALUES (1)");
+    CPPUNIT_ASSERT(WaitUntil(
+        [this] { return this->Status(*this->at_primary).rows.size() == 1; }));
+    const Row row{"b", "t", "replica", "5", "1", "1", "1", "1"};
+    CPPUNIT_ASSERT(this->Status(*this->at_replica).rows.at(0) == row);
+  }
+
   void FenceIsAcceptedOnceOrAgain() {
     PostgresClient& member = *this->at_replica;
     CPPUNIT_ASSERT_EQUAL(std::string("f"),
--- a/tests/correctness/standin_restart_test.cc
+++ b/tests/correctness/standin_restart_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(StandinRestartTest);
   CPPUNIT_TEST(KeepsDataAndRole);
   CPPUNIT_TEST(KeepsAFence);
+  CPPUNIT_TEST(LocksItsFolder);
   CPPUNIT_TEST(CutsATornTail);
   CPPUNIT_TEST(CutsADamagedLastRecord);
   CPPUNIT_TEST(KeepsATruncation);
@@ -46,6 +47,14 @@
                          this->client->Value("SELECT ferry_promote(5)"));
   }
 
+  void LocksItsFolder() {
+    this->StartA();
+    standin::StandinSettings settings = MemberSettingsOf("b");
+    settings.member.data_folder = this->folder.Path();
+    CPPUNIT_ASSERT_THROW(RunningStandin{settings}, UserError);
+    this->WriteTwoEntries();
+  }
+
   void CutsATornTail() {
     this->StartA();
     this->WriteTwoEntries();
--- a/tests/error/standin_options_test.cc
+++ b/tests/error/standin_options_test.cc
@@ -71,7 +71,8 @@
         {"--port", "65536"},       {"--slots", "0"},
         {"--follow", "127.0.0.1"}, {"--follow", "example.org:1"},
         {"--announce", "x"},       {"--data", "/no/such/folder"},
-        {"--unknown", ""},         {"--host", "example.org"}};
+        {"--unknown", ""},         {"--announce-interval", "0s"},
+        {"--host", "example.org"}};
     for (const auto& arguments : wrong) {
       CPPUNIT_ASSERT_MESSAGE(arguments[0], CountFindings(arguments) > 0);
     }
