--- a/standin/sql_engine.cc
+++ b/standin/sql_engine.cc
@@ -5,13 +5,30 @@
 #include <system_error>
 
 namespace lacewingferry::standin {
+namespace {
 
-SqlEngine::SqlEngine() {
+std::string MakeTemporaryFolder() {
   std::string name =
       (std::filesystem::temp_directory_path() / "standin-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr)
+  if (mkdtemp(name.data()) == nullptr) {
     throw UserError("can't make a temporary folder " + name);
-  this->folder = name;
+  }
+  return name;
+}
+
+std::string MakeFolder(const std::string& name) {
+  std::error_code error;
+  std::filesystem::remove_all(name, error);
+  std::filesystem::create_directory(name, error);
+  if (error) throw UserError("can't make " + name + ": " + error.message());
+  return name;
+}
+
+}  // namespace
+
+SqlEngine::SqlEngine(const std::string& data_folder)
+    : folder(data_folder.empty() ? MakeTemporaryFolder()
+                                 : MakeFolder(data_folder + "/engine")) {
   this->Reset();
 }
 
@@ -28,8 +45,9 @@
 void SqlEngine::Apply(const LogEntry& entry) {
   this->writer->Begin();
   try {
-    for (const SqlStatement& statement : entry.statements)
+    for (const SqlStatement& statement : entry.statements) {
       this->writer->Run(statement);
+    }
     this->writer->Commit();
   } catch (const SqlError&) {
     this->writer->Rollback();
@@ -40,8 +58,9 @@
 void SqlEngine::Reset() {
   this->writer.reset();
   std::error_code ignored;
-  for (const char* suffix : {"", "-wal", "-shm"})
+  for (const char* suffix : {"", "-wal", "-shm"}) {
     std::filesystem::remove(this->path + suffix, ignored);
+  }
   ++this->generation;
   this->path = this->folder + "/" + std::to_string(this->generation) + ".db";
   this->writer = this->Open();
