--- /dev/null
+++ b/bench/failover_bench_main.cc
@@ -0,0 +1,181 @@
+// Measures failovers in virtual time and prints a table, or JSON.
+//
+//   failover_bench [--json] [--seeds N] [--first N]
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "bench/model/failover_trial.h"
+#include "lacewingferry/adapters/msgpack/log_codec.h"
+
+namespace lacewingferry::model {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/** The trials of one scenario, deployment and policy. */
+struct Row {
+  std::string deployment;
+  std::string policy;
+  std::string scenario;
+  std::vector<FailoverTrialResult> results;
+};
+
+/** Sums over a row. */
+struct Sums {
+  std::size_t without_gap = 0;
+  std::size_t terms = 0;
+  std::size_t lost = 0;
+  std::size_t replaced = 0;
+  std::size_t astray = 0;
+};
+
+/** The usual way: a fixed time-out on a silent primary, and a lease that is
+ * always waited out. */
+void UseFixedTimeout(FailoverFleetOptions& options) {
+  constexpr milliseconds kFixedTimeout{3000};
+  options.settings.holder_silence = kFixedTimeout;
+  options.filter =
+      [](PeerBody& body) -> std::optional<std::chrono::nanoseconds> {
+    if (std::holds_alternative<LeaseRelease>(body)) return std::nullopt;
+    if (std::holds_alternative<PrimarySuspicion>(body)) return kFixedTimeout;
+    return std::chrono::nanoseconds(0);
+  };
+}
+
+double Milliseconds(microseconds value) {
+  return static_cast<double>(value.count()) / 1000.0;
+}
+
+/** A quantile of one part of the gaps, in milliseconds; 0 without any. */
+template <typename Part>
+double Quantile(const Row& row, double fraction, Part part) {
+  std::vector<double> values;
+  for (const FailoverTrialResult& result : row.results) {
+    if (result.gap) values.push_back(Milliseconds(part(result)));
+  }
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(fraction * last)];
+}
+
+Sums SumOf(const Row& row) {
+  Sums sums;
+  for (const FailoverTrialResult& result : row.results) {
+    sums.without_gap += result.gap ? 0 : 1;
+    sums.terms += result.terms;
+    sums.lost += result.lost_writes;
+    sums.replaced += result.replaced_answers;
+    sums.astray += result.all_follow ? 0 : 1;
+  }
+  return sums;
+}
+
+microseconds Gap(const FailoverTrialResult& result) { return *result.gap; }
+microseconds Detection(const FailoverTrialResult& result) {
+  return result.detection;
+}
+microseconds Lease(const FailoverTrialResult& result) {
+  return result.lease_and_fence;
+}
+microseconds Promotion(const FailoverTrialResult& result) {
+  return result.promotion;
+}
+microseconds Rerouting(const FailoverTrialResult& result) {
+  return result.rerouting;
+}
+
+void PrintHeader() {
+  std::cout << "deployment policy scenario | gap ms: median p99 worst | "
+               "medians: detection lease+fence promotion rerouting | terms "
+               "no-answer lost replaced astray\n";
+}
+
+void PrintRow(const Row& row) {
+  const Sums sums = SumOf(row);
+  std::cout << std::fixed << std::setprecision(0) << std::left << std::setw(11)
+            << row.deployment << std::setw(9) << row.policy << std::setw(17)
+            << row.scenario << " | " << Quantile(row, 0.5, Gap) << " "
+            << Quantile(row, 0.99, Gap) << " " << Quantile(row, 1, Gap) << " | "
+            << Quantile(row, 0.5, Detection) << " " << Quantile(row, 0.5, Lease)
+            << " " << Quantile(row, 0.5, Promotion) << " "
+            << Quantile(row, 0.5, Rerouting) << " | " << sums.terms << " "
+            << sums.without_gap << " " << sums.lost << " " << sums.replaced
+            << " " << sums.astray << std::endl;
+}
+
+void PrintJson(const Row& row, bool last) {
+  const Sums sums = SumOf(row);
+  std::cout << std::fixed << std::setprecision(3) << "  {\"deployment\": \""
+            << row.deployment << "\", \"policy\": \"" << row.policy
+            << "\", \"scenario\": \"" << row.scenario
+            << "\", \"trials\": " << row.results.size()
+            << ", \"gap_median_ms\": " << Quantile(row, 0.5, Gap)
+            << ", \"gap_p99_ms\": " << Quantile(row, 0.99, Gap)
+            << ", \"gap_worst_ms\": " << Quantile(row, 1, Gap)
+            << ", \"detection_median_ms\": " << Quantile(row, 0.5, Detection)
+            << ", \"lease_fence_median_ms\": " << Quantile(row, 0.5, Lease)
+            << ", \"promotion_median_ms\": " << Quantile(row, 0.5, Promotion)
+            << ", \"rerouting_median_ms\": " << Quantile(row, 0.5, Rerouting)
+            << ", \"terms\": " << sums.terms
+            << ", \"without_answer\": " << sums.without_gap
+            << ", \"lost_writes\": " << sums.lost
+            << ", \"replaced_answers\": " << sums.replaced
+            << ", \"members_astray\": " << sums.astray << "}"
+            << (last ? "\n" : ",\n");
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options usage("failover_bench", "Failovers in virtual time");
+  usage.add_options()("json", "Print JSON")(
+      "seeds", "Trials of each kind",
+      cxxopts::value<std::uint64_t>()->default_value("500"))(
+      "first", "The first seed",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  const auto arguments = usage.parse(argc, argv);
+  const auto seeds = arguments["seeds"].as<std::uint64_t>();
+  const auto first = arguments["first"].as<std::uint64_t>();
+  std::vector<Row> rows;
+  if (arguments.count("json") == 0) PrintHeader();
+  for (const char* deployment : {"kraanwater", "wanjiru"}) {
+    for (const char* policy : {"inquiry", "fixed"}) {
+      for (const FailoverScenario scenario : AllFailoverScenarios()) {
+        Row row{deployment, policy, FailoverScenarioName(scenario), {}};
+        for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+          FailoverTrialOptions options;
+          options.places = row.deployment == "kraanwater" ? KraanwaterOptions()
+                                                          : WanjiruOptions();
+          options.scenario = scenario;
+          options.codec = MakeLogCodec();
+          options.seed = seed;
+          if (row.policy == "fixed") options.adjust = UseFixedTimeout;
+          row.results.push_back(RunFailoverTrial(options));
+        }
+        if (arguments.count("json") == 0) PrintRow(row);
+        rows.push_back(std::move(row));
+      }
+    }
+  }
+  if (arguments.count("json") == 0) return 0;
+  std::cout << "[\n";
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    PrintJson(rows[i], i + 1 == rows.size());
+  }
+  std::cout << "]\n";
+  return 0;
+}
+
+}  // namespace
+}  // namespace lacewingferry::model
+
+int main(int argc, char** argv) {
+  return lacewingferry::model::Main(argc, argv);
+}
--- a/src/lacewingferry/decisions/consensus/membership_change.cc
+++ b/src/lacewingferry/decisions/consensus/membership_change.cc
@@ -5,8 +5,8 @@
 namespace lacewingferry {
 namespace {
 
-const MemberStatus* FindMember(const GroupStatus& group, const VoterId& voter) {
-  for (const MemberStatus& status : group.members) {
+const VoterStatus* FindMember(const GroupStatus& group, const VoterId& voter) {
+  for (const VoterStatus& status : group.members) {
     if (status.member.voter == voter) return &status;
   }
   return nullptr;
@@ -16,7 +16,7 @@
 std::size_t CountVoters(const GroupStatus& group, const VoterId& without,
                         bool connected_only) {
   std::size_t count = 0;
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     if (status.member.role != ControlRole::kVoter) continue;
     if (status.member.voter == without) continue;
     if (connected_only && !status.connected) continue;
@@ -30,7 +30,7 @@
 }
 
 ChangeRefusal CheckPromotion(const GroupStatus& group,
-                             const MemberStatus& status) {
+                             const VoterStatus& status) {
   if (status.member.role == ControlRole::kVoter) {
     return ChangeRefusal::kNotApplicable;
   }
@@ -46,7 +46,7 @@
 }
 
 ChangeRefusal CheckRemoval(const GroupStatus& group,
-                           const MemberStatus& status) {
+                           const VoterStatus& status) {
   const VoterId& voter = status.member.voter;
   if (voter == group.leader) return ChangeRefusal::kNotApplicable;
   if (status.member.role == ControlRole::kLearner) return ChangeRefusal::kNone;
@@ -61,7 +61,7 @@
 ChangeRefusal CheckChange(const GroupStatus& group,
                           const MembershipChange& change) {
   if (group.refusal != ChangeRefusal::kNone) return group.refusal;
-  const MemberStatus* status = FindMember(group, change.voter);
+  const VoterStatus* status = FindMember(group, change.voter);
   if (change.kind == ChangeKind::kAddLearner) {
     return status == nullptr ? ChangeRefusal::kNone
                              : ChangeRefusal::kNotApplicable;
--- a/src/lacewingferry/decisions/consensus/membership_change.h
+++ b/src/lacewingferry/decisions/consensus/membership_change.h
@@ -44,7 +44,7 @@
 };
 
 /** What a leader knows of one replica. */
-struct MemberStatus {
+struct VoterStatus {
   ControlMember member;
   /** When it was last heard; the present for the leader itself. */
   std::chrono::steady_clock::time_point last_heard;
@@ -57,7 +57,7 @@
   VoterId leader;
   /** Whether a change may be proposed now, as far as the log is concerned. */
   ChangeRefusal refusal = ChangeRefusal::kNotLeader;
-  std::vector<MemberStatus> members;
+  std::vector<VoterStatus> members;
 };
 
 /** The largest voter set, and one more while a voter is being replaced. */
--- a/src/lacewingferry/decisions/consensus/raft_leader.cc
+++ b/src/lacewingferry/decisions/consensus/raft_leader.cc
@@ -277,7 +277,7 @@
     const bool self = member.voter == this->context.self;
     const auto found = this->followers.find(member.voter);
     const std::uint64_t match = self ? log.LastIndex() : found->second.match;
-    MemberStatus status;
+    VoterStatus status;
     status.member = member;
     status.last_heard = self ? now : found->second.last_heard;
     status.connected = this->Connected(now, member.voter);
--- a/src/lacewingferry/decisions/consensus/voter_repair.cc
+++ b/src/lacewingferry/decisions/consensus/voter_repair.cc
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kMinVoters = 3;
 
-bool IsVoter(const MemberStatus& status) {
+bool IsVoter(const VoterStatus& status) {
   return status.member.role == ControlRole::kVoter;
 }
 
@@ -25,21 +25,21 @@
 bool HasQuorum(const GroupStatus& group) {
   const auto connected = static_cast<std::size_t>(std::count_if(
       group.members.begin(), group.members.end(),
-      [](const MemberStatus& s) { return IsVoter(s) && s.connected; }));
+      [](const VoterStatus& s) { return IsVoter(s) && s.connected; }));
   return connected >= CountVoters(group) / 2 + 1;
 }
 
 /** Whether the replica's VM has come back with another identity. */
-bool IsReplacedOnItsNode(const MemberStatus& status, const GroupStatus& group) {
+bool IsReplacedOnItsNode(const VoterStatus& status, const GroupStatus& group) {
   return std::any_of(group.members.begin(), group.members.end(),
-                     [&status](const MemberStatus& other) {
+                     [&status](const VoterStatus& other) {
                        return other.member.node == status.member.node &&
                               other.member.voter != status.member.voter &&
                               other.connected;
                      });
 }
 
-MembershipChange Change(ChangeKind kind, const MemberStatus& status) {
+MembershipChange Change(ChangeKind kind, const VoterStatus& status) {
   return MembershipChange{kind, status.member.voter, status.member.node};
 }
 
@@ -85,7 +85,7 @@
 }
 
 bool VoterRepair::IsLost(steady_clock::time_point now,
-                         const MemberStatus& status,
+                         const VoterStatus& status,
                          const GroupStatus& group) const {
   if (status.connected) return false;
   if (IsReplacedOnItsNode(status, group)) return true;
@@ -97,7 +97,7 @@
 std::size_t VoterRepair::LiveVoters(steady_clock::time_point now,
                                     const GroupStatus& group) const {
   std::size_t live = 0;
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     live += IsVoter(status) && !this->IsLost(now, status, group);
   }
   return live;
@@ -113,8 +113,8 @@
 std::optional<MembershipChange> VoterRepair::RemoveVoter(
     steady_clock::time_point now, const GroupStatus& group) const {
   if (CountVoters(group) <= this->settings.voters) return std::nullopt;
-  const MemberStatus* chosen = nullptr;
-  for (const MemberStatus& status : group.members) {
+  const VoterStatus* chosen = nullptr;
+  for (const VoterStatus& status : group.members) {
     if (!IsVoter(status) || status.member.voter == group.leader) continue;
     if (chosen == nullptr || status.last_heard < chosen->last_heard) {
       chosen = &status;
@@ -136,7 +136,7 @@
   if (this->LiveVoters(now, group) >= this->settings.voters) {
     return std::nullopt;
   }
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     if (IsVoter(status)) continue;
     const MembershipChange change = Change(ChangeKind::kPromote, status);
     if (CheckChange(group, change) == ChangeRefusal::kNone) return change;
@@ -146,7 +146,7 @@
 
 std::optional<MembershipChange> VoterRepair::RemoveLearner(
     steady_clock::time_point now, const GroupStatus& group) const {
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     if (!IsVoter(status) && this->IsLost(now, status, group)) {
       return Change(ChangeKind::kRemove, status);
     }
--- a/src/lacewingferry/decisions/consensus/voter_repair.h
+++ b/src/lacewingferry/decisions/consensus/voter_repair.h
@@ -67,7 +67,7 @@
       const GroupStatus& group) const;
   std::optional<MembershipChange> AddLearner(const GroupStatus& group) const;
   bool IsLost(std::chrono::steady_clock::time_point now,
-              const MemberStatus& status, const GroupStatus& group) const;
+              const VoterStatus& status, const GroupStatus& group) const;
   std::size_t LiveVoters(std::chrono::steady_clock::time_point now,
                          const GroupStatus& group) const;
 
