--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -4,6 +4,20 @@
 
 namespace lacewingferry {
 
+const char* LevelName(EventLevel level) {
+  switch (level) {
+    case EventLevel::kDebug:
+      return "debug";
+    case EventLevel::kInfo:
+      return "info";
+    case EventLevel::kWarning:
+      return "warning";
+    case EventLevel::kError:
+      return "error";
+  }
+  throw InternalError("event level without a name");
+}
+
 const char* EventName(EventCode code) {
   switch (code) {
     case EventCode::kProcessStarted:
@@ -52,6 +66,18 @@
       return "members_changed";
     case EventCode::kMemberOrdered:
       return "member_ordered";
+    case EventCode::kLeasesEnded:
+      return "leases_ended";
+    case EventCode::kPrimaryPromoted:
+      return "primary_promoted";
+    case EventCode::kPrimaryRouted:
+      return "primary_routed";
+    case EventCode::kNoteAccepted:
+      return "note_accepted";
+    case EventCode::kNoteRejected:
+      return "note_rejected";
+    case EventCode::kOperatorRefused:
+      return "operator_refused";
   }
   throw InternalError("event code without a name");
 }
