Reroute what waits at a member that is no longer the primary

Cause: after a kill of the primary a write that waited in its owner's queue stayed there until the member's announcements lapsed, 1.5 s, and was then refused as sent. Nothing in the queue was sent, so it goes back to routing at once. The table of identifiers no longer has a time column: the statement is replicated by its text, and a default of the present is not deterministic.

--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -39,21 +39,27 @@
 
 void MemberExecutor::Configure(steady_clock::time_point now,
                                const ExecutorRole& new_role) {
+  const bool lost_office = this->role.primary && !new_role.primary;
   this->role = new_role;
   this->term_entry_at = now;
   this->runs.Configure(new_role);
+  if (lost_office) this->RefuseQueued("the member is no longer the primary");
   this->Dispatch(now);
 }
 
+void MemberExecutor::RefuseQueued(const char* detail) {
+  // None of these was sent, so another member may take them at once.
+  for (const Job& job : this->queue.TakeAll()) {
+    this->runs.Refuse(job, NotRun{RefusalCode::kNoPrimary, detail});
+  }
+}
+
 void MemberExecutor::Withdraw(steady_clock::time_point now) {
   ExecutorRole none = this->role;
   none.share = 0;
   none.primary = false;
   this->Configure(now, none);
-  for (const Job& job : this->queue.TakeAll()) {
-    this->runs.Refuse(
-        job, NotRun{RefusalCode::kMemberUnreachable, "the member is gone"});
-  }
+  this->RefuseQueued("the member is gone");
   this->control_calls.FailAll();
 }
 
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -81,6 +81,7 @@
   std::size_t Connections() const { return this->runs.Pool().Size(); }
 
  private:
+  void RefuseQueued(const char* detail);
   AdmissionState Admission(std::chrono::steady_clock::time_point now) const;
   void Dispatch(std::chrono::steady_clock::time_point now);
   bool DispatchTo(std::chrono::steady_clock::time_point now, ConnectionId id);
--- a/src/lacewingferry/decisions/traffic/request_record.h
+++ b/src/lacewingferry/decisions/traffic/request_record.h
@@ -20,8 +20,7 @@
 struct RequestRecordSql {
   std::string create =
       "CREATE TABLE IF NOT EXISTS ferry_requests ("
-      "request_id TEXT PRIMARY KEY, digest TEXT NOT NULL, answer TEXT, "
-      "stored_at TIMESTAMP NOT NULL DEFAULT CURRENT_TIMESTAMP)";
+      "request_id TEXT PRIMARY KEY, digest TEXT NOT NULL, answer TEXT)";
   /** Parameters: request_id, digest. Fails while another row of the
    * identifier is committed, and waits while one is uncommitted. */
   std::string claim =
@@ -32,9 +31,6 @@
   /** Parameter: request_id. Columns: digest, answer. */
   std::string find =
       "SELECT digest, answer FROM ferry_requests WHERE request_id = $1";
-  /** Removes rows that no caller asks for any longer. */
-  std::string expire =
-      "DELETE FROM ferry_requests WHERE stored_at < datetime('now', '-7 days')";
 };
 
 /** Writes and reads the answer column. Both may be empty: then a resend is
