Hand slots over under witnesses, so that no member ever has too many

SeatWitness (a vote in each proxy of the zone) and SeatHolder (what this proxy may use, by its own clock, shortened by drift and the member's time to notice). Shares that follow the view alone exceed the slots, and so does a margin of zero.

The stored answer of an identified request is wired as JSON; begin and commit may carry an identifier too.

--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -55,7 +55,8 @@
               this->options.inside_zone),
       group(event_queue, this->network, this->options.group),
       database("database-1"),
-      group_size(static_cast<std::uint32_t>(this->options.zones.size())) {
+      group_size(static_cast<std::uint32_t>(this->options.zones.size())),
+      seats(event_queue, this->options.seat_timings, this->SeatHooks()) {
   for (std::size_t i = 0; i < this->options.zones.size(); ++i) {
     MemberInfo info;
     info.id = this->MemberName(i);
@@ -140,8 +141,12 @@
   settings.incarnation = ++this->boots * kIncarnationStep;
   proxy.shard = std::make_unique<TrafficShard>(hooks, settings, 0, 1);
   proxy.events = this->EventsOf(proxy);
-  proxy.shard->OnView(this->queue.Now(), this->MakeView());
-  this->Arm(proxy);
+  if (this->options.seats) {
+    const double drift =
+        this->options.clock_drift * static_cast<double>(this->boots % 3);
+    this->seats.Boot(proxy.info, this->WitnessesOf(proxy), this->boots, drift);
+  }
+  this->Show(proxy, this->MakeView());
 }
 
 void Fleet::Arm(Proxy& proxy) {
@@ -169,6 +174,7 @@
 void Fleet::Send(Proxy& from, const NodeId& to, const PeerBody& body) {
   Proxy* target = this->Find(to);
   if (target == nullptr || !from.alive) return;
+  if (from.cut || target->cut) return;
   ++this->messages;
   this->network.Deliver(
       from.info.zone, target->info.zone,
@@ -214,6 +220,7 @@
 void Fleet::KillProxy(std::size_t number) {
   Proxy& proxy = *this->proxies[number];
   proxy.alive = false;
+  this->seats.Kill(proxy.info.id);
   this->group.BreakConnectionsOf(&proxy.events);
 }
 
@@ -251,6 +258,71 @@
   }
 }
 
+void Fleet::CutProxy(std::size_t proxy, bool cut) {
+  this->proxies[proxy]->cut = cut;
+}
+
+std::vector<NodeId> Fleet::WitnessesOf(const Proxy& proxy) const {
+  std::vector<NodeId> witnesses;
+  for (const auto& other : this->proxies) {
+    if (other->info.zone == proxy.info.zone)
+      witnesses.push_back(other->info.id);
+  }
+  return witnesses;
+}
+
+FleetSeatHooks Fleet::SeatHooks() {
+  FleetSeatHooks hooks;
+  hooks.deliver = [this](const NodeId& from, const NodeId& to,
+                         std::function<void()> action) {
+    const Proxy* sender = this->Find(from);
+    const Proxy* target = this->Find(to);
+    const bool lost = from != to && (sender->cut || target->cut);
+    if (lost) return;
+    this->network.Deliver(sender->info.zone, target->info.zone,
+                          std::move(action));
+  };
+  hooks.connections = [this](const NodeId& proxy, const MemberId& member) {
+    return this->Find(proxy)->shard->Connections(this->database, member);
+  };
+  hooks.limit = [this](const NodeId& id, const MemberId& member,
+                       std::uint32_t most) {
+    Proxy& proxy = *this->Find(id);
+    proxy.shard->LimitConnections(this->queue.Now(), this->database, member,
+                                  most);
+    this->Arm(proxy);
+  };
+  hooks.changed = [this](const NodeId& id) {
+    Proxy& proxy = *this->Find(id);
+    proxy.shard->OnView(this->queue.Now(), this->WithOwnSeats(proxy));
+    this->Arm(proxy);
+  };
+  return hooks;
+}
+
+RoutingViewPtr Fleet::WithOwnSeats(const Proxy& proxy) {
+  auto view = std::make_shared<RoutingView>(*proxy.view);
+  for (RoutedMember& member : view->databases[this->database].members) {
+    for (SlotShare& share : member.owners) {
+      if (share.owner != proxy.info.id) continue;
+      share.slots = this->seats.Target(proxy.info.id, member.info.id);
+    }
+  }
+  return view;
+}
+
+void Fleet::Show(Proxy& proxy, const RoutingViewPtr& view) {
+  proxy.view = view;
+  RoutingViewPtr shown = view;
+  if (this->options.seats) {
+    this->seats.Want(proxy.info.id, view->databases.at(this->database).members);
+    shown = this->WithOwnSeats(proxy);
+  }
+  this->Wake(proxy, [this, shown](TrafficShard& shard) {
+    shard.OnView(this->queue.Now(), shown);
+  });
+}
+
 void Fleet::SetPrimary(std::uint64_t new_term, const MemberId& new_primary) {
   this->term = new_term;
   this->primary = new_primary;
@@ -260,9 +332,7 @@
   const RoutingViewPtr view = this->MakeView();
   for (auto& proxy : this->proxies) {
     if (!proxy->alive || proxy->info.zone != zone) continue;
-    this->Wake(*proxy, [this, view](TrafficShard& shard) {
-      shard.OnView(this->queue.Now(), view);
-    });
+    if (!proxy->cut) this->Show(*proxy, view);
   }
 }
 
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -13,6 +13,7 @@
 
 #include "bench/model/event_queue.h"
 #include "bench/model/fake_group.h"
+#include "bench/model/fleet_seats.h"
 #include "bench/model/network.h"
 #include "lacewingferry/decisions/traffic/traffic_shard.h"
 
@@ -35,6 +36,12 @@
   /** The end of a starting proxy's lease. */
   std::chrono::steady_clock::time_point first_lease =
       std::chrono::steady_clock::time_point::max();
+  /** Whether slots change hands under witnesses; else each proxy takes its
+   * share as soon as its view says so. */
+  bool seats = false;
+  SeatTimings seat_timings;
+  /** How much faster the clock of each next proxy runs. */
+  double clock_drift = 0;
 };
 
 /** The deployments of the users' brief: three places, one member in each. */
@@ -61,6 +68,10 @@
    * meanwhile is handled afterwards. */
   void PauseProxy(std::size_t proxy, std::chrono::nanoseconds time);
 
+  /** Cuts a proxy off from all other proxies, or heals that. Its connections
+   * to members stay. */
+  void CutProxy(std::size_t proxy, bool cut);
+
   /** Tells every live proxy the present view; primary and term as given. */
   void Publish(std::uint64_t term, const MemberId& primary);
 
@@ -102,6 +113,8 @@
     std::unique_ptr<TrafficShard> shard;
     std::chrono::steady_clock::time_point armed_for;
     std::chrono::steady_clock::time_point paused_until;
+    bool cut = false;
+    RoutingViewPtr view;
   };
 
   /** Lets a proxy do something, unless it dies or starts anew before it
@@ -115,6 +128,11 @@
                std::chrono::steady_clock::time_point sent_at);
   Proxy* Find(const NodeId& id);
   RoutingViewPtr MakeView() const;
+  /** Hands a view to a proxy, with its own share as its seats allow. */
+  void Show(Proxy& proxy, const RoutingViewPtr& view);
+  RoutingViewPtr WithOwnSeats(const Proxy& proxy);
+  FleetSeatHooks SeatHooks();
+  std::vector<NodeId> WitnessesOf(const Proxy& proxy) const;
 
   EventQueue& queue;
   FleetOptions options;
@@ -125,6 +143,7 @@
   MemberId primary;
   std::uint32_t group_size;
   std::vector<std::unique_ptr<Proxy>> proxies;
+  FleetSeats seats;
   std::uint64_t messages = 0;
   /** When the message that is being handled was sent. */
   std::optional<std::chrono::steady_clock::time_point> message_sent_at;
--- a/src/lacewingferry/adapters/json/statement_json.cc
+++ b/src/lacewingferry/adapters/json/statement_json.cc
@@ -69,8 +69,11 @@
   if (request.kind != RequestKind::kRead && request.max_age) {
     fields.Report("max_age belongs to read only");
   }
-  if (request.kind != RequestKind::kWrite && !request.request_id.Empty()) {
-    fields.Report("request_id belongs to write only");
+  const bool identifiable = request.kind == RequestKind::kWrite ||
+                            request.kind == RequestKind::kBegin ||
+                            request.kind == RequestKind::kCommit;
+  if (!identifiable && !request.request_id.Empty()) {
+    fields.Report("request_id belongs to write, begin and commit only");
   }
 }
 
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "lacewingferry/adapters/json/stored_answer_json.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -18,6 +20,7 @@
   hooks.port = std::move(port);
   hooks.events = std::move(events);
   hooks.send = std::move(send);
+  hooks.codec = AnswerCodec{FormatStoredAnswer, ParseStoredAnswer};
   return hooks;
 }
 
--- a/src/lacewingferry/decisions/consensus/control_log.h
+++ b/src/lacewingferry/decisions/consensus/control_log.h
@@ -77,8 +77,7 @@
   /** Stores a snapshot received from the leader. Entries after it are kept
    * when the log holds the snapshot's last entry, and dropped otherwise. */
   void InstallSnapshot(std::uint64_t last_index, std::uint64_t last_term,
-                       ControlConfiguration configuration,
-                       std::string state);
+                       ControlConfiguration configuration, std::string state);
 
  private:
   void ReadVote();
--- /dev/null
+++ b/src/lacewingferry/decisions/ownership/seat_witness.cc
@@ -0,0 +1,69 @@
+#include "lacewingferry/decisions/ownership/seat_witness.h"
+
+#include <tuple>
+
+namespace lacewingferry {
+
+using std::chrono::steady_clock;
+
+SeatWitness::SeatWitness(steady_clock::time_point started,
+                         SeatTimings seat_timings)
+    : timings(seat_timings), silent_until(started + seat_timings.grant) {}
+
+// What an earlier run of the proxy held is not the later run's to release: its
+// connections may still be open at the member. Those seats run out instead.
+void SeatWitness::Release(const NodeId& from, const SeatClaim& claim) {
+  for (const Seat& seat : claim.released) {
+    const auto found = this->given.find(seat);
+    const bool own = found != this->given.end() &&
+                     found->second.holder == from &&
+                     found->second.incarnation == claim.incarnation;
+    if (own) this->given.erase(found);
+  }
+}
+
+bool SeatWitness::GiveOne(steady_clock::time_point now, const NodeId& to,
+                          std::uint64_t incarnation, const Seat& seat) {
+  const auto found = this->given.find(seat);
+  const bool taken = found != this->given.end() && found->second.until > now;
+  const bool own = taken && found->second.holder == to &&
+                   found->second.incarnation == incarnation;
+  if (taken && !own) return false;
+  this->given[seat] = Given{to, incarnation, now + this->timings.grant};
+  return true;
+}
+
+void SeatWitness::GiveWish(steady_clock::time_point now, const NodeId& to,
+                           const SeatWish& wish, SeatGrant& grant) {
+  std::uint32_t added = 0;
+  for (std::uint32_t i = 0; i < wish.slots && added < wish.count; ++i) {
+    const Seat seat{wish.member, wish.from_end ? wish.slots - 1 - i : i};
+    const auto known = this->given.find(seat);
+    if (known != this->given.end() && known->second.until > now) continue;
+    if (!this->GiveOne(now, to, grant.incarnation, seat)) continue;
+    grant.seats.push_back(seat);
+    ++added;
+  }
+}
+
+SeatGrant SeatWitness::OnClaim(steady_clock::time_point now, const NodeId& from,
+                               const SeatClaim& claim) {
+  SeatGrant grant{claim.incarnation, claim.sequence, {}};
+  LastClaim& previous = this->last[from];
+  const bool newer = std::tie(previous.incarnation, previous.sequence) <
+                     std::tie(claim.incarnation, claim.sequence);
+  if (!newer || now < this->silent_until) return grant;
+  previous = LastClaim{claim.incarnation, claim.sequence};
+  this->Release(from, claim);
+  for (const Seat& seat : claim.renewed) {
+    if (this->GiveOne(now, from, claim.incarnation, seat)) {
+      grant.seats.push_back(seat);
+    }
+  }
+  for (const SeatWish& wish : claim.wishes) {
+    this->GiveWish(now, from, wish, grant);
+  }
+  return grant;
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/connection_pool.h
+++ b/src/lacewingferry/decisions/traffic/connection_pool.h
@@ -51,6 +51,9 @@
   /** A connection that an open transaction holds and doesn't use now. */
   std::optional<ConnectionId> FindPinned() const;
 
+  /** The connection that was opened last. Call with one at least. */
+  ConnectionId Newest() const { return this->entries.rbegin()->first; }
+
   /** Sends a batch and marks the connection busy. */
   void Send(std::chrono::steady_clock::time_point now, ConnectionId id,
             const SqlBatch& batch);
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -332,6 +332,19 @@
   executor->RunControlStatement(present, std::move(call));
 }
 
+void DatabaseTraffic::LimitConnections(steady_clock::time_point present,
+                                       const MemberId& member,
+                                       std::size_t most) {
+  this->now = present;
+  MemberExecutor* executor = this->FindExecutor(member);
+  if (executor != nullptr) executor->LimitConnections(most);
+}
+
+std::size_t DatabaseTraffic::Connections(const MemberId& member) const {
+  const auto found = this->executors.find(member);
+  return found == this->executors.end() ? 0 : found->second->Connections();
+}
+
 void DatabaseTraffic::OnOpened(steady_clock::time_point present,
                                ConnectionId connection) {
   this->now = present;
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -96,6 +96,13 @@
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            const MemberId& member, ControlCall call);
 
+  /** Closes connections to a member at once until no more than most exist. */
+  void LimitConnections(std::chrono::steady_clock::time_point now,
+                        const MemberId& member, std::size_t most);
+
+  /** Connections to one member, also those being opened. */
+  std::size_t Connections(const MemberId& member) const;
+
   /** The events of this database's connections. */
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -340,6 +340,13 @@
   this->pending.Release(now, this->confirmer);
 }
 
+void MemberRuns::LimitConnections(std::size_t most) {
+  while (this->pool.Size() > most) {
+    const auto idle = this->pool.FindIdle();
+    this->CloseInDoubt(idle ? *idle : this->pool.Newest());
+  }
+}
+
 void MemberRuns::EndIdleTransaction() {
   const auto held = this->pool.FindPinned();
   if (held) this->AbortTransactions({this->transactions.IdOn(*held)});
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -92,6 +92,10 @@
   /** Rolls back a transaction that runs no statement now, if there is one. */
   void EndIdleTransaction();
 
+  /** Closes connections, the idle ones first, until no more than most exist.
+   * What runs on the others is given up. */
+  void LimitConnections(std::size_t most);
+
   /** Tells a job that it was refused. */
   void Refuse(const Job& job, const NotRun& refusal);
 
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -163,6 +163,22 @@
   this->Reschedule(database, *traffic);
 }
 
+void TrafficShard::LimitConnections(steady_clock::time_point now,
+                                    const DatabaseId& database,
+                                    const MemberId& member, std::size_t most) {
+  DatabaseTraffic* traffic = this->Find(database);
+  if (traffic == nullptr) return;
+  traffic->LimitConnections(now, member, most);
+  this->Reschedule(database, *traffic);
+}
+
+std::size_t TrafficShard::Connections(const DatabaseId& database,
+                                      const MemberId& member) const {
+  const auto found = this->databases.find(database);
+  return found == this->databases.end() ? 0
+                                        : found->second->Connections(member);
+}
+
 void TrafficShard::RunControlStatement(steady_clock::time_point now,
                                        const DatabaseId& database,
                                        const MemberId& member,
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -58,6 +58,16 @@
   void ReleaseTerm(std::chrono::steady_clock::time_point now,
                    const DatabaseId& database, std::uint64_t term);
 
+  /** Closes connections to a member at once until no more than most exist,
+   * when this proxy has lost its claim to the slots. */
+  void LimitConnections(std::chrono::steady_clock::time_point now,
+                        const DatabaseId& database, const MemberId& member,
+                        std::size_t most);
+
+  /** Connections to one member, also those being opened. */
+  std::size_t Connections(const DatabaseId& database,
+                          const MemberId& member) const;
+
   /** Runs a statement of control (fence, promote, follow, status) on one of
    * this proxy's own connections of the member, ahead of all requests. reply
    * gets none if this proxy has no connection to it, or no answer until the
