--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -130,10 +130,14 @@
   void WhenAwake(const MemberId& id, std::function<void()> action);
   void CommitOpen(Session& session, FakeMember& member);
   void Replicate(const MemberId& primary);
+  /** Brings a replica the first entries of its primary's log, as many as there
+   * were when they were sent. */
   void Deliver(const MemberId& primary, const MemberId& replica,
-               std::uint64_t term);
+               std::uint64_t term, std::size_t count);
+  void Resync(const MemberId& primary, const MemberId& replica,
+              std::uint64_t term);
   void Acknowledge(const MemberId& primary, const MemberId& replica,
-                   std::uint64_t term);
+                   const FakeReplicaReport& report);
 
   EventQueue& queue;
   Network& network;
--- a/bench/model/fake_member.cc
+++ b/bench/model/fake_member.cc
@@ -67,12 +67,17 @@
   this->ApplyTo(this->log.size());
 }
 
-std::size_t FakeMember::CopyLog(const std::vector<FakeEntry>& source) {
+std::size_t FakeMember::CommonWith(const std::vector<FakeEntry>& source) const {
   std::size_t common = 0;
   while (common < this->log.size() && common < source.size() &&
          this->log[common].position == source[common].position) {
     ++common;
   }
+  return common;
+}
+
+std::size_t FakeMember::CopyLog(const std::vector<FakeEntry>& source) {
+  const std::size_t common = this->CommonWith(source);
   const std::size_t dropped = this->log.size() - common;
   if (dropped > 0) {
     this->log.resize(common);
--- a/bench/model/fake_member.h
+++ b/bench/model/fake_member.h
@@ -68,6 +68,9 @@
   /** Appends an entry and applies it at once; for the primary. */
   void Commit(std::vector<std::pair<std::string, std::string>> puts);
 
+  /** How many entries this log's beginning has in common with another's. */
+  std::size_t CommonWith(const std::vector<FakeEntry>& source) const;
+
   /** Makes the log's beginning equal to another's and appends what it lacks.
    * Returns how many of this member's own entries were dropped. */
   std::size_t CopyLog(const std::vector<FakeEntry>& source);
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -27,6 +27,14 @@
   return member.owners.front();
 }
 
+/** The time that an owner has for a request, so that its answer is back
+ * before the caller's deadline. */
+milliseconds TimeForOwner(steady_clock::duration left) {
+  constexpr milliseconds kLongestWay{45};
+  const auto whole = std::chrono::duration_cast<milliseconds>(left);
+  return whole - std::min(kLongestWay, whole / 4);
+}
+
 bool OwnsShare(const RoutedMember& member, const NodeId& node) {
   return std::any_of(
       member.owners.begin(), member.owners.end(),
@@ -224,8 +232,7 @@
   forward.member = member;
   forward.term = this->SetAttemptTerm(*routed);
   forward.request = routed->job.request;
-  forward.request.timeout = std::chrono::duration_cast<milliseconds>(
-      routed->job.deadline - this->now);
+  forward.request.timeout = TimeForOwner(routed->job.deadline - this->now);
   Job job = routed->job;
   job.reply = [this, routed](const Outcome& outcome) {
     this->OnOutcome(routed, outcome);
--- a/src/lacewingferry/decisions/traffic/fair_queue.cc
+++ b/src/lacewingferry/decisions/traffic/fair_queue.cc
@@ -9,6 +9,9 @@
 
 using std::chrono::steady_clock;
 
+/** How many sessions' turns are remembered. */
+constexpr std::size_t kMostRemembered = 4096;
+
 /** Finds the queue of an id, or the end. */
 template <typename Queues, typename Id>
 auto FindQueue(Queues& queues, const Id& id) {
@@ -16,16 +19,6 @@
                       [&id](const auto& queue) { return queue.id == id; });
 }
 
-/** Moves the first queue to the end, or removes it if it is empty. */
-template <typename Queues>
-void EndTurn(Queues& queues, bool empty) {
-  if (empty) {
-    queues.pop_front();
-  } else {
-    queues.splice(queues.end(), queues, queues.begin());
-  }
-}
-
 }  // namespace
 
 void FairQueue::Push(Job job) {
@@ -36,8 +29,13 @@
   }
   auto session = FindQueue(customer->sessions, job.request.session);
   if (session == customer->sessions.end()) {
-    session = customer->sessions.insert(session,
-                                        SessionQueue{job.request.session, {}});
+    const std::uint64_t served_at = this->ServedAt(job.request.session);
+    session = customer->sessions.insert(
+        std::find_if(customer->sessions.begin(), customer->sessions.end(),
+                     [served_at](const SessionQueue& other) {
+                       return other.served_at > served_at;
+                     }),
+        SessionQueue{job.request.session, {}, served_at});
   }
   this->deadlines.insert(job.deadline);
   ++customer->size;
@@ -45,6 +43,18 @@
   session->jobs.emplace(deadline, std::move(job));
 }
 
+std::uint64_t FairQueue::ServedAt(const SessionId& session) const {
+  const auto found = this->served.find(session);
+  return found == this->served.end() ? 0 : found->second;
+}
+
+void FairQueue::NoteServed(const SessionId& session) {
+  ++this->turn;
+  // Forgetting all at once is rare and costs one round of less even turns.
+  if (this->served.size() >= kMostRemembered) this->served.clear();
+  this->served[session] = this->turn;
+}
+
 std::optional<Job> FairQueue::Pop() {
   if (this->customers.empty()) return std::nullopt;
   CustomerQueue& customer = this->customers.front();
@@ -52,8 +62,20 @@
   Job job = std::move(session.jobs.extract(session.jobs.begin()).mapped());
   --customer.size;
   this->deadlines.erase(this->deadlines.find(job.deadline));
-  EndTurn(customer.sessions, session.jobs.empty());
-  EndTurn(this->customers, customer.size == 0);
+  this->NoteServed(session.id);
+  session.served_at = this->turn;
+  if (session.jobs.empty()) {
+    customer.sessions.pop_front();
+  } else {
+    customer.sessions.splice(customer.sessions.end(), customer.sessions,
+                             customer.sessions.begin());
+  }
+  if (customer.size == 0) {
+    this->customers.pop_front();
+  } else {
+    this->customers.splice(this->customers.end(), this->customers,
+                           this->customers.begin());
+  }
   return job;
 }
 
@@ -87,7 +109,8 @@
 }
 
 // A job at place p of its session is served in round p of its customer's
-// sessions, and each round of the customer is one round of all customers. The
+// sessions, after those that were served longer ago, and each turn of the
+// customer is one round of all customers. The
 // others have that many turns at the most, and no more than they have jobs.
 std::size_t FairQueue::CountAhead(const Job& job) const {
   const CustomerQueue* customer = this->FindCustomer(job.request.customer);
@@ -100,8 +123,10 @@
             : static_cast<std::size_t>(
                   std::distance(session->jobs.begin(),
                                 session->jobs.upper_bound(job.deadline)));
+    const std::uint64_t served_at = this->ServedAt(job.request.session);
     for (const SessionQueue& other : customer->sessions) {
-      own += std::min(other.jobs.size(), place + 1);
+      const bool before = other.served_at <= served_at;
+      own += std::min(other.jobs.size(), before ? place + 1 : place);
     }
   }
   std::size_t ahead = own;
--- a/src/lacewingferry/decisions/traffic/fair_queue.h
+++ b/src/lacewingferry/decisions/traffic/fair_queue.h
@@ -6,10 +6,12 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "lacewingferry/decisions/traffic/job.h"
@@ -17,9 +19,11 @@
 namespace lacewingferry {
 
 /**
- * Customers take turns, the sessions of a customer take turns among each
- * other, and the requests of a session go by their deadline. A customer that
- * sends much therefore delays itself and not the others.
+ * Customers take turns. Of a customer's sessions the one that was served
+ * longest ago goes first, also if it had nothing waiting since, and the
+ * requests of a session go by their deadline. A customer that sends much
+ * therefore delays itself and not the others, and none of its sessions is
+ * refused again and again.
  */
 class FairQueue {
  public:
@@ -53,20 +57,27 @@
   struct SessionQueue {
     SessionId id;
     std::multimap<std::chrono::steady_clock::time_point, Job> jobs;
+    /** The turn at which the session was served last; 0 for never. */
+    std::uint64_t served_at = 0;
   };
   struct CustomerQueue {
     CustomerId id;
     std::size_t size = 0;
-    /** The session whose turn is next stands first. */
+    /** In the order of served_at. */
     std::list<SessionQueue> sessions;
   };
 
+  std::uint64_t ServedAt(const SessionId& session) const;
+  void NoteServed(const SessionId& session);
+
   const CustomerQueue* FindCustomer(const CustomerId& customer) const;
   template <typename Predicate>
   std::vector<Job> TakeIf(Predicate predicate);
 
   /** The customer whose turn is next stands first. */
   std::list<CustomerQueue> customers;
+  std::uint64_t turn = 0;
+  std::unordered_map<SessionId, std::uint64_t> served;
   std::multiset<std::chrono::steady_clock::time_point> deadlines;
 };
 
--- a/src/lacewingferry/decisions/traffic/load_estimate.cc
+++ b/src/lacewingferry/decisions/traffic/load_estimate.cc
@@ -11,6 +11,10 @@
 /** A new time counts for one part in this many. */
 constexpr int kAveragedOver = 16;
 
+/** Deviations above the average that a confirmation is expected to take at
+ * most. */
+constexpr int kDeviations = 2;
+
 nanoseconds Average(nanoseconds mean, nanoseconds time) {
   if (mean.count() == 0) return time;
   return mean + (time - mean) / kAveragedOver;
@@ -23,12 +27,15 @@
 }
 
 void LoadEstimate::AddConfirmation(nanoseconds time) {
+  const nanoseconds off = time - this->confirmation;
   this->confirmation = Average(this->confirmation, time);
+  this->deviation = Average(this->deviation, std::max(off, -off));
 }
 
 void LoadEstimate::Relax() {
   this->hold -= this->hold / kAveragedOver;
   this->confirmation -= this->confirmation / kAveragedOver;
+  this->deviation -= this->deviation / kAveragedOver;
 }
 
 nanoseconds LoadEstimate::TimeToAnswer(std::size_t ahead,
@@ -37,7 +44,8 @@
   const auto rounds =
       static_cast<std::int64_t>(ahead / std::max<std::size_t>(1, connections));
   const nanoseconds own = this->hold * (rounds + 1);
-  return confirmed ? own + this->confirmation : own;
+  return confirmed ? own + this->confirmation + kDeviations * this->deviation
+                   : own;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/load_estimate.h
+++ b/src/lacewingferry/decisions/traffic/load_estimate.h
@@ -10,7 +10,9 @@
 namespace lacewingferry {
 
 /** Keeps moving averages of the time that requests hold a connection and of
- * the time that answers wait for their confirmation. */
+ * the time that answers wait for their confirmation, with the deviation of the
+ * latter: a write that is refused costs less than one whose answer comes too
+ * late. */
 class LoadEstimate {
  public:
   /** Takes how long a request held its connection. */
@@ -35,6 +37,7 @@
  private:
   std::chrono::nanoseconds hold{0};
   std::chrono::nanoseconds confirmation{0};
+  std::chrono::nanoseconds deviation{0};
 };
 
 }  // namespace lacewingferry
