--- a/src/lacewingferry/adapters/json/result_json.cc
+++ b/src/lacewingferry/adapters/json/stored_answer_json.cc
@@ -1,8 +1,6 @@
-#include "lacewingferry/adapters/json/result_json.h"
+#include "lacewingferry/adapters/json/stored_answer_json.h"
 
-#include <cstdint>
 #include <nlohmann/json.hpp>
-#include <vector>
 
 #include "lacewingferry/core/errors.h"
 
@@ -11,7 +9,7 @@
 
 using nlohmann::json;
 
-json RowToJson(const std::vector<SqlValue>& row) {
+json CellsToJson(const std::vector<SqlValue>& row) {
   json cells = json::array();
   for (const SqlValue& cell : row) {
     cells.push_back(cell ? json(*cell) : json());
@@ -19,7 +17,7 @@
   return cells;
 }
 
-std::vector<SqlValue> RowFromJson(const json& cells) {
+std::vector<SqlValue> CellsFromJson(const json& cells) {
   std::vector<SqlValue> row;
   for (const json& cell : cells) {
     if (cell.is_null()) {
@@ -33,27 +31,28 @@
 
 }  // namespace
 
-std::string EncodeResult(const ResultSet& result) {
+std::string FormatStoredAnswer(const ResultSet& answer) {
   json rows = json::array();
-  for (const auto& row : result.rows) rows.push_back(RowToJson(row));
-  const json out = {{"columns", result.columns},
+  for (const auto& row : answer.rows) rows.push_back(CellsToJson(row));
+  const json out = {{"columns", answer.columns},
                     {"rows", std::move(rows)},
-                    {"affected_rows", result.affected_rows}};
+                    {"affected_rows", answer.affected_rows}};
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-ResultSet DecodeResult(const std::string& text) {
+ResultSet ParseStoredAnswer(const std::string& text) {
   try {
     const json in = json::parse(text);
-    ResultSet result;
-    result.columns = in.at("columns").get<std::vector<std::string>>();
+    ResultSet answer;
+    answer.columns = in.at("columns").get<std::vector<std::string>>();
     for (const json& row : in.at("rows")) {
-      result.rows.push_back(RowFromJson(row));
+      answer.rows.push_back(CellsFromJson(row));
     }
-    result.affected_rows = in.at("affected_rows").get<std::uint64_t>();
-    return result;
+    answer.affected_rows = in.at("affected_rows").get<std::uint64_t>();
+    return answer;
   } catch (const json::exception& error) {
-    throw DecodeError(std::string("stored answer: ") + error.what());
+    throw DecodeError(std::string("a stored answer can't be read: ") +
+                      error.what());
   }
 }
 
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -3,7 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "lacewingferry/adapters/json/result_json.h"
+#include "lacewingferry/adapters/json/stored_answer_json.h"
 
 namespace lacewingferry {
 namespace {
@@ -20,8 +20,8 @@
   hooks.port = std::move(port);
   hooks.events = std::move(events);
   hooks.observe = std::move(observe);
-  hooks.codec = AnswerCodec{EncodeResult, DecodeResult};
   hooks.send = std::move(send);
+  hooks.codec = AnswerCodec{FormatStoredAnswer, ParseStoredAnswer};
   return hooks;
 }
 
