--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -75,6 +75,8 @@
   /** Connections that a member holds now, and the most that it ever held. */
   std::size_t OpenConnections(const MemberId& id) const;
   std::size_t MostConnections(const MemberId& id) const;
+  /** Connections that members turned away because all slots were in use. */
+  std::size_t TurnedAway() const { return this->turned_away; }
 
  private:
   struct Session {
@@ -128,10 +130,14 @@
   void WhenAwake(const MemberId& id, std::function<void()> action);
   void CommitOpen(Session& session, FakeMember& member);
   void Replicate(const MemberId& primary);
+  /** Brings a replica the first entries of its primary's log, as many as there
+   * were when they were sent. */
   void Deliver(const MemberId& primary, const MemberId& replica,
-               std::uint64_t term);
+               std::uint64_t term, std::size_t count);
+  void Resync(const MemberId& primary, const MemberId& replica,
+              std::uint64_t term);
   void Acknowledge(const MemberId& primary, const MemberId& replica,
-                   std::uint64_t term);
+                   const FakeReplicaReport& report);
 
   EventQueue& queue;
   Network& network;
@@ -141,6 +147,7 @@
   std::map<MemberId, std::chrono::steady_clock::time_point> stalled_until;
   std::map<MemberId, std::size_t> open_count;
   std::map<MemberId, std::size_t> most_count;
+  std::size_t turned_away = 0;
 };
 
 }  // namespace lacewingferry::model
--- a/standin/member.cc
+++ b/standin/member.cc
@@ -21,6 +21,7 @@
       hooks(std::move(member_hooks)),
       state_file(DataPath(this->settings.data_folder, "state")),
       log(DataPath(this->settings.data_folder, "log")),
+      engine(this->settings.data_folder),
       lock(context, this->settings.lock_timeout),
       applier(
           context,
@@ -38,8 +39,9 @@
   this->applier.SetLag(this->settings.lag);
   this->Load();
   this->Replay();
-  if (this->state.followed.port != 0)
+  if (this->state.followed.port != 0) {
     this->client->Follow(this->state.followed);
+  }
 }
 
 ReplicationClientHooks Member::ClientHooks() {
@@ -63,8 +65,9 @@
     this->state.followed = this->settings.follow;
     this->Persist();
   }
-  if (this->log.CutBytes() > 0)
+  if (this->log.CutBytes() > 0) {
     LogLine("log_tail_cut", {{"bytes", std::to_string(this->log.CutBytes())}});
+  }
 }
 
 void Member::Persist() {
@@ -73,8 +76,9 @@
 
 void Member::Replay() {
   this->applied = LogPosition{};
-  for (std::uint64_t i = 1; i <= this->log.End().offset; ++i)
+  for (std::uint64_t i = 1; i <= this->log.End().offset; ++i) {
     this->engine.Apply(this->log.At(i));
+  }
   this->applied = this->log.End();
 }
 
