--- a/bench/model/failover_control.cc
+++ b/bench/model/failover_control.cc
@@ -199,7 +199,7 @@
 void FailoverControl::Tick(std::size_t i) {
   Replica& replica = this->replicas[i];
   if (!replica.node) return;
-  replica.armed_for = {};
+  replica.armed_for.reset();
   replica.node->OnTick(this->queue.Now());
   this->FollowLeadership(i);
   replica.manager->OnTick(this->queue.Now());
--- a/bench/model/failover_control.h
+++ b/bench/model/failover_control.h
@@ -71,7 +71,7 @@
     /** The term of the control log that the manager leads in; 0 for none. */
     std::uint64_t leads_in = 0;
     bool paused = false;
-    std::chrono::steady_clock::time_point armed_for;
+    std::optional<std::chrono::steady_clock::time_point> armed_for;
   };
 
   RaftHooks HooksOf(std::size_t i);
--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -411,7 +411,7 @@
   this->queue.At(due + std::chrono::microseconds(1),
                  [this, &proxy, armed = *next] {
                    if (!proxy.alive || proxy.armed_for != armed) return;
-                   proxy.armed_for = {};
+                   proxy.armed_for.reset();
                    proxy.shard->OnTick(this->Local(proxy));
                    proxy.failover->OnTick(this->Local(proxy));
                    this->Arm(proxy);
--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -102,7 +102,7 @@
     MemberEvents events;
     std::unique_ptr<TrafficShard> shard;
     std::unique_ptr<ProxyFailover> failover;
-    std::chrono::steady_clock::time_point armed_for;
+    std::optional<std::chrono::steady_clock::time_point> armed_for;
   };
 
   void StartControl();
