--- a/bench/model/overload.cc
+++ b/bench/model/overload.cc
@@ -29,9 +29,16 @@
         served(load_options.callers) {}
 
   OverloadResult Run() {
+    if (this->options.ack_at_commit) {
+      this->fleet.SetGroupSize(1);
+      this->fleet.Publish(1, this->fleet.MemberName(0));
+    }
     this->queue.RunUntil(this->queue.Now() + kWarmUp);
     this->end = this->queue.Now() + this->options.length;
-    for (std::size_t i = 0; i < this->options.callers; ++i) {
+    if (this->options.offered_per_second > 0) this->Arrive();
+    for (std::size_t i = 0;
+         this->options.offered_per_second == 0 && i < this->options.callers;
+         ++i) {
       this->queue.After(milliseconds(this->random() % 50),
                         [this, i] { this->SendNext(i); });
     }
@@ -86,6 +93,15 @@
         });
   }
 
+  void Arrive() {
+    this->SendNext(this->random() % this->options.callers);
+    std::exponential_distribution<double> gap(this->options.offered_per_second);
+    const auto pause = std::chrono::duration<double>(gap(this->random));
+    this->queue.After(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(pause),
+        [this] { this->Arrive(); });
+  }
+
   void OnOutcome(std::size_t caller, steady_clock::time_point sent_at,
                  RequestKind kind, const Outcome& outcome) {
     const auto took = this->queue.Now() - sent_at;
@@ -104,6 +120,7 @@
       ++(early ? this->result.refused_early : this->result.late);
       pause += kRefusedPause;
     }
+    if (this->options.offered_per_second > 0) return;
     this->queue.After(pause, [this, caller] { this->SendNext(caller); });
   }
 
--- a/bench/model/overload.h
+++ b/bench/model/overload.h
@@ -27,8 +27,14 @@
   /** The mean pause of a caller between two requests. */
   std::chrono::milliseconds think{0};
   std::chrono::milliseconds length{10000};
+  /** Requests a second from callers that don't wait for their answers; 0 for
+   * callers that do. */
+  std::uint32_t offered_per_second = 0;
   /** The part of reads at the primary, in percent. */
   std::uint32_t read_percent = 0;
+  /** Whether writes are acknowledged as soon as the primary committed them,
+   * which loses them with it: the baseline. */
+  bool ack_at_commit = false;
   std::uint64_t seed = 1;
 };
 
--- a/bench/write_path_main.cc
+++ b/bench/write_path_main.cc
@@ -55,6 +55,18 @@
   all.first_customer_percent = 10;
   all.read_percent = 80;
   PrintRow(name + " 80% reads", all);
+  OverloadOptions offered = one;
+  offered.callers = callers;
+  offered.timeout = milliseconds(500);
+  for (const std::uint32_t percent : {50U, 100U, 200U, 400U}) {
+    offered.offered_per_second = fleet.slots * percent;
+    PrintRow(name + " offered " + std::to_string(percent) + "%", offered);
+  }
+  OverloadOptions at_commit = one;
+  at_commit.ack_at_commit = true;
+  PrintRow(name + " ack at commit, 1 caller", at_commit);
+  at_commit.callers = callers;
+  PrintRow(name + " ack at commit, all callers", at_commit);
 }
 
 }  // namespace
