--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -111,6 +111,7 @@
   Active& running = this->active[id];
   running = Active{};
   running.since = now;
+  running.measured = job.request.transaction.Empty();
   running.run.emplace(std::move(job), std::move(context), &this->settings.run);
   this->pool.Send(now, id, running.run->Start());
 }
@@ -152,8 +153,10 @@
 
 void MemberRuns::OnRunResult(steady_clock::time_point now, ConnectionId id,
                              const BatchResult& result) {
-  RunStep step = this->active.at(id).run->OnResult(result);
-  const JobRun run = *this->active.at(id).run;
+  JobRun& running = *this->active.at(id).run;
+  RunStep step = running.OnResult(result);
+  // A run that has ended leaves the table before its outcome is told.
+  const JobRun run = step.fate ? std::move(running) : running;
   const auto* answer =
       step.outcome ? std::get_if<Answered>(&*step.outcome) : nullptr;
   const bool silenced = answer != nullptr &&
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -133,6 +133,8 @@
     /** The next statement of the transaction, if it came during a question. */
     std::optional<Job> next;
     std::chrono::steady_clock::time_point since;
+    /** Whether the time until the end counts as that of a usual request. */
+    bool measured = false;
   };
 
   static std::chrono::steady_clock::time_point HungAt(const Active& running);
