INTERFACE: spread membership through zone relays, with MembershipNode

Cause: each proxy sends all announcements that it took to every other proxy each 200 ms. At 1,000 nodes that is 5,000 messages a second at a node.

MembershipNode replaces the mesh of MemberDirectory: records with versions, deltas through two relays a zone that are repeated until acknowledged, one monitor a member, three observers a process, digests against what was lost. The entry points: OnAnnouncement, OnMessage, StartDraining, Leave, OnTick with NextWakeup, Peers, ControlPeers, UnreachableSince, BuildView. Hooks: send and changed. Control processes are nodes of the role kControl.

Ruled out: vouching to every relay, since a relay of 77 nodes would take 650 announcements a second; a bare timeout for proxies, since a loss of 5 % makes false deaths of it, so silence is probed first.

--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -18,13 +18,14 @@
 
 /** The messages by purpose. A codec numbers the alternatives by their order,
  * so new ones are added at the end. */
-using PeerBody =
-    std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
-                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
-                 JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
-                 LeaseReleased, MemberCommand, MemberCommandResult,
-                 PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
-                 ClusterUpdateRequest, ControlRedirect>;
+using PeerBody = std::variant<
+    ForwardRequest, ForwardReply, VoteRequest, VoteReply, AppendRequest,
+    AppendReply, SnapshotRequest, MembershipUpdate, JoinRequest, LeaseRenewal,
+    LeaseGrant, LeaseRelease, LeaseReleased, MemberCommand, MemberCommandResult,
+    PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
+    ClusterUpdateRequest, ControlRedirect, MembershipDelta, MembershipAck,
+    MemberHeard, MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
+    MembershipBuckets, MembershipVersions, MembershipPull>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/ownership/slot_owners.cc
+++ b/src/lacewingferry/decisions/ownership/slot_owners.cc
@@ -2,37 +2,16 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <string>
 #include <utility>
 
+#include "lacewingferry/decisions/ownership/rendezvous.h"
+
 namespace lacewingferry {
 namespace {
 
 /** With two owners a member outlives the death of one proxy. */
 constexpr std::size_t kOwnersPerMember = 2;
 
-std::uint64_t HashText(std::uint64_t hash, const std::string& text) {
-  constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
-  for (const char c : text) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * kFnvPrime;
-  }
-  return hash;
-}
-
-/** Spreads the bits of an FNV hash, whose high bits hardly depend on the last
- * characters. */
-std::uint64_t MixBits(std::uint64_t hash) {
-  hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdULL;
-  hash = (hash ^ (hash >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
-  return hash ^ (hash >> 33U);
-}
-
-std::uint64_t RendezvousWeight(const MemberId& member, const NodeId& proxy) {
-  constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
-  return MixBits(
-      HashText(HashText(kFnvOffset, member.Value()) ^ '/', proxy.Value()));
-}
-
 std::vector<NodeId> RankedCandidates(const MemberInfo& member,
                                      const std::vector<ProxyInfo>& proxies,
                                      bool own_zone_only) {
@@ -40,7 +19,8 @@
   for (const ProxyInfo& proxy : proxies) {
     if (proxy.draining) continue;
     if (own_zone_only && proxy.zone != member.zone) continue;
-    ranked.emplace_back(RendezvousWeight(member.id, proxy.id), proxy.id);
+    ranked.emplace_back(RendezvousWeight(member.id.Value(), proxy.id.Value()),
+                        proxy.id);
   }
   std::sort(ranked.rbegin(), ranked.rend());
   std::vector<NodeId> ids;
