--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -23,7 +23,7 @@
 #include "lacewingferry/decisions/consensus/control_log.h"
 #include "lacewingferry/decisions/consensus/voter_identity.h"
 #include "lacewingferry/decisions/failover/failover_manager.h"
-#include "lacewingferry/decisions/membership/member_directory.h"
+#include "lacewingferry/decisions/membership/membership_node.h"
 #include "lacewingferry/decisions/ownership/slot_owners.h"
 
 namespace lacewingferry {
@@ -32,8 +32,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/** How often silent members and proxies are looked for. */
-constexpr milliseconds kSweepInterval{200};
+/** How often the manager looks at all members anew. */
+constexpr milliseconds kSweepInterval{1000};
 constexpr std::size_t kMostOperatorBody = 1U << 20U;
 constexpr std::size_t kMostOperatorConnections = 64;
 
@@ -53,7 +53,7 @@
 }
 
 /** The steps of an input: the replica takes messages of the log, the manager
- * those of failover, the directory those of membership; then Advance gives the
+ * those of failover, the membership node its own; then Advance gives the
  * manager its office when the replica's changed, and sets the timer. */
 class ControlProgram::Impl {
  public:
@@ -68,8 +68,11 @@
   void MakePeerSocket();
   void MakeHttpServer();
   void Send(const NodeId& to, const PeerBody& body);
+  void SendTo(const std::string& url, const PeerBody& body);
   void OnPeerMessage(const PeerMessage& message);
-  void OnMembership(const PeerMessage& message);
+  MembershipSettings MembershipParts() const;
+  MembershipHooks MembershipEffects();
+  void OnRecord(const MembershipRecord& record);
   void OnReport(const NodeId& from, const ConfigurationReport& report);
   void OnApplied(steady_clock::time_point now, const ControlCommand& command,
                  const ControlOutcome& outcome);
@@ -90,7 +93,7 @@
   boost::asio::steady_timer timer;
   std::optional<std::string> disk_failure;
   std::map<NodeId, std::string> urls;
-  MemberDirectory directory;
+  MembershipNode membership;
   InForceTracker in_force;
   ControlReplica replica;
   FailoverManager manager;
@@ -106,8 +109,7 @@
       settings(this->parts.settings),
       signals(this->control, SIGTERM, SIGINT),
       timer(this->control),
-      directory(ProxyInfo{this->settings.node, this->settings.zone,
-                          this->settings.peer_url, true}),
+      membership(this->MembershipParts(), this->MembershipEffects()),
       replica(this->settings, this->ReplicaHooks()),
       manager(this->replica.State().Terms(), this->ManagerHooks()) {
   for (const PeerAddress& voter : this->settings.voters) {
@@ -207,12 +209,16 @@
 
 void ControlProgram::Impl::Send(const NodeId& to, const PeerBody& body) {
   const auto url = this->urls.find(to);
-  // The log may send while this object is being made.
-  if (url == this->urls.end() || this->peers == nullptr) return;
+  if (url != this->urls.end()) this->SendTo(url->second, body);
+}
+
+void ControlProgram::Impl::SendTo(const std::string& url,
+                                  const PeerBody& body) {
+  // The parts may send while this object is being made.
+  if (this->peers == nullptr) return;
   this->peers->Port().send(
-      url->second,
-      PeerMessage{this->settings.node, this->settings.peer_url, body,
-                  this->parts.hybrid.time_to_send().time_since_epoch()});
+      url, PeerMessage{this->settings.node, this->settings.peer_url, body,
+                       this->parts.hybrid.time_to_send().time_since_epoch()});
 }
 
 void ControlProgram::Impl::OnPeerMessage(const PeerMessage& message) {
@@ -220,8 +226,9 @@
   if (!message.from_url.empty()) this->urls[message.from] = message.from_url;
   if (this->replica.OnMessage(message.from, message.body)) {
     // The log's own message.
-  } else if (std::holds_alternative<MembershipUpdate>(message.body)) {
-    this->OnMembership(message);
+  } else if (this->membership.OnMessage(this->parts.hybrid.clock.now(),
+                                        message)) {
+    // Membership's own message.
   } else if (!this->replica.Serving()) {
     this->Redirect(message.from);
   } else if (const auto* report =
@@ -234,21 +241,43 @@
   this->Advance();
 }
 
-void ControlProgram::Impl::OnMembership(const PeerMessage& message) {
-  const auto& update = std::get<MembershipUpdate>(message.body);
-  const auto now = this->parts.hybrid.clock.now();
-  try {
-    this->directory.OnUpdate(now, update);
-  } catch (const UserError& error) {
-    this->parts.events.record(
-        Event{EventCode::kPeerMessageRejected,
-              EventLevel::kWarning,
-              {{"from", message.from.Value()}, {"reason", error.what()}}});
-    return;
+MembershipSettings ControlProgram::Impl::MembershipParts() const {
+  MembershipSettings membership_parts;
+  membership_parts.self = ProxyInfo{this->settings.node, this->settings.zone,
+                                    this->settings.peer_url, false};
+  membership_parts.role = NodeRole::kControl;
+  membership_parts.incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          this->parts.hybrid.clock.wall_now().time_since_epoch())
+          .count());
+  membership_parts.random_seed = membership_parts.incarnation;
+  for (const PeerAddress& voter : this->settings.voters) {
+    if (voter.id != this->settings.node) {
+      membership_parts.seeds.push_back(voter.url);
+    }
   }
-  for (const MemberAnnouncement& announcement : update.announcements) {
-    this->manager.OnAnnouncement(now, announcement);
+  return membership_parts;
+}
+
+MembershipHooks ControlProgram::Impl::MembershipEffects() {
+  MembershipHooks effects;
+  effects.send = [this](const std::string& url, const PeerBody& body) {
+    this->SendTo(url, body);
+  };
+  effects.changed = [this](const MembershipRecord& record) {
+    this->OnRecord(record);
+  };
+  return effects;
+}
+
+void ControlProgram::Impl::OnRecord(const MembershipRecord& record) {
+  if (const auto* node = std::get_if<NodeState>(&record.subject)) {
+    this->urls[node->info.id] = node->info.peer_url;
+    return;
   }
+  if (record.gone) return;
+  this->manager.OnAnnouncement(this->parts.hybrid.clock.now(),
+                               std::get<MemberAnnouncement>(record.subject));
 }
 
 void ControlProgram::Impl::Redirect(const NodeId& to) {
@@ -313,7 +342,7 @@
     const MemberInfo& member) const {
   std::vector<NodeId> owners;
   for (const SlotShare& share :
-       AssignSlotOwners(member, this->directory.Peers())) {
+       AssignSlotOwners(member, this->membership.Peers())) {
     owners.push_back(share.owner);
   }
   return owners;
@@ -321,7 +350,7 @@
 
 std::vector<NodeId> ControlProgram::Impl::ProxyIds() const {
   std::vector<NodeId> ids;
-  for (const ProxyInfo& proxy : this->directory.Peers()) {
+  for (const ProxyInfo& proxy : this->membership.Peers()) {
     ids.push_back(proxy.id);
   }
   return ids;
@@ -330,7 +359,11 @@
 void ControlProgram::Impl::Sweep() {
   const auto now = this->parts.hybrid.clock.now();
   this->next_sweep = now + kSweepInterval;
-  this->directory.Expire(now);
+  // The manager repeats orders to members that don't follow their primary.
+  this->membership.Table().EachMember(
+      [this, now](const MemberAnnouncement& announcement) {
+        this->manager.OnAnnouncement(now, announcement);
+      });
 }
 
 void ControlProgram::Impl::Advance() {
@@ -340,7 +373,8 @@
     this->serving = serves;
     this->manager.OnLeadership(now, serves);
   }
-  auto next = std::min(this->replica.NextWakeup(), this->next_sweep);
+  auto next = std::min({this->replica.NextWakeup(), this->next_sweep,
+                        this->membership.NextWakeup()});
   if (const auto due = this->manager.NextWakeup()) next = std::min(next, *due);
   this->timer.expires_at(next);
   this->timer.async_wait([this](boost::system::error_code error) {
@@ -348,6 +382,7 @@
     const auto present = this->parts.hybrid.clock.now();
     this->replica.OnTick();
     if (present >= this->next_sweep) this->Sweep();
+    this->membership.OnTick(present);
     this->manager.OnTick(present);
     this->Advance();
   });
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -140,8 +140,8 @@
 
 void ControlReplica::Propose(const ControlCommand& command,
                              OutcomeHook on_outcome) {
-  const auto index = this->raft->Propose(this->hooks.now(),
-                                         detail::EncodeFields(command));
+  const auto index =
+      this->raft->Propose(this->hooks.now(), detail::EncodeFields(command));
   if (!index) {
     on_outcome(std::nullopt);
     return;
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -36,8 +36,7 @@
 /** Encodes commands and snapshots for the log and applies what it commits. */
 class ControlReplica {
  public:
-  using OutcomeHook =
-      std::function<void(const std::optional<ControlOutcome>&)>;
+  using OutcomeHook = std::function<void(const std::optional<ControlOutcome>&)>;
 
   /** Reads the disk. Throws StorageError. */
   ControlReplica(const ControlSettings& settings, ControlReplicaHooks hooks);
@@ -59,7 +58,9 @@
   bool Serving() const;
 
   const ControlState& State() const { return this->state; }
-  Leadership CurrentLeadership() const { return this->raft->CurrentLeadership(); }
+  Leadership CurrentLeadership() const {
+    return this->raft->CurrentLeadership();
+  }
 
  private:
   struct Proposed {
--- a/src/lacewingferry/app/daemon_main.cc
+++ b/src/lacewingferry/app/daemon_main.cc
@@ -18,8 +18,8 @@
       ("v,version", "print the version and end")                             //
       ("h,help", "print this help and end");
   if (daemon.found) {
-    options.add_options()(
-        "found", "found a new control log on the empty disk and end");
+    options.add_options()("found",
+                          "found a new control log on the empty disk and end");
   }
   return options;
 }
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -15,7 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds kHeartbeatInterval{200};
+/** Changes that come within this time make one new view. */
+constexpr milliseconds kPublishDelay{5};
 /** How often control is told which configuration is in force here; it answers
  * with a newer one. */
 constexpr milliseconds kReportInterval{1000};
@@ -30,13 +31,51 @@
     : settings(std::move(proxy_settings)),
       incarnation(run_incarnation),
       hooks(std::move(control_hooks)),
-      directory(ProxyInfo{this->settings.node, this->settings.zone,
-                          this->settings.peer_url, false}),
+      membership(this->MembershipParts(), this->MembershipEffects()),
       configuration([this](const ConfigurationHolder::ConfigurationPtr&) {
         this->Publish(this->hooks.now());
       }),
       failover(this->FailoverParts(), this->FailoverTimes()) {}
 
+MembershipSettings ProxyControl::MembershipParts() const {
+  MembershipSettings membership_parts;
+  membership_parts.self = ProxyInfo{this->settings.node, this->settings.zone,
+                                    this->settings.peer_url, false};
+  membership_parts.role = NodeRole::kProxy;
+  membership_parts.incarnation = this->incarnation;
+  membership_parts.random_seed = this->incarnation;
+  for (const PeerAddress& peer : this->settings.peers) {
+    if (peer.url != this->settings.peer_url) {
+      membership_parts.seeds.push_back(peer.url);
+    }
+  }
+  for (const PeerAddress& replica : this->settings.control) {
+    membership_parts.seeds.push_back(replica.url);
+  }
+  return membership_parts;
+}
+
+MembershipHooks ProxyControl::MembershipEffects() {
+  MembershipHooks effects;
+  effects.send = [this](const std::string& url, const PeerBody& body) {
+    this->hooks.send(url, body);
+  };
+  effects.changed = [this](const MembershipRecord& record) {
+    this->OnRecord(record);
+  };
+  return effects;
+}
+
+void ProxyControl::OnRecord(const MembershipRecord& record) {
+  this->next_publish =
+      std::min(this->next_publish, this->hooks.now() + kPublishDelay);
+  const auto* member = std::get_if<MemberAnnouncement>(&record.subject);
+  if (member == nullptr || !record.gone) return;
+  this->hooks.events.record(Event{EventCode::kMemberLost,
+                                  EventLevel::kWarning,
+                                  {{"member", member->info.id.Value()}}});
+}
+
 ProxyFailoverSettings ProxyControl::FailoverTimes() const {
   ProxyFailoverSettings times;
   times.self = this->settings.node;
@@ -112,31 +151,20 @@
 
 std::string ProxyControl::Announce(const MemberAnnouncement& announcement) {
   try {
-    this->directory.OnAnnouncement(this->hooks.now(), announcement);
+    this->membership.OnAnnouncement(this->hooks.now(), announcement);
   } catch (const UserError& error) {
     this->hooks.events.record(Event{EventCode::kAnnouncementRejected,
                                     EventLevel::kWarning,
                                     {{"reason", error.what()}}});
     return error.what();
   }
-  // News of a leaving member can't wait for the next heartbeat.
-  if (announcement.info.leaving) this->next_heartbeat = this->hooks.now();
   return "";
 }
 
 void ProxyControl::OnMessage(const PeerMessage& message) {
   const auto now = this->hooks.now();
-  if (const auto* update = std::get_if<MembershipUpdate>(&message.body)) {
-    try {
-      this->directory.OnUpdate(now, *update);
-    } catch (const UserError& error) {
-      this->hooks.events.record(
-          Event{EventCode::kPeerMessageRejected,
-                EventLevel::kWarning,
-                {{"from", message.from.Value()}, {"reason", error.what()}}});
-    }
-  } else if (const auto* offer =
-                 std::get_if<ConfigurationOffer>(&message.body)) {
+  if (this->membership.OnMessage(now, message)) return;
+  if (const auto* offer = std::get_if<ConfigurationOffer>(&message.body)) {
     this->configuration.OfferWhole(offer->configuration);
     this->SendToControl(
         message.from,
@@ -153,30 +181,6 @@
   this->failover.OnSign(now, member, sign);
 }
 
-void ProxyControl::Heartbeat(steady_clock::time_point now) {
-  this->next_heartbeat = now + kHeartbeatInterval;
-  for (const MemberId& lost : this->directory.Expire(now)) {
-    this->hooks.events.record(Event{EventCode::kMemberLost,
-                                    EventLevel::kWarning,
-                                    {{"member", lost.Value()}}});
-  }
-  std::vector<std::string> urls;
-  for (const ProxyInfo& peer : this->directory.Peers()) {
-    urls.push_back(peer.peer_url);
-  }
-  for (const PeerAddress& peer : this->settings.peers) urls.push_back(peer.url);
-  for (const PeerAddress& replica : this->settings.control) {
-    urls.push_back(replica.url);
-  }
-  std::sort(urls.begin(), urls.end());
-  urls.erase(std::unique(urls.begin(), urls.end()), urls.end());
-  const MembershipUpdate update = this->directory.TakeUpdate();
-  for (const std::string& url : urls) {
-    if (url != this->settings.peer_url) this->hooks.send(url, update);
-  }
-  this->Publish(now);
-}
-
 void ProxyControl::ReportConfiguration(steady_clock::time_point now) {
   this->next_report = now + kReportInterval;
   const ConfigurationReport report{this->incarnation,
@@ -187,7 +191,8 @@
 }
 
 void ProxyControl::Publish(steady_clock::time_point now) {
-  auto view = std::make_shared<RoutingView>(this->directory.BuildView());
+  this->next_publish = steady_clock::time_point::max();
+  auto view = std::make_shared<RoutingView>(this->membership.BuildView(now));
   ApplyConfiguration(*this->configuration.Current(), *view);
   this->failover.Overlay(*view);
   this->RecordNewPrimaries(*view);
@@ -210,24 +215,26 @@
 }
 
 void ProxyControl::StartDraining() {
-  this->directory.StartDraining();
-  this->Heartbeat(this->hooks.now());
+  this->membership.StartDraining(this->hooks.now());
 }
 
-void ProxyControl::ReleaseLeases() {
+void ProxyControl::Leave() {
   this->failover.ReleaseAll(this->hooks.now());
+  this->membership.Leave(this->hooks.now());
 }
 
 void ProxyControl::OnTick() {
   const auto now = this->hooks.now();
-  if (now >= this->next_heartbeat) this->Heartbeat(now);
+  this->membership.OnTick(now);
   if (now >= this->next_report) this->ReportConfiguration(now);
   this->failover.OnTick(now);
+  if (now >= this->next_publish) this->Publish(now);
 }
 
 steady_clock::time_point ProxyControl::NextWakeup() const {
   const auto due = this->failover.NextWakeup();
-  const auto next = std::min(this->next_heartbeat, this->next_report);
+  const auto next = std::min(
+      {this->membership.NextWakeup(), this->next_report, this->next_publish});
   return due ? std::min(*due, next) : next;
 }
 
--- a/src/lacewingferry/app/proxy_control.h
+++ b/src/lacewingferry/app/proxy_control.h
@@ -15,7 +15,7 @@
 #include "lacewingferry/core/settings.h"
 #include "lacewingferry/decisions/configuration/configuration_holder.h"
 #include "lacewingferry/decisions/failover/proxy_failover.h"
-#include "lacewingferry/decisions/membership/member_directory.h"
+#include "lacewingferry/decisions/membership/membership_node.h"
 #include "lacewingferry/decisions/traffic/control_calls.h"
 #include "lacewingferry/decisions/traffic/member_sign.h"
 #include "lacewingferry/ports/event_port.h"
@@ -51,7 +51,7 @@
  * Knows the members and proxies, what control decided and which configuration
  * is in force, and makes the routing view of them:
  *
- *   announcements and heartbeats   MemberDirectory
+ *   announcements and heartbeats   MembershipNode
  *   terms, primaries and leases    ProxyFailover
  *   release notes                  ConfigurationHolder
  *   Publish                        all three make the view
@@ -78,8 +78,8 @@
   /** Tells peers and control that this proxy takes no new work. */
   void StartDraining();
 
-  /** Gives up all leases; for the end of a planned stop. */
-  void ReleaseLeases();
+  /** Gives up all leases and leaves the peers; the end of a planned stop. */
+  void Leave();
 
   /** Does what is due. */
   void OnTick();
@@ -95,7 +95,9 @@
                   const ProxyFailoverHooks::CommandHook& on_result);
   void Probe(const MemberInfo& member,
              const PrimaryObserverHooks::SightHook& on_sight);
-  void Heartbeat(std::chrono::steady_clock::time_point now);
+  MembershipSettings MembershipParts() const;
+  MembershipHooks MembershipEffects();
+  void OnRecord(const MembershipRecord& record);
   void ReportConfiguration(std::chrono::steady_clock::time_point now);
   void Publish(std::chrono::steady_clock::time_point now);
   void RecordNewPrimaries(const RoutingView& view);
@@ -103,12 +105,14 @@
   ProxySettings settings;
   std::uint64_t incarnation;
   ProxyControlHooks hooks;
-  MemberDirectory directory;
+  MembershipNode membership;
   ConfigurationHolder configuration;
   ProxyFailover failover;
   std::map<MemberId, MemberSign> last_signs;
   std::map<DatabaseId, std::uint64_t> routed_terms;
-  std::chrono::steady_clock::time_point next_heartbeat;
+  /** When the view is to be built anew; never while nothing changed. */
+  std::chrono::steady_clock::time_point next_publish =
+      std::chrono::steady_clock::time_point::max();
   std::chrono::steady_clock::time_point next_report;
 };
 
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/adapters/histogram/request_metrics.h"
 #include "lacewingferry/adapters/http/caller_api.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
@@ -39,8 +40,8 @@
 }  // namespace
 
 /**
- * The control thread is the one that calls Run: it alone touches the
- * directory. Traffic threads get immutable views from it. Messages of peers
+ * The control thread is the one that calls Run: it alone touches the control
+ * state. Traffic threads get immutable views from it. Messages of peers
  * arrive on nng's threads and are posted to the thread that they concern.
  */
 class ProxyProgram::Impl {
@@ -83,6 +84,7 @@
   std::unique_ptr<PeerSocket> peers;
   PeerPort peer_port;
   std::unique_ptr<ProxyControl> state;
+  RequestMetrics metrics;
   std::atomic<bool> stopping{false};
   std::chrono::steady_clock::time_point stop_began;
   std::size_t counted = 0;
@@ -173,7 +175,9 @@
       return;
     }
     TrafficThread& thread = this->ThreadOf(request.database);
-    ReplyHook back = [&io, reply = std::move(reply)](const Outcome& outcome) {
+    ReplyHook back = [this, &io, reply = std::move(reply), kind = request.kind,
+                      received = this->clock.now()](const Outcome& outcome) {
+      this->metrics.Record(kind, outcome, this->clock.now() - received);
       boost::asio::dispatch(io, [reply, outcome] { reply(outcome); });
     };
     thread.Submit(std::move(request), std::move(back));
@@ -186,7 +190,7 @@
     });
   };
   hooks.accepting = [this] { return !this->stopping.load(); };
-  hooks.metrics = [] { return std::string(); };
+  hooks.metrics = [this] { return this->metrics.Format(); };
   return hooks;
 }
 
@@ -324,7 +328,7 @@
   const bool noticed = stopped_for >= kPeerNoticeTime;
   if ((this->unfinished == 0 && noticed) ||
       stopped_for >= this->settings.drain_limit) {
-    this->state->ReleaseLeases();
+    this->state->Leave();
     this->control_timer.cancel();
     this->control.stop();
     return;
