--- a/src/lacewingferry/core/time_text.cc
+++ b/src/lacewingferry/core/time_text.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/core/time_text.h"
 
-#include <cstdio>
+#include <charconv>
+#include <cstdint>
 #include <ctime>
 
 #include "lacewingferry/core/errors.h"
@@ -9,9 +10,7 @@
 namespace {
 
 constexpr std::size_t kTimeBytes = 40;
-constexpr int kTimeParts = 7;
-constexpr int kFirstYear = 1900;
-constexpr int kTimeLength = 27;
+constexpr std::size_t kFractionDigits = 6;
 
 }  // namespace
 
@@ -23,27 +22,25 @@
   char date[kTimeBytes] = {};
   std::strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &utc);
   std::string fraction = std::to_string((time - seconds).count());
-  fraction.insert(0, 6 - fraction.size(), '0');
+  fraction.insert(0, kFractionDigits - fraction.size(), '0');
   return std::string(date) + "." + fraction + "Z";
 }
 
 HybridTime ParseTime(const std::string& text) {
   std::tm utc{};
-  int microseconds = 0;
-  int length = 0;
-  const int parts =
-      std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d.%6dZ%n", &utc.tm_year,
-                  &utc.tm_mon, &utc.tm_mday, &utc.tm_hour, &utc.tm_min,
-                  &utc.tm_sec, &microseconds, &length);
-  if (parts != kTimeParts || length != kTimeLength ||
-      text.size() != static_cast<std::size_t>(length)) {
+  const char* rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S.", &utc);
+  std::int64_t microseconds = 0;
+  if (rest != nullptr) {
+    std::from_chars(rest, text.data() + text.size(), microseconds);
+  }
+  const std::chrono::seconds seconds(timegm(&utc));
+  const HybridTime time(seconds + std::chrono::microseconds(microseconds));
+  // Only text that is written as FormatTime writes it comes back the same.
+  if (rest == nullptr || FormatTime(time) != text) {
     throw UserError("'" + text +
                     "' is not a time such as 2026-12-04T10:19:17.456442Z");
   }
-  utc.tm_year -= kFirstYear;
-  utc.tm_mon -= 1;
-  const std::chrono::seconds seconds(timegm(&utc));
-  return HybridTime(seconds + std::chrono::microseconds(microseconds));
+  return time;
 }
 
 }  // namespace lacewingferry
