Measure a failover's phases by the events that control records

Control's failover has its own events by now, so the phases are read from primary_suspected, term_begun, primary_chosen, primary_confirmed and primary_routed; leases_ended and primary_promoted, which nothing records, are gone and their numbers stay unused. The time before control's suspicion isn't among the events and isn't claimed.

--- a/src/lacewingferry/app/timeline_json.cc
+++ b/src/lacewingferry/app/timeline_json.cc
@@ -22,7 +22,7 @@
 Json FailoverToJson(const Failover& failover) {
   return Json{{"database", failover.database},
               {"term", failover.term},
-              {"suspected_at", FormatTime(failover.suspected_at)},
+              {"begun_at", FormatTime(failover.begun_at)},
               {"detection_ms", PhaseToJson(failover.detection)},
               {"lease_ms", PhaseToJson(failover.lease)},
               {"promotion_ms", PhaseToJson(failover.promotion)},
--- a/src/lacewingferry/app/timeline_svg.cc
+++ b/src/lacewingferry/app/timeline_svg.cc
@@ -92,18 +92,12 @@
   }
 
  private:
-  /** A detection lies before the suspicion, perhaps before any event. */
   void FindSpan() {
     if (this->merged.empty()) {
       return;
     }
     this->first = this->merged.front().time;
     this->last = this->merged.back().time;
-    for (const Failover& failover : this->failovers) {
-      const HybridTime silent =
-          failover.suspected_at - failover.detection.value_or(microseconds(0));
-      this->first = std::min(this->first, silent);
-    }
   }
 
   double Across(HybridTime time) const {
@@ -167,7 +161,7 @@
 
   void DrawPhases(const Failover& failover, std::size_t row) {
     HybridTime start =
-        failover.suspected_at - failover.detection.value_or(microseconds(0));
+        failover.begun_at - failover.detection.value_or(microseconds(0));
     start =
         this->DrawPhase("detection", "#d62728", start, failover.detection, row);
     start = this->DrawPhase("lease", "#ff7f0e", start, failover.lease, row);
--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -38,7 +38,7 @@
 
 void PrintFailover(const Failover& failover, std::ostream& out) {
   out << "failover of " << failover.database << " to term " << failover.term
-      << " at " << FormatTime(failover.suspected_at) << ": detection "
+      << " at " << FormatTime(failover.begun_at) << ": detection "
       << PhaseText(failover.detection) << ", lease "
       << PhaseText(failover.lease) << ", promotion "
       << PhaseText(failover.promotion) << ", re-routing "
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -66,10 +66,6 @@
       return "members_changed";
     case EventCode::kMemberOrdered:
       return "member_ordered";
-    case EventCode::kLeasesEnded:
-      return "leases_ended";
-    case EventCode::kPrimaryPromoted:
-      return "primary_promoted";
     case EventCode::kPrimaryRouted:
       return "primary_routed";
     case EventCode::kNoteAccepted:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -36,8 +36,6 @@
   kTailDropped = 5007,
   kMembersChanged = 5008,
   kMemberOrdered = 5009,
-  kLeasesEnded = 5102,
-  kPrimaryPromoted = 5103,
   kPrimaryRouted = 5104,
   kNoteAccepted = 6001,
   kNoteRejected = 6002,
--- a/src/lacewingferry/decisions/timeline/failover_phases.cc
+++ b/src/lacewingferry/decisions/timeline/failover_phases.cc
@@ -1,38 +1,23 @@
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
 #include <algorithm>
-
-#include "lacewingferry/core/duration_text.h"
-#include "lacewingferry/core/errors.h"
+#include <map>
+#include <utility>
 
 namespace lacewingferry {
 namespace {
 
 /** The moments of one failover, as far as they are known. */
 struct Moments {
-  Failover failover;
-  std::optional<HybridTime> leases_ended;
-  std::optional<HybridTime> promoted;
+  std::string database;
+  std::string term;
+  HybridTime begun;
+  std::optional<HybridTime> suspected;
+  std::optional<HybridTime> chosen;
+  std::optional<HybridTime> confirmed;
   std::optional<HybridTime> routed;
 };
 
-std::optional<std::chrono::microseconds> ParseSilence(const std::string& text) {
-  try {
-    return ParseDuration(text);
-  } catch (const UserError&) {
-    return std::nullopt;
-  }
-}
-
-Moments BeginFailover(const TimelineEntry& entry) {
-  Moments moments;
-  moments.failover.database = entry.Field("database");
-  moments.failover.term = entry.Field("term");
-  moments.failover.suspected_at = entry.time;
-  moments.failover.detection = ParseSilence(entry.Field("silence"));
-  return moments;
-}
-
 std::optional<std::chrono::microseconds> Between(
     const std::optional<HybridTime>& from,
     const std::optional<HybridTime>& until) {
@@ -42,54 +27,89 @@
   return std::max(*until - *from, std::chrono::microseconds(0));
 }
 
-Failover Finish(const Moments& moments) {
-  Failover failover = moments.failover;
-  failover.lease = Between(failover.suspected_at, moments.leases_ended);
-  failover.promotion = Between(moments.leases_ended, moments.promoted);
-  failover.rerouting = Between(moments.promoted, moments.routed);
+Failover Measure(const Moments& moments) {
+  Failover failover;
+  failover.database = moments.database;
+  failover.term = moments.term;
+  failover.begun_at = moments.begun;
+  failover.detection = Between(moments.suspected, moments.begun);
+  failover.lease = Between(moments.begun, moments.chosen);
+  failover.promotion = Between(moments.chosen, moments.confirmed);
+  failover.rerouting = Between(moments.confirmed, moments.routed);
   return failover;
 }
 
-/** Notes a moment of a failover; of several routings the last counts. */
-void TakeMoment(const TimelineEntry& entry, Moments* moments) {
-  switch (static_cast<EventCode>(entry.number)) {
-    case EventCode::kLeasesEnded:
-      moments->leases_ended = moments->leases_ended.value_or(entry.time);
-      break;
-    case EventCode::kPrimaryPromoted:
-      moments->promoted = moments->promoted.value_or(entry.time);
-      break;
-    case EventCode::kPrimaryRouted:
-      moments->routed = entry.time;
-      break;
-    default:
-      break;
+/** Collects the moments of all failovers of a time line. */
+class FailoverCollector {
+ public:
+  void Take(const TimelineEntry& entry) {
+    const auto code = static_cast<EventCode>(entry.number);
+    if (code == EventCode::kPrimarySuspected) {
+      this->suspicions[entry.Field("database")] = entry.time;
+    } else if (code == EventCode::kTermBegun) {
+      this->Begin(entry);
+    } else if (Moments* moments = this->Find(entry)) {
+      TakeMoment(code, entry.time, moments);
+    }
   }
-}
 
-}  // namespace
+  std::vector<Failover> Measured() const {
+    std::vector<Failover> failovers;
+    failovers.reserve(this->found.size());
+    for (const Moments& moments : this->found) {
+      failovers.push_back(Measure(moments));
+    }
+    return failovers;
+  }
 
-std::vector<Failover> FindFailovers(const std::vector<TimelineEntry>& merged) {
-  std::vector<Moments> found;
-  for (const TimelineEntry& entry : merged) {
-    const auto same =
-        std::find_if(found.rbegin(), found.rend(), [&](const Moments& moments) {
-          return moments.failover.database == entry.Field("database") &&
-                 moments.failover.term == entry.Field("term");
+ private:
+  /** Begins a failover with the last suspicion since the one before. */
+  void Begin(const TimelineEntry& entry) {
+    Moments moments;
+    moments.database = entry.Field("database");
+    moments.term = entry.Field("term");
+    moments.begun = entry.time;
+    const auto suspicion = this->suspicions.find(moments.database);
+    if (suspicion != this->suspicions.end()) {
+      moments.suspected = suspicion->second;
+      this->suspicions.erase(suspicion);
+    }
+    this->found.push_back(std::move(moments));
+  }
+
+  Moments* Find(const TimelineEntry& entry) {
+    const auto same = std::find_if(
+        this->found.rbegin(), this->found.rend(), [&](const Moments& moments) {
+          return moments.database == entry.Field("database") &&
+                 moments.term == entry.Field("term");
         });
-    if (same != found.rend()) {
-      TakeMoment(entry, &*same);
-    } else if (static_cast<EventCode>(entry.number) ==
-               EventCode::kPrimarySuspected) {
-      found.push_back(BeginFailover(entry));
+    return same == this->found.rend() ? nullptr : &*same;
+  }
+
+  /** Of several routings the last counts, of the others the first. */
+  static void TakeMoment(EventCode code, HybridTime time, Moments* moments) {
+    if (code == EventCode::kPrimaryChosen) {
+      moments->chosen = moments->chosen.value_or(time);
+    } else if (code == EventCode::kPrimaryConfirmed) {
+      moments->confirmed = moments->confirmed.value_or(time);
+    } else if (code == EventCode::kPrimaryRouted) {
+      moments->routed = time;
     }
   }
-  std::vector<Failover> failovers;
-  failovers.reserve(found.size());
-  for (const Moments& moments : found) {
-    failovers.push_back(Finish(moments));
+
+  /** The last suspicion of each database's primary. */
+  std::map<std::string, HybridTime> suspicions;
+  std::vector<Moments> found;
+};
+
+}  // namespace
+
+std::vector<Failover> FindFailovers(const std::vector<TimelineEntry>& merged) {
+  FailoverCollector collector;
+  for (const TimelineEntry& entry : merged) {
+    collector.Take(entry);
   }
-  return failovers;
+  return collector.Measured();
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/timeline/failover_phases.h
+++ b/src/lacewingferry/decisions/timeline/failover_phases.h
@@ -14,30 +14,31 @@
 
 namespace lacewingferry {
 
-/** One change of a database's primary. A phase whose end isn't in the time
- * line has no length. */
+/** One change of a database's primary. A phase of which the time line lacks
+ * the start or the end has no length. */
 struct Failover {
   std::string database;
   /** The term that the change made. */
   std::string term;
-  /** When the old primary was suspected. */
-  HybridTime suspected_at;
-  /** From the old primary's last sign of life to its suspicion. */
+  /** When the old term ended. */
+  HybridTime begun_at;
+  /** From control's suspicion of the old primary until the old term ended. */
   std::optional<std::chrono::microseconds> detection;
-  /** From the suspicion to the end of all leases on the old term. */
+  /** From there until a majority was fenced, all leases on the old term had
+   * ended and the new primary was chosen. */
   std::optional<std::chrono::microseconds> lease;
-  /** From there until the new primary takes writes. */
+  /** From there until the new primary leads a majority. */
   std::optional<std::chrono::microseconds> promotion;
-  /** From there until the last proxy routes to the new primary. */
+  /** From there until the last proxy routes to the new primary; 0 if all did
+   * before. */
   std::optional<std::chrono::microseconds> rerouting;
 };
 
 /**
- * Finds the failovers of a merged time line, in the order of their suspicion.
- * Reads kPrimarySuspected, kLeasesEnded, kPrimaryPromoted and kPrimaryRouted,
- * which all have the fields database and term; kPrimarySuspected states the
- * term that it will make, and in silence the time without a sign of life, for
- * example 600ms.
+ * Finds the failovers of a merged time line, in the order in which their terms
+ * began. Reads kPrimarySuspected, kTermBegun, kPrimaryChosen,
+ * kPrimaryConfirmed and kPrimaryRouted, which have the fields database and
+ * term; a suspicion states the old term, the others the new one.
  */
 std::vector<Failover> FindFailovers(const std::vector<TimelineEntry>& merged);
 
