--- a/bench/processes/cluster_files.h
+++ b/bench/processes/cluster_files.h
@@ -28,8 +28,8 @@
   std::string SecretFile() const;
   std::string Folder() const { return this->folder.string(); }
 
-  /** Leaves the folder behind, for a look at a failed run. */
-  void Keep() { this->keep = true; }
+  /** Sets whether the folder stays behind, for a look at a failed run. */
+  void Keep(bool leave) { this->keep = leave; }
 
  private:
   void WriteProxies(const ClusterPlan& plan) const;
--- a/bench/processes/local_cluster.cc
+++ b/bench/processes/local_cluster.cc
@@ -21,6 +21,9 @@
 /** How long a short-lived program may run. */
 constexpr milliseconds kCommandLimit{10000};
 
+/** ferryctl's exit status when no control process answered as leader. */
+constexpr int kNoAnswer = 3;
+
 /** The member that answers a plain read, which only a primary may. */
 std::optional<MemberId> ProbePrimary(const PlannedNode& proxy,
                                      const DatabaseId& database) {
@@ -52,16 +55,7 @@
     return std::max(std::chrono::duration_cast<milliseconds>(rest),
                     milliseconds(0));
   };
-  if (this->HasControl()) {
-    const std::string& first = this->plan.controls.front().id.Value();
-    ChildProcess found({this->Program("ferrycontrold"), "--settings",
-                        this->files.SettingsOf(first), "--found"},
-                       this->files.LogOf(first));
-    if (found.WaitForEnd(kCommandLimit) != 0) {
-      throw std::runtime_error("the control log can't be founded");
-    }
-    for (const auto& control : this->plan.controls) this->StartControl(control);
-  }
+  if (this->HasControl()) this->FoundControl();
   for (const auto& proxy : this->plan.proxies) this->StartProxy(proxy);
   if (this->HasControl()) this->ApplyFirstNote(left());
   for (const auto& member : this->plan.members) this->StartMember(member);
@@ -72,6 +66,19 @@
   }
 }
 
+/** Founds the control log at one process and starts all; the others join. */
+void LocalCluster::FoundControl() {
+  const std::string& first = this->plan.controls.front().id.Value();
+  ChildProcess found({this->Program("ferrycontrold"), "--settings",
+                      this->files.SettingsOf(first), "--found"},
+                     this->files.LogOf(first));
+  if (found.WaitForEnd(kCommandLimit) != 0) {
+    throw std::runtime_error("the control log can't be founded; see " +
+                             this->files.LogOf(first));
+  }
+  for (const auto& control : this->plan.controls) this->StartControl(control);
+}
+
 void LocalCluster::StartProxy(const PlannedNode& proxy) {
   this->Launch(proxy.id.Value(), {this->Program("ferryproxyd"), "--settings",
                                   this->files.SettingsOf(proxy.id.Value())});
@@ -151,21 +158,46 @@
   return (std::filesystem::path(this->binary_folder) / name).string();
 }
 
-void LocalCluster::ApplyFirstNote(milliseconds limit) {
-  std::vector<std::string> arguments = {
-      this->Program("ferryctl"), "apply", this->files.FirstNote(),
-      "--operator=operator", "--secret-file=" + this->files.SecretFile()};
-  for (const PlannedNode& control : this->plan.controls) {
-    arguments.push_back("--control=" + FormatEndpoint(control.listen));
+NodeId LocalCluster::ControlLeader(milliseconds limit) const {
+  NodeId leader;
+  const bool found = PollUntil(limit, [&] {
+    for (const PlannedNode& control : this->plan.controls) {
+      // Only the leader judges notes.
+      if (this->RunOperatorCommand("check", {control}) == kNoAnswer) continue;
+      leader = control.id;
+      return true;
+    }
+    return false;
+  });
+  if (!found) {
+    throw std::runtime_error("no control process leads; see " +
+                             this->files.Folder());
   }
+  return leader;
+}
+
+void LocalCluster::ApplyFirstNote(milliseconds limit) {
   const bool applied = PollUntil(limit, [&] {
-    ChildProcess command(arguments, this->files.LogOf("ferryctl"));
-    return command.WaitForEnd(kCommandLimit) == 0;
+    return this->RunOperatorCommand("apply", this->plan.controls) == 0;
   });
   if (!applied) {
     throw std::runtime_error("the first note can't be applied; see " +
-                             this->files.LogOf("ferryctl"));
+                             this->files.Folder());
+  }
+}
+
+/** Runs ferryctl with the first note. Returns its exit status. */
+int LocalCluster::RunOperatorCommand(
+    const std::string& command,
+    const std::vector<PlannedNode>& controls) const {
+  std::vector<std::string> arguments = {
+      this->Program("ferryctl"), command, this->files.FirstNote(),
+      "--operator=operator", "--secret-file=" + this->files.SecretFile()};
+  for (const PlannedNode& control : controls) {
+    arguments.push_back("--control=" + FormatEndpoint(control.listen));
   }
+  ChildProcess run(arguments, this->files.LogOf("ferryctl"));
+  return run.WaitForEnd(kCommandLimit).value_or(kNoAnswer);
 }
 
 }  // namespace lacewingferry::processes
--- a/bench/processes/local_cluster.h
+++ b/bench/processes/local_cluster.h
@@ -44,11 +44,15 @@
   MemberId PrimaryOf(const DatabaseId& database,
                      std::chrono::milliseconds limit) const;
 
+  /** The control process that leads. Throws std::runtime_error if none does
+   * within the limit. */
+  NodeId ControlLeader(std::chrono::milliseconds limit) const;
+
   const ClusterPlan& Plan() const { return this->plan; }
   const ClusterFiles& Files() const { return this->files; }
 
-  /** Leaves logs and data behind. */
-  void KeepFiles() { this->files.Keep(); }
+  /** Sets whether logs and data stay behind. */
+  void KeepFiles(bool leave = true) { this->files.Keep(leave); }
 
   /** Whether failover works: the control program is there. */
   bool HasControl() const;
@@ -57,7 +61,10 @@
   void Launch(const std::string& name,
               const std::vector<std::string>& arguments);
   std::string Program(const std::string& name) const;
+  void FoundControl();
   void ApplyFirstNote(std::chrono::milliseconds limit);
+  int RunOperatorCommand(const std::string& command,
+                         const std::vector<PlannedNode>& controls) const;
 
   ClusterPlan plan;
   std::string binary_folder;
--- a/bench/processes/run_check.cc
+++ b/bench/processes/run_check.cc
@@ -16,6 +16,7 @@
 
   void Judge(const WriteRecord& write, std::uint32_t stored) {
     this->Count(write.fate);
+    if (!write.detail.empty()) ++this->verdict.reasons[write.detail];
     // Part of a transaction's rows, or more than all.
     const bool partial = stored != 0 && stored < write.rows;
     if (stored > write.rows) {
--- a/bench/processes/run_check.h
+++ b/bench/processes/run_check.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,6 +50,8 @@
   /** From 0 to 1. */
   double replica_share = 0;
   std::vector<FailoverGap> gaps;
+  /** How often each reason was given for a write that wasn't acknowledged. */
+  std::map<std::string, std::uint64_t> reasons;
   /** Each broken promise in words. */
   std::vector<std::string> broken;
 
--- a/bench/processes/verdict_table.cc
+++ b/bench/processes/verdict_table.cc
@@ -56,6 +56,9 @@
   WriteRow(out, "refused as not run", verdict.refused);
   WriteRow(out, "unknown to the caller", verdict.unknown);
   WriteRow(out, "rejected by the database", verdict.failed);
+  for (const auto& [reason, count] : verdict.reasons) {
+    out << "    " << count << " times: " << reason << "\n";
+  }
   out << "promises, where each number has to be 0\n";
   WriteRow(out, "acknowledged and lost", verdict.lost);
   WriteRow(out, "ran twice", verdict.doubled);
