--- a/bench/processes/child_process.h
+++ b/bench/processes/child_process.h
@@ -39,6 +39,9 @@
 
   bool Running();
 
+  /** The process's id at the system. */
+  pid_t Id() const { return this->pid; }
+
  private:
   void Collect(int options);
 
