--- a/src/lacewingferry/decisions/membership/member_monitor.cc
+++ b/src/lacewingferry/decisions/membership/member_monitor.cc
@@ -36,7 +36,7 @@
   std::map<MemberId, Hearing> before = std::move(this->monitored);
   this->monitored.clear();
   for (const MemberAnnouncement& member : members) {
-    if (topology.MonitorOf(member.info) != this->self) continue;
+    if (!topology.IsMonitor(this->self, member.info)) continue;
     const auto found = before.find(member.info.id);
     if (found != before.end()) {
       this->monitored.insert(*found);
@@ -49,7 +49,7 @@
 void MemberMonitor::Watch(std::chrono::steady_clock::time_point now,
                           const ZoneTopology& topology,
                           const MemberAnnouncement& member) {
-  if (topology.MonitorOf(member.info) != this->self) return;
+  if (!topology.IsMonitor(this->self, member.info)) return;
   const auto found = this->monitored.find(member.info.id);
   if (found == this->monitored.end()) {
     this->monitored[member.info.id] = Hearing{HeardOf(member), now, now, {}};
--- a/src/lacewingferry/decisions/membership/membership_node.cc
+++ b/src/lacewingferry/decisions/membership/membership_node.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kLongestTick{500};
 /** Records of those that are gone are kept to refuse late messages. */
 constexpr std::chrono::minutes kKeepGone{10};
+constexpr std::chrono::minutes kDropInterval{1};
 
 /** Whether an announcement says more than that the member lives on. */
 bool ChangesKind(const MemberAnnouncement& known,
@@ -281,7 +282,10 @@
     this->CompareWhenDue(now);
   }
   this->FindUnreachable(now);
-  this->table.DropGone(now - kKeepGone);
+  if (now >= this->next_drop) {
+    this->next_drop = now + kDropInterval;
+    this->table.DropGone(now - kKeepGone);
+  }
   this->outbox.OnTick(now);
   this->outbox.Flush(now);
 }
--- a/src/lacewingferry/decisions/membership/membership_node.h
+++ b/src/lacewingferry/decisions/membership/membership_node.h
@@ -163,6 +163,7 @@
   TimePoint last_tick;
   /** Peers whose tables differed, and when to compare again. */
   std::map<std::string, TimePoint> repeat_comparisons;
+  TimePoint next_drop;
   TimePoint next_own_comparison;
   std::chrono::milliseconds own_interval{200};
   TimePoint next_zone_comparison;
--- a/src/lacewingferry/decisions/membership/membership_node_peers.cc
+++ b/src/lacewingferry/decisions/membership/membership_node_peers.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kOwnZoneComparison{10000};
 constexpr milliseconds kJoinComparison{200};
 constexpr milliseconds kRepeatComparison{300};
+constexpr milliseconds kAnswerTimeout{1000};
 constexpr seconds kOtherZoneComparison{1};
 /** A relay compares with one other zone at a time. */
 constexpr seconds kSilencePerZone{3};
@@ -75,6 +76,7 @@
   if (from_relay && !this->IsRelay()) this->LearnUnreachable(now, buckets);
   if (this->comparison.OnBuckets(message.from_url, buckets)) {
     this->joined = true;
+    this->repeat_comparisons.erase(message.from_url);
   } else {
     this->repeat_comparisons[message.from_url] = now + kRepeatComparison;
   }
@@ -116,8 +118,11 @@
   relays.erase(std::remove(relays.begin(), relays.end(), this->self.info.id),
                relays.end());
   if (relays.empty()) return;
-  this->comparison.Begin(
-      this->topology.Find(this->AnyOf(relays))->info.peer_url);
+  const std::string& url =
+      this->topology.Find(this->AnyOf(relays))->info.peer_url;
+  this->comparison.Begin(url);
+  // Lost unless an answer takes this out again.
+  this->repeat_comparisons[url] = now + kAnswerTimeout;
 }
 
 /** Takes the other zones in turn. In a zone that can't be reached the relays
--- a/src/lacewingferry/decisions/membership/zone_topology.cc
+++ b/src/lacewingferry/decisions/membership/zone_topology.cc
@@ -11,6 +11,9 @@
 
 constexpr std::size_t kRelaysPerZone = 2;
 constexpr std::size_t kObserversPerNode = 3;
+/** In a zone of this many proxies the relays monitor no members, since passing
+ * records on to so many costs them enough. */
+constexpr std::size_t kProxiesThatSpareRelays = 16;
 
 /** Orders processes by their weights for a key, the largest first. */
 void RankFor(const std::string& key, std::vector<NodeId>& nodes) {
@@ -57,6 +60,12 @@
     zone.relays = zone.proxies.empty() ? zone.ring : zone.proxies;
     RankFor("relay/" + entry.first.Value(), zone.relays);
     zone.relays.resize(std::min(zone.relays.size(), kRelaysPerZone));
+    zone.monitors = zone.proxies;
+    if (zone.proxies.size() < kProxiesThatSpareRelays) continue;
+    for (const NodeId& relay : zone.relays) {
+      zone.monitors.erase(
+          std::find(zone.monitors.begin(), zone.monitors.end(), relay));
+    }
   }
 }
 
@@ -108,9 +117,22 @@
   return observers;
 }
 
+const std::vector<NodeId>& ZoneTopology::MonitorsFor(
+    const MemberInfo& member) const {
+  const std::vector<NodeId>& own = this->ZoneOf(member.zone).monitors;
+  return own.empty() ? this->all_proxies : own;
+}
+
 NodeId ZoneTopology::MonitorOf(const MemberInfo& member) const {
-  const std::vector<NodeId>& own = this->ZoneOf(member.zone).proxies;
-  return FirstFor(member.id.Value(), own.empty() ? this->all_proxies : own);
+  return FirstFor(member.id.Value(), this->MonitorsFor(member));
+}
+
+bool ZoneTopology::IsMonitor(const NodeId& id, const MemberInfo& member) const {
+  const NodeState* node = this->Find(id);
+  if (node == nullptr) return false;
+  const bool elsewhere = node->info.zone != member.zone &&
+                         !this->ZoneOf(member.zone).proxies.empty();
+  return !elsewhere && this->MonitorOf(member) == id;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/membership/zone_topology.h
+++ b/src/lacewingferry/decisions/membership/zone_topology.h
@@ -40,14 +40,20 @@
    * zone, or of all zones if its own has none. Empty while there is none. */
   NodeId MonitorOf(const MemberInfo& member) const;
 
+  /** Whether a process is the monitor of a member; quicker than to ask which
+   * is, for the members of other zones. */
+  bool IsMonitor(const NodeId& id, const MemberInfo& member) const;
+
  private:
   struct Zone {
     /** All processes in the order of their rendezvous weights. */
     std::vector<NodeId> ring;
     std::vector<NodeId> proxies;
     std::vector<NodeId> relays;
+    std::vector<NodeId> monitors;
   };
 
+  const std::vector<NodeId>& MonitorsFor(const MemberInfo& member) const;
   const Zone& ZoneOf(const AvailabilityZone& zone) const;
 
   std::map<NodeId, NodeState> nodes;
