--- a/src/lacewingferry/app/operator_api.cc
+++ b/src/lacewingferry/app/operator_api.cc
@@ -4,11 +4,11 @@
 #include <utility>
 
 #include "lacewingferry/adapters/http/operator_signature.h"
+#include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/adapters/openssl/keyed_digest.h"
 #include "lacewingferry/adapters/yaml/release_note_reader.h"
 #include "lacewingferry/adapters/yaml/release_note_writer.h"
 #include "lacewingferry/app/operator_json.h"
-#include "lacewingferry/app/timeline_json.h"
 #include "lacewingferry/core/finding.h"
 #include "lacewingferry/decisions/configuration/note_in_force.h"
 #include "lacewingferry/decisions/configuration/note_judgement.h"
@@ -81,6 +81,11 @@
   return event;
 }
 
+/** The operator whose signature has been checked. */
+std::string OperatorOf(const HttpRequest& request) {
+  return request.headers.at(kOperatorHeader);
+}
+
 Json ConfigurationToJson(const Configuration& configuration) {
   const std::string author = configuration.history.empty()
                                  ? "lacewingferry"
@@ -93,7 +98,7 @@
 Json TimelineBody(const std::vector<TimelineEntry>& timeline) {
   Json entries = Json::array();
   for (const TimelineEntry& entry : timeline) {
-    entries.push_back(TimelineToJson(entry));
+    entries.push_back(EventToJson(entry));
   }
   return Json{{"entries", entries}};
 }
@@ -173,7 +178,7 @@
             this->hooks.wall_now().time_since_epoch());
     const EventPort events = this->hooks.events;
     this->hooks.apply(
-        NoteSubmission{placed.note, received_at},
+        NoteSubmission{placed.note, received_at, OperatorOf(request)},
         [placed, respond, events](const std::optional<NoteAnswer>& answer) {
           if (!answer) {
             respond(MakeError(kStatusUnavailable, "unknown",
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -36,8 +36,6 @@
   kTailDropped = 5007,
   kMembersChanged = 5008,
   kMemberOrdered = 5009,
-  kLeasesEnded = 5102,
-  kPrimaryPromoted = 5103,
   kPrimaryRouted = 5104,
   kNoteAccepted = 6001,
   kNoteRejected = 6002,
@@ -54,6 +52,9 @@
   std::vector<std::pair<std::string, std::string>> fields{};
 };
 
+/** The name of a level in the log: debug, info, warning or error. */
+const char* LevelName(EventLevel level);
+
 /** The name of an event in the log, for example process_started. */
 const char* EventName(EventCode code);
 
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -4,10 +4,12 @@
 // Defines PeerMessage, any message between two processes of the system, with
 // its sender.
 
+#include <chrono>
 #include <string>
 #include <variant>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/messages/configuration_messages.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
 #include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
@@ -23,8 +25,9 @@
     AppendReply, SnapshotRequest, MembershipUpdate, JoinRequest, LeaseRenewal,
     LeaseGrant, LeaseRelease, LeaseReleased, MemberCommand, MemberCommandResult,
     PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
-    ClusterUpdateRequest, ControlRedirect, MembershipDelta, MembershipAck,
-    MemberHeard, MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
+    ClusterUpdateRequest, ControlRedirect, ConfigurationOffer,
+    ConfigurationReport, MembershipDelta, MembershipAck, MemberHeard,
+    MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
     MembershipBuckets, MembershipVersions, MembershipPull>;
 
 /** A message with its sender. */
@@ -33,12 +36,15 @@
   /** Where the sender takes answers. */
   std::string from_url;
   PeerBody body;
+  /** The sender's hybrid time, in microseconds since 1970-01-01 UTC. */
+  std::chrono::microseconds sent_at{0};
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("from", self.from);
     visit("from_url", self.from_url);
     visit("body", self.body);
+    visit("sent_at", self.sent_at);
   }
 };
 
