--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -66,6 +66,11 @@
   void KillZone(std::size_t zone);
   void CutZone(std::size_t zone, bool cut);
 
+  /** Lets the member of a zone do nothing for a time. */
+  void LetLag(std::size_t zone, std::chrono::milliseconds duration) {
+    this->group.Stall(this->members[zone].id, this->queue.Now() + duration);
+  }
+
   FakeGroup& Group() { return this->group; }
   FailoverControl& Control() { return *this->control; }
   Network& Net() { return this->network; }
--- a/bench/model/failover_trial.cc
+++ b/bench/model/failover_trial.cc
@@ -15,6 +15,7 @@
 
 constexpr milliseconds kWriteInterval{10};
 constexpr milliseconds kWarmUp{3000};
+constexpr milliseconds kPreparation{400};
 constexpr milliseconds kStall{200};
 constexpr milliseconds kReturn{1500};
 constexpr seconds kLimit{12};
@@ -44,7 +45,10 @@
         std::make_unique<FailoverFleet>(this->queue, std::move(fleet_options));
     this->WriteAgain();
     this->WarmUp();
-    if (this->options.prepare) this->options.prepare(*this->fleet);
+    if (this->options.prepare) {
+      this->options.prepare(*this->fleet);
+      this->queue.RunUntil(this->queue.Now() + kPreparation);
+    }
     this->fault_term = this->fleet->Entry()->term;
     this->fault = this->queue.Now();
     this->Strike();
--- a/bench/model/failover_trial.h
+++ b/bench/model/failover_trial.h
@@ -49,7 +49,7 @@
   /** Changes the fleet's options before the start, for mistakes and for the
    * baseline. */
   std::function<void(FailoverFleetOptions&)> adjust;
-  /** Runs when all members are known, before the fault. */
+  /** Runs when all members are known, 400 ms before the fault. */
   std::function<void(FailoverFleet&)> prepare;
 };
 
--- a/src/lacewingferry/decisions/failover/failover_context.h
+++ b/src/lacewingferry/decisions/failover/failover_context.h
@@ -39,7 +39,7 @@
 struct FailoverSettings {
   LeaseTiming lease;
   /** How long an observer waits for an answer before a member is silent. */
-  std::chrono::milliseconds observer_patience{200};
+  std::chrono::milliseconds observer_patience{150};
   /** The pause before a replica's next owner is asked as well. */
   std::chrono::milliseconds inquiry_retry{120};
   /** The end of an inquiry that proved nothing. */
@@ -52,7 +52,7 @@
   /** The pause before a command goes to the member's next owner. */
   std::chrono::milliseconds command_retry{120};
   /** The longest pause between two attempts of a command. */
-  std::chrono::milliseconds command_retry_limit{1000};
+  std::chrono::milliseconds command_retry_limit{500};
   /** How long a promotion may take before the next term begins. */
   std::chrono::milliseconds promotion_patience{600};
   /** The pause before a proposal that was not applied is repeated. */
--- a/src/lacewingferry/decisions/failover/failover_manager.cc
+++ b/src/lacewingferry/decisions/failover/failover_manager.cc
@@ -63,7 +63,7 @@
   this->next_admission.clear();
   if (!leads) return;
   // Holders get time to find the new leader.
-  this->next_sweep = now + this->context.settings.lease.duration;
+  this->next_sweep = now + this->context.settings.holder_silence;
   this->published_revision = this->context.terms.Revision();
   for (const auto& item : this->context.terms.Databases()) {
     if (item.second.phase != TermPhase::kSteady) {
