Take an equal announcement as a reminder

Cause: since membership spreads changes only, a member's announcement reached control once. Control offers all members once a second, and the manager took them for repeats.

--- a/src/lacewingferry/decisions/failover/failover_manager.cc
+++ b/src/lacewingferry/decisions/failover/failover_manager.cc
@@ -236,8 +236,9 @@
                                      const MemberAnnouncement& announcement) {
   const MemberAnnouncement* known =
       this->context.FindMember(announcement.info.id);
+  // An equal one is a reminder: what it calls for may have had to wait.
   if (known != nullptr &&
-      std::tie(announcement.incarnation, announcement.sequence) <=
+      std::tie(announcement.incarnation, announcement.sequence) <
           std::tie(known->incarnation, known->sequence)) {
     return;
   }
