--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -227,6 +227,9 @@
   if (session.puts.empty()) return;
   member.Commit(std::move(session.puts));
   session.puts.clear();
+  if (this->options.on_commit) {
+    this->options.on_commit(member.info.id, member.log.back());
+  }
   this->Replicate(member.info.id);
 }
 
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -28,6 +28,8 @@
   std::function<std::chrono::nanoseconds(const SqlBatch&)> service_time;
   /** The time from an entry's arrival at a replica until reads see it. */
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
+  /** Told each entry when a primary commits it; may be empty. */
+  std::function<void(const MemberId&, const FakeEntry&)> on_commit;
 };
 
 /** Members that replicate asynchronously, and the connections of proxies to
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -137,6 +137,10 @@
     proxy.shard->OnForward(this->queue.Now(), from, *forward);
   } else if (const auto* reply = std::get_if<ForwardReply>(&body)) {
     proxy.shard->OnForwardReply(this->queue.Now(), from, *reply);
+  } else if (const auto* probe = std::get_if<PositionProbe>(&body)) {
+    proxy.shard->OnProbe(this->queue.Now(), from, *probe);
+  } else if (const auto* sample = std::get_if<PositionSample>(&body)) {
+    proxy.shard->OnSample(this->queue.Now(), *sample);
   }
   this->Arm(proxy);
 }
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -57,6 +57,7 @@
   }
   FakeGroup& Group() { return this->group; }
   Network& Net() { return this->network; }
+  const FleetOptions& Options() const { return this->options; }
   const DatabaseId& Database() const { return this->database; }
   MemberId MemberName(std::size_t number) const;
 
--- /dev/null
+++ b/bench/model/read_report.cc
@@ -0,0 +1,92 @@
+#include "bench/model/read_report.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <iomanip>
+#include <sstream>
+
+namespace lacewingferry::model {
+namespace {
+
+using std::chrono::nanoseconds;
+
+double QuantileMs(std::vector<nanoseconds> times, double quantile) {
+  if (times.empty()) return 0;
+  const auto place = static_cast<std::size_t>(
+      quantile * static_cast<double>(times.size() - 1));
+  std::nth_element(times.begin(),
+                   times.begin() + static_cast<std::ptrdiff_t>(place),
+                   times.end());
+  return std::chrono::duration<double, std::milli>(times[place]).count();
+}
+
+}  // namespace
+
+void ReadReport::Add(const ReadScenario& scenario, std::uint64_t seed,
+                     const ReadScenarioOutcome& outcome) {
+  Line line;
+  line.name = scenario.name;
+  line.seed = seed;
+  line.least_share = scenario.least_share;
+  line.result = outcome.result;
+  line.read_median_ms = QuantileMs(outcome.result.read_times, 0.5);
+  line.read_p99_ms = QuantileMs(outcome.result.read_times, 0.99);
+  line.write_p99_ms = QuantileMs(outcome.result.write_times, 0.99);
+  line.violations = outcome.result.Violations();
+  line.control_bytes = outcome.control_bytes_a_second;
+  if (line.violations > 0) this->passed = false;
+  if (outcome.result.ReplicaShare() < scenario.least_share) {
+    this->passed = false;
+  }
+  this->lines.push_back(std::move(line));
+}
+
+std::string ReadReport::Table() const {
+  std::ostringstream out;
+  out << std::left << std::setw(34) << "scenario" << std::right << std::setw(5)
+      << "seed" << std::setw(9) << "reads" << std::setw(9) << "lawful"
+      << std::setw(9) << "replica" << std::setw(8) << "share" << std::setw(7)
+      << "bound" << std::setw(8) << "refused" << std::setw(9) << "wrong"
+      << std::setw(9) << "read p50" << std::setw(9) << "p99" << std::setw(10)
+      << "write p99" << std::setw(9) << "probe B/s"
+      << "\n";
+  out << std::fixed;
+  for (const Line& line : this->lines) {
+    out << std::left << std::setw(34) << line.name << std::right << std::setw(5)
+        << line.seed << std::setw(9) << line.result.reads << std::setw(9)
+        << line.result.lawful << std::setw(9) << line.result.by_replica
+        << std::setprecision(4) << std::setw(8) << line.result.ReplicaShare()
+        << std::setprecision(2) << std::setw(7) << line.least_share
+        << std::setw(8) << line.result.refused << std::setw(9)
+        << line.violations << std::setprecision(1) << std::setw(9)
+        << line.read_median_ms << std::setw(9) << line.read_p99_ms
+        << std::setw(10) << line.write_p99_ms << std::setw(9)
+        << line.control_bytes << "\n";
+  }
+  return out.str();
+}
+
+std::string ReadReport::Json() const {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(4) << "[";
+  for (std::size_t i = 0; i < this->lines.size(); ++i) {
+    const Line& line = this->lines[i];
+    out << (i == 0 ? "\n" : ",\n") << "  {\"scenario\": \"" << line.name
+        << "\", \"seed\": " << line.seed << ", \"reads\": " << line.result.reads
+        << ", \"lawful\": " << line.result.lawful
+        << ", \"by_replica\": " << line.result.by_replica
+        << ", \"share\": " << line.result.ReplicaShare()
+        << ", \"least_share\": " << line.least_share
+        << ", \"refused\": " << line.result.refused
+        << ", \"violations\": " << line.violations
+        << ", \"read_p50_ms\": " << line.read_median_ms
+        << ", \"read_p99_ms\": " << line.read_p99_ms
+        << ", \"write_p99_ms\": " << line.write_p99_ms
+        << ", \"probe_bytes_a_second\": " << line.control_bytes << "}";
+  }
+  out << "\n]\n";
+  return out.str();
+}
+
+}  // namespace lacewingferry::model
--- /dev/null
+++ b/bench/model/read_report.h
@@ -0,0 +1,47 @@
+#ifndef BENCH_MODEL_READ_REPORT_H_
+#define BENCH_MODEL_READ_REPORT_H_
+
+// Defines ReadReport, the figures of several measured runs as a table or as
+// JSON.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bench/model/read_scenario.h"
+
+namespace lacewingferry::model {
+
+/** Collects the runs of one program. */
+class ReadReport {
+ public:
+  void Add(const ReadScenario& scenario, std::uint64_t seed,
+           const ReadScenarioOutcome& outcome);
+
+  /** One line a run; times in milliseconds. */
+  std::string Table() const;
+  std::string Json() const;
+
+  /** Whether every run reached its share without a violation. */
+  bool Passed() const { return this->passed; }
+
+ private:
+  struct Line {
+    std::string name;
+    std::uint64_t seed = 0;
+    double least_share = 0;
+    ReadWorkloadResult result;
+    double read_median_ms = 0;
+    double read_p99_ms = 0;
+    double write_p99_ms = 0;
+    std::uint64_t violations = 0;
+    double control_bytes = 0;
+  };
+
+  std::vector<Line> lines;
+  bool passed = true;
+};
+
+}  // namespace lacewingferry::model
+
+#endif  // BENCH_MODEL_READ_REPORT_H_
--- /dev/null
+++ b/bench/model/read_scenario.cc
@@ -0,0 +1,85 @@
+#include "bench/model/read_scenario.h"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "bench/model/lag_process.h"
+
+namespace lacewingferry::model {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/** The time that a batch holds its connection at the member. */
+constexpr milliseconds kServiceTime{2};
+/** Connections are open after this, and the callers start. */
+constexpr milliseconds kWarmUp{500};
+
+ReadScenario MakeScenario(std::string name, FleetOptions fleet,
+                          std::size_t callers) {
+  ReadScenario scenario;
+  scenario.name = std::move(name);
+  scenario.fleet = std::move(fleet);
+  scenario.workload.callers = callers;
+  scenario.workload.to_callers = scenario.fleet.to_callers;
+  scenario.least_share = 0.98;
+  return scenario;
+}
+
+ReadScenario Swinging(ReadScenario scenario) {
+  scenario.name += ", lag swings to 10 s";
+  scenario.most_lag = milliseconds(10000);
+  scenario.lag_step = milliseconds(15000);
+  scenario.least_share = 0.95;
+  return scenario;
+}
+
+}  // namespace
+
+std::vector<ReadScenario> ReadScenarios() {
+  const ReadScenario kraanwater =
+      MakeScenario("Kraanwater", KraanwaterOptions(), 75);
+  ReadScenario wanjiru = MakeScenario("Wanjiru", WanjiruOptions(), 65);
+  wanjiru.workload.think_time = milliseconds(200);
+  return {kraanwater, Swinging(kraanwater), wanjiru, Swinging(wanjiru)};
+}
+
+ReadScenarioOutcome RunReadScenario(const ReadScenario& scenario,
+                                    std::uint64_t seed) {
+  EventQueue queue;
+  std::map<MemberId, LagProcess> lags;
+  std::unique_ptr<ReadWorkload> workload;
+  FleetOptions options = scenario.fleet;
+  options.group.service_time = [](const SqlBatch&) { return kServiceTime; };
+  options.group.apply_lag = [&](const MemberId& member) {
+    const auto known = lags.try_emplace(
+        member, seed * 100 + lags.size(), scenario.most_lag, scenario.lag_step,
+        scenario.duration + kWarmUp + milliseconds(20000));
+    return known.first->second.At(queue.Now().time_since_epoch());
+  };
+  options.group.on_commit = [&workload](const MemberId&,
+                                        const FakeEntry& entry) {
+    workload->OnCommit(entry);
+  };
+  Fleet fleet(queue, options);
+  ReadWorkloadHooks hooks;
+  hooks.submit = [&fleet](std::size_t proxy, StatementRequest request,
+                          ReplyHook reply) {
+    request.database = fleet.Database();
+    fleet.Submit(proxy, request, std::move(reply));
+  };
+  hooks.members = [&fleet]() -> const std::map<MemberId, FakeMember>& {
+    return fleet.Group().Members();
+  };
+  workload =
+      std::make_unique<ReadWorkload>(queue, hooks, scenario.workload, seed);
+  queue.RunUntil(queue.Now() + kWarmUp);
+  const auto end = queue.Now() + scenario.duration;
+  workload->Start(end);
+  queue.RunUntil(end + milliseconds(15000));
+  return ReadScenarioOutcome{workload->Result(), fleet.Messages()};
+}
+
+}  // namespace lacewingferry::model
--- /dev/null
+++ b/bench/reads_bench_main.cc
@@ -0,0 +1,38 @@
+// Measures the share of reads that replicas serve, in virtual time.
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <exception>
+#include <iostream>
+
+#include "bench/model/read_report.h"
+#include "bench/model/read_scenario.h"
+
+int main(int argc, char** argv) {
+  using lacewingferry::model::ReadReport;
+  using lacewingferry::model::ReadScenario;
+  try {
+    cxxopts::Options options("reads_bench",
+                             "Reads served by replicas, in virtual time");
+    options.add_options()("seed", "First seed",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "runs", "Seeds for each scenario",
+        cxxopts::value<std::uint64_t>()->default_value("3"))(
+        "json", "Write JSON instead of a table");
+    const auto given = options.parse(argc, argv);
+    const auto first = given["seed"].as<std::uint64_t>();
+    const auto runs = given["runs"].as<std::uint64_t>();
+    ReadReport report;
+    for (const ReadScenario& scenario : lacewingferry::model::ReadScenarios()) {
+      for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        report.Add(scenario, seed,
+                   lacewingferry::model::RunReadScenario(scenario, seed));
+      }
+    }
+    std::cout << (given.count("json") > 0 ? report.Json() : report.Table());
+    return report.Passed() ? EXIT_SUCCESS : EXIT_FAILURE;
+  } catch (const std::exception& error) {
+    std::cerr << "reads_bench: " << error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -188,6 +188,11 @@
     this->ThreadOf(forward->request.database).OnForward(message.from, *forward);
   } else if (const auto* reply = std::get_if<ForwardReply>(&message.body)) {
     this->ThreadOf(reply->database).OnForwardReply(message.from, *reply);
+  } else if (const auto* probe = std::get_if<PositionProbe>(&message.body)) {
+    // Each thread takes the databases that are its own.
+    for (auto& thread : this->threads) thread->OnProbe(message.from, *probe);
+  } else if (const auto* sample = std::get_if<PositionSample>(&message.body)) {
+    for (auto& thread : this->threads) thread->OnSample(*sample);
   } else {
     boost::asio::post(this->control, [this, message = std::move(message)] {
       this->OnMembershipUpdate(message);
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -126,6 +126,18 @@
   });
 }
 
+void TrafficThread::OnProbe(const NodeId& from, const PositionProbe& probe) {
+  this->Post([this, from, probe](steady_clock::time_point now) {
+    this->shard.OnProbe(now, from, probe);
+  });
+}
+
+void TrafficThread::OnSample(const PositionSample& sample) {
+  this->Post([this, sample](steady_clock::time_point now) {
+    this->shard.OnSample(now, sample);
+  });
+}
+
 void TrafficThread::CountUnfinished(
     std::function<void(std::size_t, std::size_t)> report) {
   this->Post([this, report = std::move(report)](steady_clock::time_point) {
--- a/src/lacewingferry/app/traffic_thread.h
+++ b/src/lacewingferry/app/traffic_thread.h
@@ -46,6 +46,8 @@
   void Submit(StatementRequest request, ReplyHook reply);
   void OnForward(const NodeId& from, const ForwardRequest& forward);
   void OnForwardReply(const NodeId& from, const ForwardReply& reply);
+  void OnProbe(const NodeId& from, const PositionProbe& probe);
+  void OnSample(const PositionSample& sample);
 
   /** Reports how many requests and transactions are unfinished, on this
    * thread. */
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -11,6 +11,7 @@
 #include "lacewingferry/core/messages/consensus_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
+#include "lacewingferry/core/messages/position_messages.h"
 
 namespace lacewingferry {
 
@@ -18,7 +19,8 @@
  * so new ones are added at the end. */
 using PeerBody =
     std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
-                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate>;
+                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
+                 PositionProbe, PositionSample>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/session/read_judgement.cc
+++ b/src/lacewingferry/decisions/session/read_judgement.cc
@@ -68,6 +68,11 @@
     return Refuse(RefusalCode::kNoReplicaFreshEnough,
                   "the member has not yet applied the session's writes");
   }
+  if (evidence.max_age &&
+      (!evidence.age || *evidence.age > *evidence.max_age)) {
+    return Refuse(RefusalCode::kNoReplicaFreshEnough,
+                  "the member's data is not proven to be of the stated age");
+  }
   const LogPosition& seen = evidence.after.applied;
   const bool on_majority = seen.term == evidence.after.term &&
                            evidence.group_size <= kLargestPairMajority;
--- a/src/lacewingferry/decisions/session/read_judgement.h
+++ b/src/lacewingferry/decisions/session/read_judgement.h
@@ -4,6 +4,7 @@
 // Defines JudgeRead, which decides whether the rows of a read may go to the
 // session and what the session has seen with them.
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -27,6 +28,11 @@
   LogPosition confirmed;
   /** What the session had seen; none for a read outside a session. */
   std::optional<LogPosition> session_position;
+  /** The time since which a replica's data may lack writes; none if no sample
+   * of the primary proves one. */
+  std::optional<std::chrono::nanoseconds> age;
+  /** How old the data may be; none for a read without a stated age. */
+  std::optional<std::chrono::milliseconds> max_age;
 };
 
 /** The fate of a read's rows. */
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/read_routing.h"
 #include "lacewingferry/decisions/traffic/transaction_name.h"
 
 namespace lacewingferry {
@@ -24,28 +23,11 @@
          code == RefusalCode::kMemberUnreachable;
 }
 
-/** Spreads the forwards of several proxies over a member's owners in the
- * ratio of their shares. */
-const SlotShare& PickOwner(const RoutedMember& member, std::uint64_t turn) {
-  std::uint64_t slot = turn % std::max<std::uint64_t>(1, member.info.slots);
-  for (const SlotShare& share : member.owners) {
-    if (slot < share.slots) return share;
-    slot -= share.slots;
-  }
-  return member.owners.front();
-}
-
-bool OwnsShare(const RoutedMember& member, const NodeId& node) {
-  return std::any_of(
-      member.owners.begin(), member.owners.end(),
-      [&node](const SlotShare& share) { return share.owner == node; });
-}
+/** The clock of an owner may run slow by one part in this many. */
+constexpr int kClockDriftParts = 1000;
 
-std::uint32_t ShareOf(const RoutedMember& member, const NodeId& node) {
-  for (const SlotShare& share : member.owners) {
-    if (share.owner == node) return share.slots;
-  }
-  return 0;
+bool IsPlainRead(const StatementRequest& request) {
+  return request.kind == RequestKind::kRead && request.transaction.Empty();
 }
 
 }  // namespace
@@ -56,7 +38,7 @@
     : id(std::move(database_id)),
       hooks(std::move(traffic_hooks)),
       settings(std::move(traffic_settings)),
-      next_transaction(this->settings.incarnation) {
+      owned(this->id, this->hooks, this->settings) {
   this->forwards.StartAt(this->settings.incarnation);
 }
 
@@ -64,52 +46,16 @@
                              const RoutingViewPtr& new_view) {
   this->now = present;
   this->view = new_view;
+  ++this->view_number;
   const auto found = this->view->databases.find(this->id);
-  this->database =
-      found == this->view->databases.end() ? nullptr : &found->second;
-  this->ConfigureExecutors();
+  const bool known = found != this->view->databases.end();
+  this->database = known ? &found->second : nullptr;
+  this->routes.Rebuild(this->database, this->settings.zone,
+                       this->settings.node);
+  this->owned.Configure(present, this->database);
   this->FailForwardsToLostProxies();
 }
 
-void DatabaseTraffic::ConfigureExecutors() {
-  std::set<MemberId> known;
-  if (this->database != nullptr) {
-    for (const RoutedMember& member : this->database->members) {
-      known.insert(member.info.id);
-      const std::uint32_t share = ShareOf(member, this->settings.node);
-      auto& executor = this->executors[member.info.id];
-      if (executor == nullptr) {
-        if (share == 0) {
-          this->executors.erase(member.info.id);
-          continue;
-        }
-        const MemberId member_id = member.info.id;
-        executor = std::make_unique<MemberExecutor>(
-            ExecutorHooks{
-                this->hooks.port, this->hooks.events,
-                this->hooks.next_connection,
-                [this, member_id] { return this->NextTransaction(member_id); },
-                [this](steady_clock::time_point at, std::uint64_t term) {
-                  return this->gate.Open(at, term);
-                },
-                this->hooks.observe},
-            this->settings.status_sql);
-      }
-      executor->Configure(this->now, member.info, share,
-                          member.info.id == this->database->primary,
-                          this->database->term, this->database->group_size);
-    }
-  }
-  for (auto& entry : this->executors) {
-    if (known.count(entry.first) == 0) entry.second->Withdraw(this->now);
-  }
-}
-
-TransactionId DatabaseTraffic::NextTransaction(const MemberId& member) {
-  return FormatTransactionName(
-      TransactionName{this->settings.node, member, this->next_transaction++});
-}
-
 void DatabaseTraffic::FailForwardsToLostProxies() {
   for (const NodeId& owner : this->forwards.Owners()) {
     const bool live = std::any_of(
@@ -129,6 +75,10 @@
   routed->job.deadline = present + request.timeout;
   routed->job.request = std::move(request);
   routed->job.reply = std::move(reply);
+  StatementRequest& own = routed->job.request;
+  if (IsPlainRead(own) && !own.max_age && this->database != nullptr) {
+    own.max_age = this->database->default_max_age;
+  }
   if (!routed->job.request.transaction.Empty()) {
     this->RouteInTransaction(routed);
   } else {
@@ -144,7 +94,6 @@
         "no transaction is named " + routed->job.request.transaction.Value()});
     return;
   }
-  routed->member = name->member;
   if (name->owner == this->settings.node) {
     this->RunHere(routed, name->member);
   } else {
@@ -159,56 +108,46 @@
                "no member has announced database " + this->id.Value()});
     return;
   }
-  const RoutedMember* member =
-      ChooseMember(*this->database, this->settings.zone, routed->job.request,
-                   routed->excluded);
-  if (member == nullptr) {
+  if (routed->view_number != this->view_number) {
+    routed->view_number = this->view_number;
+    routed->tried.Clear();
+  }
+  const auto decision = this->routes.Choose(routed->job.request, routed->tried);
+  if (!decision) {
     this->RouteLater(routed);
     return;
   }
-  routed->member = member->info.id;
-  if (OwnsShare(*member, this->settings.node)) {
-    this->RunHere(routed, member->info.id);
-    return;
+  routed->place = decision->place;
+  if (decision->owner == nullptr) {
+    this->RunHere(routed, *decision->member);
+  } else {
+    this->Forward(routed, *decision->owner, *decision->member);
   }
-  const std::uint64_t turn = this->next_transaction++;
-  this->Forward(routed, PickOwner(*member, turn).owner, member->info.id);
 }
 
 void DatabaseTraffic::RouteLater(const RoutedPtr& routed) {
-  routed->excluded.clear();
+  routed->tried.Clear();
   const auto again = this->now + kRouteAgainPause;
   if (again >= routed->job.deadline) {
-    routed->job.reply(NotRun{RefusalCode::kNoPrimary,
-                             "no member could serve the request in time"});
+    routed->job.reply(routed->last_refusal.value_or(
+        NotRun{RefusalCode::kNoPrimary, "the database has no primary now"}));
     return;
   }
   this->delayed.emplace(again, routed);
 }
 
-MemberExecutor* DatabaseTraffic::FindExecutor(const MemberId& member) {
-  const auto found = this->executors.find(member);
-  return found == this->executors.end() ? nullptr : found->second.get();
-}
-
-MemberExecutor* DatabaseTraffic::FindExecutor(ConnectionId connection) {
-  for (auto& entry : this->executors) {
-    if (entry.second->Owns(connection)) return entry.second.get();
-  }
-  return nullptr;
-}
-
-void DatabaseTraffic::RunHere(const RoutedPtr& routed, const MemberId& member) {
-  MemberExecutor* executor = this->FindExecutor(member);
-  if (executor == nullptr) {
-    this->OnOutcome(routed, NotRun{RefusalCode::kNoOwner, "not an owner"});
-    return;
-  }
+Job DatabaseTraffic::MakeAttempt(const RoutedPtr& routed) {
+  routed->sent_at = this->now;
   Job job = routed->job;
+  job.received = this->now;
   job.reply = [this, routed](const Outcome& outcome) {
     this->OnOutcome(routed, outcome);
   };
-  executor->Submit(this->now, std::move(job));
+  return job;
+}
+
+void DatabaseTraffic::RunHere(const RoutedPtr& routed, const MemberId& member) {
+  this->owned.Run(this->now, member, this->MakeAttempt(routed));
 }
 
 void DatabaseTraffic::Forward(const RoutedPtr& routed, const NodeId& owner,
@@ -219,12 +158,8 @@
   forward.request = routed->job.request;
   forward.request.timeout = std::chrono::duration_cast<milliseconds>(
       routed->job.deadline - this->now);
-  Job job = routed->job;
-  job.reply = [this, routed](const Outcome& outcome) {
-    this->OnOutcome(routed, outcome);
-  };
-  forward.forward_id =
-      this->forwards.Add(ForwardedJob{std::move(job), owner, member});
+  forward.forward_id = this->forwards.Add(
+      ForwardedJob{this->MakeAttempt(routed), owner, member});
   this->hooks.send(owner, forward);
 }
 
@@ -234,17 +169,13 @@
   this->now = present;
   Job job;
   job.request = forward.request;
+  job.received = present;
   job.deadline = present + forward.request.timeout;
   job.reply = [this, from,
                forward_id = forward.forward_id](const Outcome& outcome) {
     this->hooks.send(from, ForwardReply{forward_id, this->id, outcome});
   };
-  MemberExecutor* executor = this->FindExecutor(forward.member);
-  if (executor == nullptr) {
-    job.reply(NotRun{RefusalCode::kNoOwner, "not an owner of the member"});
-    return;
-  }
-  executor->Submit(present, std::move(job));
+  this->owned.Run(present, forward.member, std::move(job));
 }
 
 void DatabaseTraffic::OnForwardReply(steady_clock::time_point present,
@@ -266,8 +197,44 @@
       UnknownOutcome{"the owner of the connection did not answer"});
 }
 
-void DatabaseTraffic::OnOutcome(const RoutedPtr& routed,
-                                const Outcome& outcome) {
+void DatabaseTraffic::ObserveAnswer(const Routed& routed,
+                                    const Answered& answer) {
+  const bool new_write = routed.job.request.kind == RequestKind::kWrite &&
+                         routed.job.request.transaction.Empty() &&
+                         !answer.repeated;
+  if (new_write) this->owned.OnWritePosition(routed.sent_at, answer.position);
+}
+
+/**
+ * The owner tells the age as of its receipt of the request, which may be below
+ * zero: data that was complete after that. The receipt lies after the sending,
+ * so the age here and now is the owner's figure and the time since then.
+ */
+std::optional<NotRun> DatabaseTraffic::StateAge(const Routed& routed,
+                                                Answered& answer) const {
+  if (!answer.served_by_replica || !answer.age_bound) return std::nullopt;
+  const milliseconds drift =
+      std::chrono::abs(*answer.age_bound) / kClockDriftParts;
+  const milliseconds age =
+      *answer.age_bound + drift +
+      std::chrono::ceil<milliseconds>(this->now - routed.sent_at);
+  answer.age_bound = std::max(age, milliseconds(0));
+  const auto& max_age = routed.job.request.max_age;
+  if (!max_age || age <= *max_age) return std::nullopt;
+  return NotRun{RefusalCode::kNoReplicaFreshEnough,
+                "the answer came after the stated age had passed"};
+}
+
+void DatabaseTraffic::OnOutcome(const RoutedPtr& routed, Outcome outcome) {
+  if (auto* answer = std::get_if<Answered>(&outcome)) {
+    this->ObserveAnswer(*routed, *answer);
+    const auto too_old = this->StateAge(*routed, *answer);
+    if (too_old) outcome = *too_old;
+  }
+  if (routed->view_number == this->view_number &&
+      routed->job.request.transaction.Empty()) {
+    this->routes.Observe(routed->place, this->now - routed->sent_at);
+  }
   const auto* refusal = std::get_if<NotRun>(&outcome);
   const bool again = refusal != nullptr && MayRouteAgain(refusal->code) &&
                      routed->job.request.transaction.Empty() &&
@@ -276,64 +243,68 @@
     routed->job.reply(outcome);
     return;
   }
-  routed->excluded.insert(routed->member);
+  routed->last_refusal = *refusal;
+  routed->tried.Add(routed->place);
   // Routed by the next tick: the refusal may come from within the executor
   // that this request would enter again.
   this->delayed.emplace(this->now, routed);
 }
 
+void DatabaseTraffic::OnProbe(steady_clock::time_point present,
+                              const NodeId& from,
+                              const ProbedDatabase& question) {
+  this->now = present;
+  this->owned.OnProbe(present, from, question.sequence);
+}
+
+void DatabaseTraffic::OnSample(steady_clock::time_point present,
+                               const SampledPosition& sample) {
+  this->now = present;
+  this->owned.OnSample(present, sample);
+}
+
 void DatabaseTraffic::OnLease(steady_clock::time_point present,
                               steady_clock::time_point until) {
   this->now = present;
-  this->gate.SetLease(until);
-  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+  this->owned.OnLease(present, until);
 }
 
 void DatabaseTraffic::ReleaseTerm(steady_clock::time_point present,
                                   std::uint64_t term) {
   this->now = present;
-  this->gate.ReleaseTerm(term);
-  for (auto& entry : this->executors) entry.second->OnGateChanged(present);
+  this->owned.ReleaseTerm(present, term);
 }
 
 void DatabaseTraffic::RunControlStatement(steady_clock::time_point present,
                                           const MemberId& member,
                                           ControlCall call) {
   this->now = present;
-  MemberExecutor* executor = this->FindExecutor(member);
-  if (executor == nullptr) {
-    call.reply(std::nullopt);
-    return;
-  }
-  executor->RunControlStatement(present, std::move(call));
+  this->owned.RunControlStatement(present, member, std::move(call));
 }
 
 void DatabaseTraffic::OnOpened(steady_clock::time_point present,
                                ConnectionId connection) {
   this->now = present;
-  MemberExecutor* executor = this->FindExecutor(connection);
-  if (executor != nullptr) executor->OnOpened(present, connection);
+  this->owned.OnOpened(present, connection);
 }
 
 void DatabaseTraffic::OnLost(steady_clock::time_point present,
                              ConnectionId connection,
                              ConnectionFailure failure) {
   this->now = present;
-  MemberExecutor* executor = this->FindExecutor(connection);
-  if (executor != nullptr) executor->OnLost(present, connection, failure);
+  this->owned.OnLost(present, connection, failure);
 }
 
 void DatabaseTraffic::OnCompleted(steady_clock::time_point present,
                                   ConnectionId connection,
                                   const BatchResult& result) {
   this->now = present;
-  MemberExecutor* executor = this->FindExecutor(connection);
-  if (executor != nullptr) executor->OnCompleted(present, connection, result);
+  this->owned.OnCompleted(present, connection, result);
 }
 
 void DatabaseTraffic::OnTick(steady_clock::time_point present) {
   this->now = present;
-  for (auto& entry : this->executors) entry.second->OnTick(present);
+  this->owned.OnTick(present);
   for (const ForwardedJob& job : this->forwards.TakeExpired(present)) {
     this->OnOwnerSilent(job);
   }
@@ -352,34 +323,21 @@
     if (time && (!next || *time < *next)) next = time;
   };
   if (!this->delayed.empty()) consider(this->delayed.begin()->first);
-  for (const auto& entry : this->executors) {
-    consider(entry.second->NextWakeup());
-  }
+  consider(this->owned.NextWakeup());
   return next;
 }
 
 std::size_t DatabaseTraffic::Unfinished() const {
-  std::size_t count = this->forwards.Size() + this->delayed.size();
-  for (const auto& entry : this->executors) {
-    count += entry.second->Unfinished();
-  }
-  return count;
+  return this->forwards.Size() + this->delayed.size() +
+         this->owned.Unfinished();
 }
 
 std::size_t DatabaseTraffic::OpenTransactions() const {
-  std::size_t count = 0;
-  for (const auto& entry : this->executors) {
-    count += entry.second->OpenTransactions();
-  }
-  return count;
+  return this->owned.OpenTransactions();
 }
 
 std::size_t DatabaseTraffic::Connections() const {
-  std::size_t count = 0;
-  for (const auto& entry : this->executors) {
-    count += entry.second->Connections();
-  }
-  return count;
+  return this->owned.Connections();
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -10,45 +10,23 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
-#include <string>
 
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/traffic/answer_gate.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/member_executor.h"
+#include "lacewingferry/decisions/traffic/owned_members.h"
+#include "lacewingferry/decisions/traffic/read_routing.h"
+#include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
 namespace lacewingferry {
 
-/** What the traffic decisions act through. */
-struct TrafficHooks {
-  MemberPort port;
-  EventPort events;
-  /** Sends a message to another proxy; it may get lost. */
-  std::function<void(const NodeId&, const PeerBody&)> send;
-  /** A number for a new connection, unique in the process. */
-  std::function<ConnectionId()> next_connection;
-  /** Told what the traffic shows of the members; may be empty. */
-  MemberSignHook observe;
-};
-
-/** Who decides, and how. */
-struct TrafficSettings {
-  NodeId node;
-  AvailabilityZone zone;
-  std::string status_sql;
-  /** Differs between the runs of a process. */
-  std::uint64_t incarnation = 0;
-};
-
 /**
  * Routes the requests for one database. The steps of a request:
  *
  *   Submit          a caller's request arrives
  *   Route           a member is chosen, and the proxy that owns a connection
- *   RunHere         this proxy owns one: the member's executor runs it, or
+ *   RunHere         this proxy owns one: OwnedMembers runs it, or
  *   Forward         the owner runs it and sends back the outcome
  *   OnOutcome       a refusal that is known not to have run may be routed
  *                   anew until the deadline; all else goes to the caller
@@ -75,6 +53,12 @@
   void OnForwardReply(std::chrono::steady_clock::time_point now,
                       const NodeId& from, const ForwardReply& reply);
 
+  /** Takes a question for the primary's position, and an answer to one. */
+  void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
+               const ProbedDatabase& question);
+  void OnSample(std::chrono::steady_clock::time_point now,
+                const SampledPosition& sample);
+
   /** Takes the end of this proxy's lease by its own clock. A write is
    * acknowledged, and a read at the primary answered, only before it. */
   void OnLease(std::chrono::steady_clock::time_point now,
@@ -114,8 +98,12 @@
   /** A caller's request on its way. */
   struct Routed {
     Job job;
-    std::set<MemberId> excluded;
-    MemberId member;
+    /** The members that could not serve it, by their places in the view. */
+    MemberSet tried;
+    std::uint64_t view_number = 0;
+    std::size_t place = 0;
+    std::chrono::steady_clock::time_point sent_at;
+    std::optional<NotRun> last_refusal;
   };
   using RoutedPtr = std::shared_ptr<Routed>;
 
@@ -124,26 +112,25 @@
   void RunHere(const RoutedPtr& routed, const MemberId& member);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
                const MemberId& member);
-  void OnOutcome(const RoutedPtr& routed, const Outcome& outcome);
+  Job MakeAttempt(const RoutedPtr& routed);
+  void OnOutcome(const RoutedPtr& routed, Outcome outcome);
+  void ObserveAnswer(const Routed& routed, const Answered& answer);
+  std::optional<NotRun> StateAge(const Routed& routed, Answered& answer) const;
   void OnOwnerSilent(const ForwardedJob& forwarded);
   void RouteLater(const RoutedPtr& routed);
-  MemberExecutor* FindExecutor(const MemberId& member);
-  MemberExecutor* FindExecutor(ConnectionId id);
-  void ConfigureExecutors();
   void FailForwardsToLostProxies();
-  TransactionId NextTransaction(const MemberId& member);
 
   DatabaseId id;
   TrafficHooks hooks;
   TrafficSettings settings;
   RoutingViewPtr view;
   const DatabaseView* database = nullptr;
-  AnswerGate gate;
+  std::uint64_t view_number = 0;
   std::chrono::steady_clock::time_point now;
-  std::map<MemberId, std::unique_ptr<MemberExecutor>> executors;
+  RouteTable routes;
+  OwnedMembers owned;
   ForwardTable forwards;
   std::multimap<std::chrono::steady_clock::time_point, RoutedPtr> delayed;
-  std::uint64_t next_transaction;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/job.h
+++ b/src/lacewingferry/decisions/traffic/job.h
@@ -18,6 +18,8 @@
 struct Job {
   StatementRequest request;
   std::chrono::steady_clock::time_point deadline;
+  /** When this proxy took the request; ages are told as of then. */
+  std::chrono::steady_clock::time_point received;
   ReplyHook reply;
 };
 
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -121,6 +121,12 @@
       [](const auto& entry) { return entry.second.state == State::kIdle; });
 }
 
+bool MemberExecutor::HasIdle() const {
+  return std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& entry) { return entry.second.state == State::kIdle; });
+}
+
 void MemberExecutor::OpenMissing(steady_clock::time_point now) {
   if (now < this->reopen_at) return;
   while (this->connections.size() < this->share) {
@@ -137,7 +143,7 @@
     this->RunControl(now, idle->first, idle->second,
                      *this->control_calls.Pop());
   }
-  if (this->confirmer.Waiting()) this->PollPrimary(now);
+  if (this->WantsStatus()) this->PollPrimary(now);
   for (auto idle = this->FindIdle(); idle != this->connections.end();
        idle = this->FindIdle()) {
     std::optional<Job> job = this->queue.Pop();
@@ -159,6 +165,11 @@
   this->RunInternal(now, id, connection, std::move(batch));
 }
 
+void MemberExecutor::AskStatus(steady_clock::time_point now) {
+  this->status_wanted = true;
+  this->Dispatch(now);
+}
+
 void MemberExecutor::OnGateChanged(steady_clock::time_point now) {
   this->Dispatch(now);
 }
@@ -208,6 +219,7 @@
   const auto idle = this->FindIdle();
   if (idle == this->connections.end()) return;
   this->polling = true;
+  this->status_wanted = false;
   this->next_poll = now + kConfirmPollInterval;
   this->RunInternal(now, idle->first, idle->second,
                     SqlBatch{{SqlStatement{this->status_sql, {}}}});
@@ -294,9 +306,9 @@
                                       : std::optional(result.results.front()));
     return;
   }
+  this->TakeStatus(connection, result);
   if (connection.internal) {
     this->polling = false;
-    this->TakeStatus(result, connection.batch.status_after);
     this->Release(now, id);
     return;
   }
@@ -325,9 +337,15 @@
   this->Release(now, id);
 }
 
-void MemberExecutor::TakeStatus(const BatchResult& result, std::size_t place) {
+void MemberExecutor::TakeStatus(const Connection& connection,
+                                const BatchResult& result) {
+  const StatementBatch& batch = connection.batch;
+  const bool before = Ran(result, batch.status_before);
+  const std::size_t place = before ? batch.status_before : batch.status_after;
   if (!Ran(result, place)) return;
-  this->confirmer.OnStatus(ParseMemberStatus(result.results[place]));
+  const auto rows = ParseMemberStatus(result.results[place]);
+  if (this->primary) this->confirmer.OnStatus(rows);
+  this->hooks.on_status(connection.began, SelfStatus(rows));
 }
 
 void MemberExecutor::FinishRead(steady_clock::time_point now,
@@ -346,6 +364,9 @@
   evidence.group_size = this->confirmer.GroupSize();
   evidence.confirmed = this->confirmer.Confirmed();
   evidence.session_position = job.request.session_position;
+  evidence.max_age = job.request.max_age;
+  const auto complete = this->hooks.complete_until(evidence.before.applied);
+  if (complete) evidence.age = now - *complete;
   ReadVerdict verdict = JudgeRead(evidence);
   if (verdict.refusal) {
     this->ReplyNotRun(job, verdict.refusal->code,
@@ -362,6 +383,10 @@
   answer.served_by = this->info.id;
   answer.served_by_replica = !this->primary;
   answer.position = verdict.position;
+  if (!this->primary && complete) {
+    answer.age_bound =
+        std::chrono::ceil<milliseconds>(job.received - *complete);
+  }
   if (verdict.await_confirmation) {
     this->AwaitConfirmation(job, std::move(answer));
   } else {
@@ -512,7 +537,10 @@
   if (const auto control = this->control_calls.NextDeadline()) {
     consider(*control);
   }
-  if (this->confirmer.Waiting() && !this->polling) consider(this->next_poll);
+  // Without an idle connection the end of a batch polls, not the clock.
+  if (this->WantsStatus() && !this->polling && this->HasIdle()) {
+    consider(this->next_poll);
+  }
   for (const auto& entry : this->awaiting) consider(entry.second.job.deadline);
   for (const auto& entry : this->connections) {
     const Connection& connection = entry.second;
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -38,6 +38,15 @@
       may_answer;
   /** Told what the traffic shows of the member; may be empty. */
   MemberSignHook observe;
+  /** Told what the member says of itself, and when it was asked. */
+  std::function<void(std::chrono::steady_clock::time_point asked_at,
+                     const MemberStatus&)>
+      on_status;
+  /** The time up to which a replica's data is complete if it includes a
+   * position; none if that is not known. */
+  std::function<std::optional<std::chrono::steady_clock::time_point>(
+      const LogPosition&)>
+      complete_until;
 };
 
 /**
@@ -67,6 +76,10 @@
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            ControlCall call);
 
+  /** Asks the member for its status on the next idle connection, ahead of all
+   * requests; on_status gets the answer. */
+  void AskStatus(std::chrono::steady_clock::time_point now);
+
   /** Answers or ends what waits after the proxy's lease or the terms that it
    * may speak for have changed. */
   void OnGateChanged(std::chrono::steady_clock::time_point now);
@@ -144,9 +157,13 @@
   void FinishAwaitedRead(const Awaiting& waiting, Confirmation confirmation);
   void ExpireAwaiting(std::chrono::steady_clock::time_point now);
   void PollPrimary(std::chrono::steady_clock::time_point now);
-  void TakeStatus(const BatchResult& result, std::size_t place);
+  void TakeStatus(const Connection& connection, const BatchResult& result);
   void ReplyNotRun(const Job& job, RefusalCode code, std::string detail);
   std::map<ConnectionId, Connection>::iterator FindIdle();
+  bool HasIdle() const;
+  bool WantsStatus() const {
+    return this->confirmer.Waiting() || this->status_wanted;
+  }
 
   ExecutorHooks hooks;
   std::string status_sql;
@@ -162,6 +179,7 @@
   std::chrono::steady_clock::time_point reopen_at;
   std::chrono::steady_clock::time_point next_poll;
   bool polling = false;
+  bool status_wanted = false;
   /** The present of the event that is being handled. */
   std::chrono::steady_clock::time_point present;
   std::map<std::uint64_t, Awaiting> awaiting;
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -0,0 +1,285 @@
+#include "lacewingferry/decisions/traffic/owned_members.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "lacewingferry/decisions/traffic/transaction_name.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::steady_clock;
+
+std::uint32_t ShareOf(const RoutedMember& member, const NodeId& node) {
+  for (const SlotShare& share : member.owners) {
+    if (share.owner == node) return share.slots;
+  }
+  return 0;
+}
+
+bool IsPlainRead(const StatementRequest& request) {
+  return request.kind == RequestKind::kRead && request.transaction.Empty();
+}
+
+}  // namespace
+
+OwnedMembers::OwnedMembers(DatabaseId database_id, TrafficHooks traffic_hooks,
+                           TrafficSettings traffic_settings)
+    : database(std::move(database_id)),
+      hooks(std::move(traffic_hooks)),
+      settings(std::move(traffic_settings)),
+      sampler(this->database, this->SamplerHooks(), this->settings.incarnation),
+      next_transaction(this->settings.incarnation) {}
+
+PositionSamplerHooks OwnedMembers::SamplerHooks() {
+  return PositionSamplerHooks{
+      [this](const NodeId& node, const ProbedDatabase& question) {
+        this->hooks.send(node, PositionProbe{{question}});
+      },
+      [this](const NodeId& node, const SampledPosition& answer) {
+        this->hooks.send(node, PositionSample{{answer}});
+      },
+      [this](steady_clock::time_point at) { return this->AskPrimary(at); }};
+}
+
+OwnedMembers::Owned OwnedMembers::MakeOwned(const MemberId& member) {
+  ExecutorHooks executor_hooks;
+  executor_hooks.port = this->hooks.port;
+  executor_hooks.events = this->hooks.events;
+  executor_hooks.next_connection = this->hooks.next_connection;
+  executor_hooks.next_transaction = [this, member] {
+    return FormatTransactionName(
+        TransactionName{this->settings.node, member, this->next_transaction++});
+  };
+  executor_hooks.may_answer = [this](steady_clock::time_point at,
+                                     std::uint64_t of_term) {
+    return this->answer_gate.Open(at, of_term);
+  };
+  executor_hooks.observe = this->hooks.observe;
+  executor_hooks.on_status = [this, member](steady_clock::time_point asked_at,
+                                            const MemberStatus& status) {
+    this->OnStatus(member, asked_at, status);
+  };
+  executor_hooks.complete_until = [this](const LogPosition& position) {
+    return this->sampler.Samples().CompleteUntil(position);
+  };
+  Owned made;
+  made.executor = std::make_unique<MemberExecutor>(executor_hooks,
+                                                   this->settings.status_sql);
+  MemberExecutor* executor = made.executor.get();
+  made.gate = std::make_unique<ReplicaGate>(ReplicaGateHooks{
+      [executor](steady_clock::time_point at, Job job) {
+        executor->Submit(at, std::move(job));
+      },
+      [executor](steady_clock::time_point at) { executor->AskStatus(at); },
+      [this](steady_clock::time_point at, std::chrono::nanoseconds interval) {
+        this->sampler.Want(at, interval);
+      },
+      executor_hooks.complete_until});
+  return made;
+}
+
+void OwnedMembers::Configure(steady_clock::time_point present,
+                             const DatabaseView* view) {
+  this->now = present;
+  std::set<MemberId> known;
+  this->primary = view == nullptr ? MemberId() : view->primary;
+  if (view != nullptr) {
+    this->term = view->term;
+    this->group_size = view->group_size;
+    for (const RoutedMember& member : view->members) {
+      known.insert(member.info.id);
+      this->ConfigureMember(member);
+    }
+  }
+  for (auto& entry : this->owned) {
+    if (known.count(entry.first) > 0) continue;
+    entry.second.gate->Withdraw(present);
+    entry.second.executor->Withdraw(present);
+  }
+}
+
+void OwnedMembers::ConfigureMember(const RoutedMember& member) {
+  const MemberId& id = member.info.id;
+  const bool leads = id == this->primary;
+  if (leads) {
+    std::vector<NodeId> owners;
+    for (const SlotShare& share : member.owners) owners.push_back(share.owner);
+    this->sampler.SetPrimaryOwners(std::move(owners));
+  }
+  const std::uint32_t share = ShareOf(member, this->settings.node);
+  auto found = this->owned.find(id);
+  if (found == this->owned.end()) {
+    if (share == 0) return;
+    found = this->owned.emplace(id, this->MakeOwned(id)).first;
+  }
+  if (share == 0 || leads) found->second.gate->Withdraw(this->now);
+  found->second.executor->Configure(this->now, member.info, share, leads,
+                                    this->term, this->group_size);
+}
+
+OwnedMembers::Owned* OwnedMembers::Find(const MemberId& member) {
+  const auto found = this->owned.find(member);
+  return found == this->owned.end() ? nullptr : &found->second;
+}
+
+MemberExecutor* OwnedMembers::Find(ConnectionId id) {
+  for (auto& entry : this->owned) {
+    if (entry.second.executor->Owns(id)) return entry.second.executor.get();
+  }
+  return nullptr;
+}
+
+void OwnedMembers::Run(steady_clock::time_point present, const MemberId& member,
+                       Job job) {
+  this->now = present;
+  Owned* found = this->Find(member);
+  if (found == nullptr) {
+    job.reply(NotRun{RefusalCode::kNoOwner, "not an owner of the member"});
+    return;
+  }
+  if (IsPlainRead(job.request) && member != this->primary) {
+    found->gate->Submit(present, std::move(job));
+  } else {
+    found->executor->Submit(present, std::move(job));
+  }
+}
+
+/** A status of the primary is a sample only while the lease on its term holds:
+ * a replaced primary goes on telling a position that is no longer the newest.
+ */
+void OwnedMembers::OnStatus(const MemberId& member,
+                            steady_clock::time_point asked_at,
+                            const MemberStatus& status) {
+  if (member != this->primary) {
+    this->owned.at(member).gate->OnApplied(asked_at, this->now, status.applied);
+    return;
+  }
+  if (!status.primary || status.term != this->term) return;
+  if (!this->answer_gate.Open(this->now, this->term)) return;
+  this->sampler.OnPrimaryPosition(asked_at, status.durable);
+}
+
+bool OwnedMembers::AskPrimary(steady_clock::time_point present) {
+  Owned* found = this->Find(this->primary);
+  if (found == nullptr || found->executor->Connections() == 0) return false;
+  found->executor->AskStatus(present);
+  return true;
+}
+
+void OwnedMembers::OnProbe(steady_clock::time_point present, const NodeId& from,
+                           std::uint64_t sequence) {
+  this->now = present;
+  this->sampler.OnProbe(present, from, sequence);
+}
+
+void OwnedMembers::OnSample(steady_clock::time_point present,
+                            const SampledPosition& sample) {
+  this->sampler.OnSample(sample);
+  this->Settle(present);
+}
+
+void OwnedMembers::OnWritePosition(steady_clock::time_point sent_at,
+                                   const LogPosition& position) {
+  if (!this->owned.empty())
+    this->sampler.OnAcknowledgedWrite(sent_at, position);
+}
+
+void OwnedMembers::OnLease(steady_clock::time_point present,
+                           steady_clock::time_point until) {
+  this->now = present;
+  this->answer_gate.SetLease(until);
+  for (auto& entry : this->owned) entry.second.executor->OnGateChanged(present);
+}
+
+void OwnedMembers::ReleaseTerm(steady_clock::time_point present,
+                               std::uint64_t released) {
+  this->now = present;
+  this->answer_gate.ReleaseTerm(released);
+  for (auto& entry : this->owned) entry.second.executor->OnGateChanged(present);
+}
+
+void OwnedMembers::RunControlStatement(steady_clock::time_point present,
+                                       const MemberId& member,
+                                       ControlCall call) {
+  this->now = present;
+  Owned* found = this->Find(member);
+  if (found == nullptr) {
+    call.reply(std::nullopt);
+    return;
+  }
+  found->executor->RunControlStatement(present, std::move(call));
+}
+
+void OwnedMembers::OnOpened(steady_clock::time_point present, ConnectionId id) {
+  this->now = present;
+  MemberExecutor* executor = this->Find(id);
+  if (executor != nullptr) executor->OnOpened(present, id);
+}
+
+void OwnedMembers::OnLost(steady_clock::time_point present, ConnectionId id,
+                          ConnectionFailure failure) {
+  this->now = present;
+  MemberExecutor* executor = this->Find(id);
+  if (executor != nullptr) executor->OnLost(present, id, failure);
+}
+
+void OwnedMembers::OnCompleted(steady_clock::time_point present,
+                               ConnectionId id, const BatchResult& result) {
+  this->now = present;
+  MemberExecutor* executor = this->Find(id);
+  if (executor != nullptr) executor->OnCompleted(present, id, result);
+  this->Settle(present);
+}
+
+void OwnedMembers::Settle(steady_clock::time_point present) {
+  this->now = present;
+  for (auto& entry : this->owned) {
+    if (entry.second.gate->Held() > 0) entry.second.gate->OnTick(present);
+  }
+}
+
+void OwnedMembers::OnTick(steady_clock::time_point present) {
+  this->now = present;
+  for (auto& entry : this->owned) entry.second.executor->OnTick(present);
+  this->Settle(present);
+}
+
+std::optional<steady_clock::time_point> OwnedMembers::NextWakeup() const {
+  std::optional<steady_clock::time_point> next;
+  const auto consider = [&next](std::optional<steady_clock::time_point> time) {
+    if (time && (!next || *time < *next)) next = time;
+  };
+  for (const auto& entry : this->owned) {
+    consider(entry.second.executor->NextWakeup());
+    consider(entry.second.gate->NextWakeup());
+  }
+  return next;
+}
+
+std::size_t OwnedMembers::Unfinished() const {
+  std::size_t count = 0;
+  for (const auto& entry : this->owned) {
+    count += entry.second.executor->Unfinished() + entry.second.gate->Held();
+  }
+  return count;
+}
+
+std::size_t OwnedMembers::OpenTransactions() const {
+  std::size_t count = 0;
+  for (const auto& entry : this->owned) {
+    count += entry.second.executor->OpenTransactions();
+  }
+  return count;
+}
+
+std::size_t OwnedMembers::Connections() const {
+  std::size_t count = 0;
+  for (const auto& entry : this->owned) {
+    count += entry.second.executor->Connections();
+  }
+  return count;
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -0,0 +1,107 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_OWNED_MEMBERS_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_OWNED_MEMBERS_H_
+
+// Defines OwnedMembers, the members of one database to which this proxy owns
+// connections.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/answer_gate.h"
+#include "lacewingferry/decisions/traffic/control_calls.h"
+#include "lacewingferry/decisions/traffic/member_executor.h"
+#include "lacewingferry/decisions/traffic/position_sampler.h"
+#include "lacewingferry/decisions/traffic/replica_gate.h"
+#include "lacewingferry/decisions/traffic/traffic_hooks.h"
+
+namespace lacewingferry {
+
+/**
+ * The owner's side of the data path: runs requests on own connections, whether
+ * they come from this proxy's callers or from other proxies. A read of a
+ * replica passes its ReplicaGate first.
+ */
+class OwnedMembers {
+ public:
+  OwnedMembers(DatabaseId database, TrafficHooks hooks,
+               TrafficSettings settings);
+
+  /** Takes a newer entry of the database; nullptr if it is gone. */
+  void Configure(std::chrono::steady_clock::time_point now,
+                 const DatabaseView* view);
+
+  /** Runs a request; refuses it if this proxy owns no connection. */
+  void Run(std::chrono::steady_clock::time_point now, const MemberId& member,
+           Job job);
+
+  /** Takes a question for the primary's position, and an answer to one. */
+  void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
+               std::uint64_t sequence);
+  void OnSample(std::chrono::steady_clock::time_point now,
+                const SampledPosition& sample);
+
+  /** Takes the position of an acknowledged write that was sent at a time. */
+  void OnWritePosition(std::chrono::steady_clock::time_point sent_at,
+                       const LogPosition& position);
+
+  /** See DatabaseTraffic. */
+  void OnLease(std::chrono::steady_clock::time_point now,
+               std::chrono::steady_clock::time_point until);
+  void ReleaseTerm(std::chrono::steady_clock::time_point now,
+                   std::uint64_t term);
+  void RunControlStatement(std::chrono::steady_clock::time_point now,
+                           const MemberId& member, ControlCall call);
+
+  /** The events of the connections. */
+  void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
+  void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
+              ConnectionFailure failure);
+  void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
+                   const BatchResult& result);
+
+  void OnTick(std::chrono::steady_clock::time_point now);
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
+
+  std::size_t Unfinished() const;
+  std::size_t OpenTransactions() const;
+  std::size_t Connections() const;
+
+ private:
+  struct Owned {
+    std::unique_ptr<MemberExecutor> executor;
+    std::unique_ptr<ReplicaGate> gate;
+  };
+
+  Owned MakeOwned(const MemberId& member);
+  PositionSamplerHooks SamplerHooks();
+  void ConfigureMember(const RoutedMember& member);
+  void OnStatus(const MemberId& member,
+                std::chrono::steady_clock::time_point asked_at,
+                const MemberStatus& status);
+  bool AskPrimary(std::chrono::steady_clock::time_point now);
+  void Settle(std::chrono::steady_clock::time_point now);
+  Owned* Find(const MemberId& member);
+  MemberExecutor* Find(ConnectionId id);
+
+  DatabaseId database;
+  TrafficHooks hooks;
+  TrafficSettings settings;
+  AnswerGate answer_gate;
+  PositionSampler sampler;
+  std::map<MemberId, Owned> owned;
+  MemberId primary;
+  std::uint64_t term = 0;
+  std::uint32_t group_size = 0;
+  std::uint64_t next_transaction;
+  /** The present of the event that is being handled. */
+  std::chrono::steady_clock::time_point now;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_OWNED_MEMBERS_H_
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -0,0 +1,71 @@
+#include "lacewingferry/decisions/traffic/position_sampler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::steady_clock;
+
+/** Answers are late or lost after this many further questions. */
+constexpr std::size_t kMostQuestions = 16;
+/** More proxies than this don't wait for one answer of the primary. */
+constexpr std::size_t kMostAskers = 64;
+
+}  // namespace
+
+PositionSampler::PositionSampler(DatabaseId database_id,
+                                 PositionSamplerHooks sampler_hooks,
+                                 std::uint64_t first_sequence)
+    : database(std::move(database_id)),
+      hooks(std::move(sampler_hooks)),
+      next_sequence(first_sequence) {}
+
+void PositionSampler::SetPrimaryOwners(std::vector<NodeId> owners) {
+  this->primary_owners = std::move(owners);
+}
+
+void PositionSampler::Want(steady_clock::time_point now,
+                           std::chrono::nanoseconds interval) {
+  if (this->last_asked && now - *this->last_asked < interval) return;
+  this->last_asked = now;
+  if (this->hooks.ask_primary(now) || this->primary_owners.empty()) return;
+  const Question question{this->next_sequence++, now};
+  this->questions.push_back(question);
+  if (this->questions.size() > kMostQuestions) this->questions.pop_front();
+  const NodeId& owner =
+      this->primary_owners[this->turn++ % this->primary_owners.size()];
+  this->hooks.probe(owner, ProbedDatabase{this->database, question.sequence});
+}
+
+void PositionSampler::OnProbe(steady_clock::time_point now, const NodeId& from,
+                              std::uint64_t sequence) {
+  this->askers.push_back(Asker{from, sequence, now});
+  if (this->askers.size() > kMostAskers) this->askers.pop_front();
+  this->hooks.ask_primary(now);
+}
+
+void PositionSampler::OnSample(const SampledPosition& sample) {
+  const auto found =
+      std::find_if(this->questions.begin(), this->questions.end(),
+                   [&sample](const Question& question) {
+                     return question.sequence == sample.sequence;
+                   });
+  if (found == this->questions.end()) return;
+  this->samples.Add(found->asked_at, sample.position);
+  this->questions.erase(found);
+}
+
+void PositionSampler::OnPrimaryPosition(steady_clock::time_point asked_at,
+                                        const LogPosition& position) {
+  this->samples.Add(asked_at, position);
+  while (!this->askers.empty() && this->askers.front().arrived_at <= asked_at) {
+    const Asker& asker = this->askers.front();
+    this->hooks.answer(
+        asker.node, SampledPosition{this->database, asker.sequence, position});
+    this->askers.pop_front();
+  }
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/primary_samples.cc
@@ -0,0 +1,61 @@
+#include "lacewingferry/decisions/traffic/primary_samples.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/** Samples closer together than this prove hardly more than one of them. */
+constexpr milliseconds kSpacing{20};
+/** With the spacing these cover a replica that lags by 20 s. */
+constexpr std::size_t kMostSamples = 1024;
+
+}  // namespace
+
+void PrimarySamples::Add(steady_clock::time_point asked_at,
+                         const LogPosition& position) {
+  // A sample is of no use beside one that was asked for later and has no
+  // higher position: the later one proves more for the same data.
+  const auto later =
+      std::lower_bound(this->samples.begin(), this->samples.end(), asked_at,
+                       [](const Sample& sample, steady_clock::time_point time) {
+                         return sample.asked_at < time;
+                       });
+  if (later != this->samples.end() && later->position <= position) return;
+  auto first = later;
+  while (first != this->samples.begin() &&
+         std::prev(first)->position >= position) {
+    --first;
+  }
+  const auto place = this->samples.erase(first, later);
+  const bool crowded = place != this->samples.begin() &&
+                       place == this->samples.end() &&
+                       this->samples.size() > 1 &&
+                       asked_at - std::prev(place, 2)->asked_at < kSpacing;
+  if (crowded) this->samples.pop_back();
+  const auto end = crowded ? this->samples.end() : place;
+  this->samples.insert(end, Sample{asked_at, position});
+  if (this->samples.size() > kMostSamples) this->samples.pop_front();
+}
+
+std::optional<steady_clock::time_point> PrimarySamples::CompleteUntil(
+    const LogPosition& position) const {
+  const auto above =
+      std::upper_bound(this->samples.begin(), this->samples.end(), position,
+                       [](const LogPosition& wanted, const Sample& sample) {
+                         return wanted < sample.position;
+                       });
+  if (above == this->samples.begin()) return std::nullopt;
+  return std::prev(above)->asked_at;
+}
+
+std::optional<steady_clock::time_point> PrimarySamples::NewestAskedAt() const {
+  if (this->samples.empty()) return std::nullopt;
+  return this->samples.back().asked_at;
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/traffic/read_routing.cc
@@ -1,48 +1,108 @@
 #include "lacewingferry/decisions/traffic/read_routing.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace lacewingferry {
 namespace {
 
+using std::chrono::nanoseconds;
+
+/** What an answer is expected to take before one was seen. */
+constexpr std::chrono::milliseconds kOwnZoneEstimate{1};
+constexpr std::chrono::milliseconds kOtherZoneEstimate{20};
+/** A new answer time counts for a quarter of the estimate. */
+constexpr int kObservationShare = 4;
+/** One choice of this many goes to the own zone whatever is expected, so that
+ * an estimate from a bad moment is corrected. */
+constexpr std::uint64_t kProbeEvery = 32;
+
 /**
- * Whether a replica can prove that it serves a read. A session that has no
- * position to show has to read at the primary.
+ * Whether a replica can prove that it serves a read. A named session that
+ * shows no position may have written anything, so that only the primary has it
+ * for certain. Outside a session a stated age is enough.
  */
 bool ReplicaMayServe(const StatementRequest& request) {
   if (request.kind != RequestKind::kRead) return false;
   if (!request.transaction.Empty()) return false;
-  return request.session_position.has_value();
+  if (request.session_position) return true;
+  return request.session.Empty() && request.max_age.has_value();
 }
 
-bool Usable(const RoutedMember& member, const std::set<MemberId>& excluded) {
-  return !member.info.leaving && !member.owners.empty() &&
-         excluded.count(member.info.id) == 0;
+}  // namespace
+
+void RouteTable::Rebuild(const DatabaseView* view, const AvailabilityZone& zone,
+                         const NodeId& node) {
+  std::vector<Route> known = std::move(this->routes);
+  this->routes.clear();
+  this->primary.reset();
+  if (view == nullptr) return;
+  for (const RoutedMember& member : view->members) {
+    Route route;
+    route.member = member.info.id;
+    route.own_zone = member.info.zone == zone;
+    route.expected = route.own_zone ? kOwnZoneEstimate : kOtherZoneEstimate;
+    for (const SlotShare& share : member.owners) {
+      route.owned = route.owned || share.owner == node;
+      route.slots += share.slots;
+      route.owners.push_back(Owner{share.owner, share.slots});
+    }
+    route.usable = !member.info.leaving && !member.owners.empty();
+    const auto before = std::find_if(
+        known.begin(), known.end(),
+        [&route](const Route& r) { return r.member == route.member; });
+    if (before != known.end()) route.expected = before->expected;
+    if (member.info.id == view->primary) this->primary = this->routes.size();
+    this->routes.push_back(std::move(route));
+  }
 }
 
-}  // namespace
+std::optional<std::size_t> RouteTable::ChooseReplica(
+    const MemberSet& tried) const {
+  const bool own_zone_first = this->turn % kProbeEvery == 0;
+  std::optional<std::size_t> best;
+  nanoseconds least = nanoseconds::max();
+  for (std::size_t place = 0; place < this->routes.size(); ++place) {
+    const Route& route = this->routes[place];
+    if (place == this->primary || !route.usable || tried.Has(place)) continue;
+    const bool first = own_zone_first && route.own_zone;
+    const nanoseconds expected = first ? nanoseconds(0) : route.expected;
+    if (expected >= least) continue;
+    best = place;
+    least = expected;
+  }
+  return best;
+}
 
-const RoutedMember* FindMember(const DatabaseView& view, const MemberId& id) {
-  for (const RoutedMember& member : view.members) {
-    if (member.info.id == id) return &member;
+const NodeId* RouteTable::PickOwner(const Route& route) const {
+  if (route.owned) return nullptr;
+  std::uint64_t slot = this->turn % std::max<std::uint64_t>(1, route.slots);
+  for (const Owner& owner : route.owners) {
+    if (slot < owner.slots) return &owner.node;
+    slot -= owner.slots;
   }
-  return nullptr;
+  return &route.owners.front().node;
 }
 
-const RoutedMember* ChooseMember(const DatabaseView& view,
-                                 const AvailabilityZone& own_zone,
-                                 const StatementRequest& request,
-                                 const std::set<MemberId>& excluded) {
-  const RoutedMember* chosen = nullptr;
-  if (ReplicaMayServe(request)) {
-    for (const RoutedMember& member : view.members) {
-      if (member.info.id == view.primary || !Usable(member, excluded)) continue;
-      if (chosen == nullptr || member.info.zone == own_zone) chosen = &member;
+std::optional<RouteDecision> RouteTable::Choose(const StatementRequest& request,
+                                                const MemberSet& tried) {
+  ++this->turn;
+  std::optional<std::size_t> place;
+  if (ReplicaMayServe(request)) place = this->ChooseReplica(tried);
+  if (!place) {
+    // A primary that is leaving serves until another one has taken over.
+    place = this->primary;
+    if (!place || this->routes[*place].owners.empty() || tried.Has(*place)) {
+      return std::nullopt;
     }
   }
-  if (chosen != nullptr) return chosen;
-  const RoutedMember* primary = FindMember(view, view.primary);
-  const bool usable = primary != nullptr && !primary->owners.empty() &&
-                      excluded.count(primary->info.id) == 0;
-  return usable ? primary : nullptr;
+  const Route& route = this->routes[*place];
+  return RouteDecision{*place, &route.member, this->PickOwner(route)};
+}
+
+void RouteTable::Observe(std::size_t place, nanoseconds answer_time) {
+  nanoseconds& expected = this->routes[place].expected;
+  expected += (answer_time - expected) / kObservationShare;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/read_routing.h
+++ b/src/lacewingferry/decisions/traffic/read_routing.h
@@ -1,24 +1,89 @@
 #ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_READ_ROUTING_H_
 #define LACEWINGFERRY_DECISIONS_TRAFFIC_READ_ROUTING_H_
 
-// Defines the choice of the member that serves a request.
+// Defines RouteTable, the choice of the member that serves a request and of
+// the proxy that owns a connection to it.
 
-#include <set>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/core/statement.h"
 
 namespace lacewingferry {
 
-/** Chooses the member for a request; nullptr when none can serve it. Members
- * in excluded were tried and can't. */
-const RoutedMember* ChooseMember(const DatabaseView& view,
-                                 const AvailabilityZone& own_zone,
-                                 const StatementRequest& request,
-                                 const std::set<MemberId>& excluded);
+/** A set of members by their places in a view; places from 64 on are never in
+ * it. */
+class MemberSet {
+ public:
+  void Add(std::size_t place) {
+    if (place < kPlaces) this->bits |= 1ULL << place;
+  }
+  bool Has(std::size_t place) const {
+    return place < kPlaces && ((this->bits >> place) & 1U) != 0;
+  }
+  void Clear() { this->bits = 0; }
 
-/** The entry of a member in a view; nullptr for one that isn't there. */
-const RoutedMember* FindMember(const DatabaseView& view, const MemberId& id);
+ private:
+  static constexpr std::size_t kPlaces = 64;
+  std::uint64_t bits = 0;
+};
+
+/** Where a request goes. The pointers stay valid until the next Rebuild. */
+struct RouteDecision {
+  std::size_t place = 0;
+  const MemberId* member = nullptr;
+  /** The proxy that owns a connection; nullptr for this proxy itself. */
+  const NodeId* owner = nullptr;
+};
+
+/**
+ * Chooses among the members of one database. A read that a replica may serve
+ * goes to the untried replica with the least expected answer time, where one
+ * of the own zone starts out ahead; the primary comes last, so that reads
+ * don't take its slots from writes. All else goes to the primary.
+ */
+class RouteTable {
+ public:
+  /** Takes a newer view; nullptr if the database is gone. Estimates of members
+   * that are still there are kept. */
+  void Rebuild(const DatabaseView* view, const AvailabilityZone& zone,
+               const NodeId& node);
+
+  /** Chooses; none if no member that was not tried can serve the request.
+   * Allocates nothing. */
+  std::optional<RouteDecision> Choose(const StatementRequest& request,
+                                      const MemberSet& tried);
+
+  /** Takes how long an answer or a refusal of a member took. */
+  void Observe(std::size_t place, std::chrono::nanoseconds answer_time);
+
+ private:
+  struct Owner {
+    NodeId node;
+    std::uint32_t slots = 0;
+  };
+  struct Route {
+    MemberId member;
+    bool usable = false;
+    bool own_zone = false;
+    /** Whether this proxy owns a connection. */
+    bool owned = false;
+    std::vector<Owner> owners;
+    std::uint32_t slots = 0;
+    std::chrono::nanoseconds expected{0};
+  };
+
+  std::optional<std::size_t> ChooseReplica(const MemberSet& tried) const;
+  const NodeId* PickOwner(const Route& route) const;
+
+  std::vector<Route> routes;
+  std::optional<std::size_t> primary;
+  std::uint64_t turn = 0;
+};
 
 }  // namespace lacewingferry
 
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/replica_gate.cc
@@ -0,0 +1,128 @@
+#include "lacewingferry/decisions/traffic/replica_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/** While reads are held the replica is asked this often. */
+constexpr milliseconds kQuestionInterval{5};
+/** The time from the gate's decision until the read has run; a stated age is
+ * judged as of then. */
+constexpr milliseconds kRunAllowance{5};
+/** A sample of the primary is taken this often for each stated age. */
+constexpr int kSamplesPerAge = 8;
+constexpr milliseconds kShortestSampleInterval{20};
+constexpr milliseconds kLongestSampleInterval{500};
+/** The estimate of the apply rate may be wrong by this factor before a read
+ * is sent away. */
+constexpr int kEstimateAllowance = 2;
+
+std::chrono::nanoseconds SampleInterval(milliseconds max_age) {
+  return std::clamp(max_age / kSamplesPerAge, kShortestSampleInterval,
+                    kLongestSampleInterval);
+}
+
+}  // namespace
+
+ReplicaGate::ReplicaGate(ReplicaGateHooks gate_hooks)
+    : hooks(std::move(gate_hooks)) {}
+
+bool ReplicaGate::Satisfies(steady_clock::time_point now,
+                            const Job& job) const {
+  if (!this->applied) return false;
+  const StatementRequest& request = job.request;
+  if (request.session_position && *this->applied < *request.session_position) {
+    return false;
+  }
+  if (!request.max_age) return true;
+  const auto complete = this->hooks.complete_until(*this->applied);
+  return complete && now + kRunAllowance - *complete <= *request.max_age;
+}
+
+/**
+ * A read is hopeless once a report that is newer than its arrival shows the
+ * replica too far behind. For a session that is the expected time to reach its
+ * position. For a stated age it is the replica's lag, as the samples bound it:
+ * the lag has to shrink to the stated age within the wait.
+ */
+bool ReplicaGate::Hopeless(steady_clock::time_point now,
+                           const HeldRead& read) const {
+  if (!this->applied || this->reported_at < read.arrived_at) return false;
+  const StatementRequest& request = read.job.request;
+  if (request.session_position && *this->applied < *request.session_position) {
+    const auto time = this->rate.TimeToReach(*request.session_position);
+    return time && *time > kLongestWait * kEstimateAllowance;
+  }
+  if (!request.max_age) return false;
+  const auto complete = this->hooks.complete_until(*this->applied);
+  return complete && now - *complete > *request.max_age + 2 * kLongestWait;
+}
+
+void ReplicaGate::Submit(steady_clock::time_point now, Job job) {
+  if (job.request.max_age) {
+    this->hooks.want_sample(now, SampleInterval(*job.request.max_age));
+  }
+  if (this->Satisfies(now, job)) {
+    this->hooks.run(now, std::move(job));
+    return;
+  }
+  const auto until =
+      std::min<steady_clock::time_point>(job.deadline, now + kLongestWait);
+  this->held.push_back(HeldRead{std::move(job), now, until});
+  this->OnTick(now);
+}
+
+void ReplicaGate::OnApplied(steady_clock::time_point asked_at,
+                            steady_clock::time_point now,
+                            const LogPosition& position) {
+  this->applied = position;
+  this->reported_at = std::max(this->reported_at, asked_at);
+  this->rate.Observe(now, position);
+}
+
+void ReplicaGate::Refuse(const Job& job) const {
+  job.reply(NotRun{RefusalCode::kNoReplicaFreshEnough,
+                   "the replica will not have what the read needs in time"});
+}
+
+void ReplicaGate::OnTick(steady_clock::time_point now) {
+  std::list<HeldRead> ready;
+  std::list<HeldRead> refused;
+  for (auto it = this->held.begin(); it != this->held.end();) {
+    const auto next = std::next(it);
+    if (this->Satisfies(now, it->job)) {
+      ready.splice(ready.end(), this->held, it);
+    } else if (it->until <= now || this->Hopeless(now, *it)) {
+      refused.splice(refused.end(), this->held, it);
+    }
+    it = next;
+  }
+  if (!this->held.empty() && now >= this->next_question) {
+    this->next_question = now + kQuestionInterval;
+    this->hooks.ask_replica(now);
+  }
+  for (HeldRead& read : ready) this->hooks.run(now, std::move(read.job));
+  for (const HeldRead& read : refused) this->Refuse(read.job);
+}
+
+std::optional<steady_clock::time_point> ReplicaGate::NextWakeup() const {
+  if (this->held.empty()) return std::nullopt;
+  steady_clock::time_point next = this->next_question;
+  for (const HeldRead& read : this->held) next = std::min(next, read.until);
+  return next;
+}
+
+void ReplicaGate::Withdraw(steady_clock::time_point now) {
+  std::list<HeldRead> refused;
+  refused.swap(this->held);
+  this->applied.reset();
+  this->next_question = now;
+  for (const HeldRead& read : refused) this->Refuse(read.job);
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/traffic_hooks.h
@@ -0,0 +1,41 @@
+#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_HOOKS_H_
+#define LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_HOOKS_H_
+
+// Defines TrafficHooks, what the traffic decisions act through, and
+// TrafficSettings, for whom they decide.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "lacewingferry/core/messages/peer_message.h"
+#include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/ports/event_port.h"
+#include "lacewingferry/ports/member_port.h"
+
+namespace lacewingferry {
+
+/** What the traffic decisions act through. */
+struct TrafficHooks {
+  MemberPort port;
+  EventPort events;
+  /** Sends a message to another proxy; it may get lost. */
+  std::function<void(const NodeId&, const PeerBody&)> send;
+  /** A number for a new connection, unique in the process. */
+  std::function<ConnectionId()> next_connection;
+  /** Told what the traffic shows of the members; may be empty. */
+  MemberSignHook observe;
+};
+
+/** Who decides, and how. */
+struct TrafficSettings {
+  NodeId node;
+  AvailabilityZone zone;
+  std::string status_sql;
+  /** Differs between the runs of a process. */
+  std::uint64_t incarnation = 0;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_TRAFFIC_HOOKS_H_
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -107,6 +107,26 @@
   this->Reschedule(reply.database, *traffic);
 }
 
+void TrafficShard::OnProbe(steady_clock::time_point now, const NodeId& from,
+                           const PositionProbe& probe) {
+  for (const ProbedDatabase& question : probe.databases) {
+    DatabaseTraffic* traffic = this->Find(question.database);
+    if (traffic == nullptr) continue;
+    traffic->OnProbe(now, from, question);
+    this->Reschedule(question.database, *traffic);
+  }
+}
+
+void TrafficShard::OnSample(steady_clock::time_point now,
+                            const PositionSample& sample) {
+  for (const SampledPosition& answer : sample.samples) {
+    DatabaseTraffic* traffic = this->Find(answer.database);
+    if (traffic == nullptr) continue;
+    traffic->OnSample(now, answer);
+    this->Reschedule(answer.database, *traffic);
+  }
+}
+
 template <typename Action>
 void TrafficShard::OnConnection(ConnectionId id, Action action) {
   const auto found = this->connections.find(id);
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -35,6 +35,10 @@
                  const ForwardRequest& forward);
   void OnForwardReply(std::chrono::steady_clock::time_point now,
                       const NodeId& from, const ForwardReply& reply);
+  void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
+               const PositionProbe& probe);
+  void OnSample(std::chrono::steady_clock::time_point now,
+                const PositionSample& sample);
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
