--- a/bench/model/read_scenario.cc
+++ b/bench/model/read_scenario.cc
@@ -73,6 +73,10 @@
   hooks.members = [&fleet]() -> const std::map<MemberId, FakeMember>& {
     return fleet.Group().Members();
   };
+  hooks.latency = [&fleet](const FakeMember& member, std::size_t proxy) {
+    const std::size_t zone = proxy / fleet.Options().proxies_per_zone;
+    return fleet.Net().Latency(member.info.zone, fleet.Options().zones[zone]);
+  };
   workload =
       std::make_unique<ReadWorkload>(queue, hooks, scenario.workload, seed);
   queue.RunUntil(queue.Now() + kWarmUp);
--- a/bench/model/read_workload.cc
+++ b/bench/model/read_workload.cc
@@ -150,6 +150,7 @@
     return;
   }
   read->sent_at = this->queue.Now();
+  read->proxy = caller.proxy;
   request.statement = {"GET", {SqlValue(read->key)}};
   this->queue.After(this->options.to_callers,
                     [this, read] { this->AskOracle(read); });
@@ -216,9 +217,12 @@
     if (!member.alive || member.primary) continue;
     if (read.max_age.count() == 0) {
       if (read.position <= member.Applied()) return true;
-    } else if (this->truth.AgeOf(this->queue.Now(), member) <= read.max_age) {
-      return true;
+      continue;
     }
+    const nanoseconds on_arrival =
+        this->truth.AgeOf(this->queue.Now(), member) +
+        this->hooks.latency(member, read.proxy);
+    if (on_arrival <= read.max_age) return true;
   }
   return false;
 }
--- a/bench/model/read_workload.h
+++ b/bench/model/read_workload.h
@@ -24,6 +24,9 @@
   std::function<void(std::size_t proxy, const StatementRequest&, ReplyHook)>
       submit;
   std::function<const std::map<MemberId, FakeMember>&()> members;
+  /** The one-way latency from a member to a proxy. */
+  std::function<std::chrono::nanoseconds(const FakeMember&, std::size_t proxy)>
+      latency;
 };
 
 /** The callers and what they ask. */
@@ -111,6 +114,7 @@
     std::uint64_t seen_version = 0;
     std::chrono::milliseconds max_age{0};
     LogPosition position;
+    std::size_t proxy = 0;
     bool lawful = false;
   };
   using ReadPtr = std::shared_ptr<Read>;
@@ -125,6 +129,8 @@
                     bool session);
   void CheckAge(const Read& read, const Answered& answer,
                 std::uint64_t version);
+  /** Looks at the members while the read may wait. A read of a stated age is
+   * lawful if the data is young enough when it reaches the proxy. */
   void AskOracle(const ReadPtr& read);
   bool LawfulNow(const Read& read) const;
   int Percent() { return static_cast<int>(this->random() % 100); }
--- a/src/lacewingferry/core/outcome.h
+++ b/src/lacewingferry/core/outcome.h
@@ -36,11 +36,14 @@
 struct NotRun {
   RefusalCode code = RefusalCode::kOverloaded;
   std::string detail;
+  /** How old the replica's data was; set where that was the reason. */
+  std::optional<std::chrono::milliseconds> replica_age{};
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("code", self.code);
     visit("detail", self.detail);
+    visit("replica_age", self.replica_age);
   }
 };
 
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -97,7 +97,7 @@
   if (name->owner == this->settings.node) {
     this->RunHere(routed, name->member);
   } else {
-    this->Forward(routed, name->owner, name->member);
+    this->Forward(routed, name->owner, name->member, milliseconds(0));
   }
 }
 
@@ -112,7 +112,7 @@
     routed->view_number = this->view_number;
     routed->tried.Clear();
   }
-  const auto decision = this->routes.Choose(routed->job.request, routed->tried);
+  const auto decision = this->routes.Choose(this->now, routed->job.request, routed->tried);
   if (!decision) {
     this->RouteLater(routed);
     return;
@@ -121,7 +121,8 @@
   if (decision->owner == nullptr) {
     this->RunHere(routed, *decision->member);
   } else {
-    this->Forward(routed, *decision->owner, *decision->member);
+    this->Forward(routed, *decision->owner, *decision->member,
+                  decision->return_time);
   }
 }
 
@@ -151,13 +152,19 @@
 }
 
 void DatabaseTraffic::Forward(const RoutedPtr& routed, const NodeId& owner,
-                              const MemberId& member) {
+                              const MemberId& member,
+                              std::chrono::nanoseconds return_time) {
   ForwardRequest forward;
   forward.member = member;
   forward.term = this->database == nullptr ? 0 : this->database->term;
   forward.request = routed->job.request;
   forward.request.timeout = std::chrono::duration_cast<milliseconds>(
       routed->job.deadline - this->now);
+  if (forward.request.max_age) {
+    // The data grows older on the way back.
+    *forward.request.max_age -=
+        std::chrono::duration_cast<milliseconds>(return_time);
+  }
   forward.forward_id = this->forwards.Add(
       ForwardedJob{this->MakeAttempt(routed), owner, member});
   this->hooks.send(owner, forward);
@@ -205,6 +212,20 @@
   if (new_write) this->owned.OnWritePosition(routed.sent_at, answer.position);
 }
 
+void DatabaseTraffic::ObserveMember(const Routed& routed,
+                                    const Outcome& outcome) {
+  if (routed.view_number != this->view_number) return;
+  if (!routed.job.request.transaction.Empty()) return;
+  this->routes.Observe(routed.place, this->now - routed.sent_at);
+  std::optional<milliseconds> age;
+  if (const auto* answer = std::get_if<Answered>(&outcome)) {
+    age = answer->age_bound;
+  } else if (const auto* refusal = std::get_if<NotRun>(&outcome)) {
+    age = refusal->replica_age;
+  }
+  if (age) this->routes.ObserveAge(this->now, routed.place, *age);
+}
+
 /**
  * The owner tells the age as of its receipt of the request, which may be below
  * zero: data that was complete after that. The receipt lies after the sending,
@@ -231,10 +252,7 @@
     const auto too_old = this->StateAge(*routed, *answer);
     if (too_old) outcome = *too_old;
   }
-  if (routed->view_number == this->view_number &&
-      routed->job.request.transaction.Empty()) {
-    this->routes.Observe(routed->place, this->now - routed->sent_at);
-  }
+  this->ObserveMember(*routed, outcome);
   const auto* refusal = std::get_if<NotRun>(&outcome);
   const bool again = refusal != nullptr && MayRouteAgain(refusal->code) &&
                      routed->job.request.transaction.Empty() &&
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -111,10 +111,11 @@
   void RouteInTransaction(const RoutedPtr& routed);
   void RunHere(const RoutedPtr& routed, const MemberId& member);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
-               const MemberId& member);
+               const MemberId& member, std::chrono::nanoseconds return_time);
   Job MakeAttempt(const RoutedPtr& routed);
   void OnOutcome(const RoutedPtr& routed, Outcome outcome);
   void ObserveAnswer(const Routed& routed, const Answered& answer);
+  void ObserveMember(const Routed& routed, const Outcome& outcome);
   std::optional<NotRun> StateAge(const Routed& routed, Answered& answer) const;
   void OnOwnerSilent(const ForwardedJob& forwarded);
   void RouteLater(const RoutedPtr& routed);
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -73,8 +73,8 @@
         executor->Submit(at, std::move(job));
       },
       [executor](steady_clock::time_point at) { executor->AskStatus(at); },
-      [this](steady_clock::time_point at, std::chrono::nanoseconds interval) {
-        this->sampler.Want(at, interval);
+      [this](steady_clock::time_point at, std::chrono::milliseconds max_age) {
+        this->sampler.Want(at, max_age);
       },
       executor_hooks.complete_until});
   return made;
@@ -243,11 +243,12 @@
 void OwnedMembers::OnTick(steady_clock::time_point present) {
   this->now = present;
   for (auto& entry : this->owned) entry.second.executor->OnTick(present);
+  this->sampler.OnTick(present);
   this->Settle(present);
 }
 
 std::optional<steady_clock::time_point> OwnedMembers::NextWakeup() const {
-  std::optional<steady_clock::time_point> next;
+  std::optional<steady_clock::time_point> next = this->sampler.NextWakeup();
   const auto consider = [&next](std::optional<steady_clock::time_point> time) {
     if (time && (!next || *time < *next)) next = time;
   };
--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -6,8 +6,17 @@
 namespace lacewingferry {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+/** While reads of an age come, it is split into this many samples. */
+constexpr int kSamplesPerAge = 16;
+/** After the last such read the samples are as far apart as this. */
+constexpr int kIdleSamplesPerAge = 32;
+constexpr milliseconds kShortestInterval{20};
+constexpr milliseconds kLongestInterval{500};
+/** No replica that lags by more than this is expected to catch up soon. */
+constexpr milliseconds kLongestInterest{20000};
 /** Answers are late or lost after this many further questions. */
 constexpr std::size_t kMostQuestions = 16;
 /** More proxies than this don't wait for one answer of the primary. */
@@ -26,9 +35,32 @@
   this->primary_owners = std::move(owners);
 }
 
-void PositionSampler::Want(steady_clock::time_point now,
-                           std::chrono::nanoseconds interval) {
+void PositionSampler::Want(steady_clock::time_point now, milliseconds max_age) {
+  if (max_age >= this->longest_age || now >= this->wanted_until) {
+    this->longest_age = std::min(max_age, kLongestInterest);
+    this->wanted_until = now + this->longest_age;
+  }
+  const milliseconds interval =
+      std::clamp(max_age / kSamplesPerAge, kShortestInterval, kLongestInterval);
   if (this->last_asked && now - *this->last_asked < interval) return;
+  this->Ask(now);
+}
+
+std::optional<steady_clock::time_point> PositionSampler::NextWakeup() const {
+  if (!this->last_asked) return std::nullopt;
+  const steady_clock::time_point next =
+      *this->last_asked + std::clamp(this->longest_age / kIdleSamplesPerAge,
+                                     kShortestInterval, kLongestInterval);
+  if (next >= this->wanted_until) return std::nullopt;
+  return next;
+}
+
+void PositionSampler::OnTick(steady_clock::time_point now) {
+  const auto next = this->NextWakeup();
+  if (next && *next <= now) this->Ask(now);
+}
+
+void PositionSampler::Ask(steady_clock::time_point now) {
   this->last_asked = now;
   if (this->hooks.ask_primary(now) || this->primary_owners.empty()) return;
   const Question question{this->next_sequence++, now};
--- a/src/lacewingferry/decisions/traffic/position_sampler.h
+++ b/src/lacewingferry/decisions/traffic/position_sampler.h
@@ -41,10 +41,17 @@
   /** Takes the proxies that own connections to the primary. */
   void SetPrimaryOwners(std::vector<NodeId> owners);
 
-  /** Asks for a new sample unless one is under way or the newest one is
-   * younger than the interval. */
+  /** Takes that a read of a stated age came: asks for a sample unless one was
+   * asked for a sixteenth of the age ago, and goes on to ask now and then for
+   * as long as the age, so that a lagging replica can be judged later. */
   void Want(std::chrono::steady_clock::time_point now,
-            std::chrono::nanoseconds interval);
+            std::chrono::milliseconds max_age);
+
+  /** Asks if it is time. */
+  void OnTick(std::chrono::steady_clock::time_point now);
+
+  /** When OnTick has to be called next. */
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
 
   /** Takes a question of another proxy. */
   void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
@@ -78,9 +85,14 @@
     std::chrono::steady_clock::time_point arrived_at;
   };
 
+  void Ask(std::chrono::steady_clock::time_point now);
+
   DatabaseId database;
   PositionSamplerHooks hooks;
   std::uint64_t next_sequence;
+  /** The longest age that was stated lately, and how long it counts. */
+  std::chrono::milliseconds longest_age{0};
+  std::chrono::steady_clock::time_point wanted_until;
   std::vector<NodeId> primary_owners;
   std::size_t turn = 0;
   std::optional<std::chrono::steady_clock::time_point> last_asked;
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/traffic/read_routing.cc
@@ -6,13 +6,20 @@
 namespace lacewingferry {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
+using std::chrono::steady_clock;
 
 /** What an answer is expected to take before one was seen. */
 constexpr std::chrono::milliseconds kOwnZoneEstimate{1};
 constexpr std::chrono::milliseconds kOtherZoneEstimate{20};
 /** A new answer time counts for a quarter of the estimate. */
 constexpr int kObservationShare = 4;
+/** A replica that is older than a read allows by more than this is not
+ * expected to catch up while the read waits. */
+constexpr milliseconds kMostBehind{150};
+/** What was heard of a replica's age counts for this long. */
+constexpr milliseconds kAgeMemory{250};
 /** One choice of this many goes to the own zone whatever is expected, so that
  * an estimate from a bad moment is corrected. */
 constexpr std::uint64_t kProbeEvery = 32;
@@ -51,13 +58,19 @@
     const auto before = std::find_if(
         known.begin(), known.end(),
         [&route](const Route& r) { return r.member == route.member; });
-    if (before != known.end()) route.expected = before->expected;
+    if (before != known.end()) {
+      route.expected = before->expected;
+      route.fastest = before->fastest;
+      route.age = before->age;
+      route.age_until = before->age_until;
+    }
     if (member.info.id == view->primary) this->primary = this->routes.size();
     this->routes.push_back(std::move(route));
   }
 }
 
 std::optional<std::size_t> RouteTable::ChooseReplica(
+    steady_clock::time_point now, const StatementRequest& request,
     const MemberSet& tried) const {
   const bool own_zone_first = this->turn % kProbeEvery == 0;
   std::optional<std::size_t> best;
@@ -66,7 +79,14 @@
     const Route& route = this->routes[place];
     if (place == this->primary || !route.usable || tried.Has(place)) continue;
     const bool first = own_zone_first && route.own_zone;
-    const nanoseconds expected = first ? nanoseconds(0) : route.expected;
+    nanoseconds expected = first ? nanoseconds(0) : route.expected;
+    if (request.max_age && !first && now < route.age_until &&
+        route.age > *request.max_age) {
+      // The replica has to catch up by the difference first.
+      const milliseconds behind = route.age - *request.max_age;
+      if (behind > kMostBehind) continue;
+      expected += behind;
+    }
     if (expected >= least) continue;
     best = place;
     least = expected;
@@ -84,11 +104,14 @@
   return &route.owners.front().node;
 }
 
-std::optional<RouteDecision> RouteTable::Choose(const StatementRequest& request,
+std::optional<RouteDecision> RouteTable::Choose(steady_clock::time_point now,
+                                                const StatementRequest& request,
                                                 const MemberSet& tried) {
   ++this->turn;
   std::optional<std::size_t> place;
-  if (ReplicaMayServe(request)) place = this->ChooseReplica(tried);
+  if (ReplicaMayServe(request)) {
+    place = this->ChooseReplica(now, request, tried);
+  }
   if (!place) {
     // A primary that is leaving serves until another one has taken over.
     place = this->primary;
@@ -97,12 +120,21 @@
     }
   }
   const Route& route = this->routes[*place];
-  return RouteDecision{*place, &route.member, this->PickOwner(route)};
+  return RouteDecision{*place, &route.member, this->PickOwner(route),
+                       route.fastest / 2};
 }
 
 void RouteTable::Observe(std::size_t place, nanoseconds answer_time) {
-  nanoseconds& expected = this->routes[place].expected;
-  expected += (answer_time - expected) / kObservationShare;
+  Route& route = this->routes[place];
+  route.expected += (answer_time - route.expected) / kObservationShare;
+  const bool first = route.fastest.count() == 0;
+  route.fastest = first ? answer_time : std::min(route.fastest, answer_time);
+}
+
+void RouteTable::ObserveAge(steady_clock::time_point now, std::size_t place,
+                            milliseconds age) {
+  this->routes[place].age = age;
+  this->routes[place].age_until = now + kAgeMemory;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/read_routing.h
+++ b/src/lacewingferry/decisions/traffic/read_routing.h
@@ -38,13 +38,16 @@
   const MemberId* member = nullptr;
   /** The proxy that owns a connection; nullptr for this proxy itself. */
   const NodeId* owner = nullptr;
+  /** The time that the answer takes on its way back at the least. */
+  std::chrono::nanoseconds return_time{0};
 };
 
 /**
  * Chooses among the members of one database. A read that a replica may serve
  * goes to the untried replica with the least expected answer time, where one
- * of the own zone starts out ahead; the primary comes last, so that reads
- * don't take its slots from writes. All else goes to the primary.
+ * of the own zone starts out ahead. A replica that was just heard to be far
+ * older than the read allows is passed over. The primary comes last, so that
+ * reads don't take its slots from writes. All else goes to the primary.
  */
 class RouteTable {
  public:
@@ -55,12 +58,17 @@
 
   /** Chooses; none if no member that was not tried can serve the request.
    * Allocates nothing. */
-  std::optional<RouteDecision> Choose(const StatementRequest& request,
+  std::optional<RouteDecision> Choose(std::chrono::steady_clock::time_point now,
+                                      const StatementRequest& request,
                                       const MemberSet& tried);
 
   /** Takes how long an answer or a refusal of a member took. */
   void Observe(std::size_t place, std::chrono::nanoseconds answer_time);
 
+  /** Takes how old a replica's data was at a time. */
+  void ObserveAge(std::chrono::steady_clock::time_point now, std::size_t place,
+                  std::chrono::milliseconds age);
+
  private:
   struct Owner {
     NodeId node;
@@ -75,9 +83,15 @@
     std::vector<Owner> owners;
     std::uint32_t slots = 0;
     std::chrono::nanoseconds expected{0};
+    std::chrono::nanoseconds fastest{0};
+    /** How old the data was when that was last heard of. */
+    std::chrono::milliseconds age{0};
+    std::chrono::steady_clock::time_point age_until;
   };
 
-  std::optional<std::size_t> ChooseReplica(const MemberSet& tried) const;
+  std::optional<std::size_t> ChooseReplica(
+      std::chrono::steady_clock::time_point now,
+      const StatementRequest& request, const MemberSet& tried) const;
   const NodeId* PickOwner(const Route& route) const;
 
   std::vector<Route> routes;
--- a/src/lacewingferry/decisions/traffic/replica_gate.cc
+++ b/src/lacewingferry/decisions/traffic/replica_gate.cc
@@ -13,20 +13,11 @@
 constexpr milliseconds kQuestionInterval{5};
 /** The time from the gate's decision until the read has run; a stated age is
  * judged as of then. */
-constexpr milliseconds kRunAllowance{5};
-/** A sample of the primary is taken this often for each stated age. */
-constexpr int kSamplesPerAge = 8;
-constexpr milliseconds kShortestSampleInterval{20};
-constexpr milliseconds kLongestSampleInterval{500};
+constexpr milliseconds kRunAllowance{3};
 /** The estimate of the apply rate may be wrong by this factor before a read
  * is sent away. */
 constexpr int kEstimateAllowance = 2;
 
-std::chrono::nanoseconds SampleInterval(milliseconds max_age) {
-  return std::clamp(max_age / kSamplesPerAge, kShortestSampleInterval,
-                    kLongestSampleInterval);
-}
-
 }  // namespace
 
 ReplicaGate::ReplicaGate(ReplicaGateHooks gate_hooks)
@@ -65,7 +56,7 @@
 
 void ReplicaGate::Submit(steady_clock::time_point now, Job job) {
   if (job.request.max_age) {
-    this->hooks.want_sample(now, SampleInterval(*job.request.max_age));
+    this->hooks.want_sample(now, *job.request.max_age);
   }
   if (this->Satisfies(now, job)) {
     this->hooks.run(now, std::move(job));
@@ -85,9 +76,15 @@
   this->rate.Observe(now, position);
 }
 
-void ReplicaGate::Refuse(const Job& job) const {
-  job.reply(NotRun{RefusalCode::kNoReplicaFreshEnough,
-                   "the replica will not have what the read needs in time"});
+void ReplicaGate::Refuse(steady_clock::time_point now, const Job& job) const {
+  NotRun refusal{RefusalCode::kNoReplicaFreshEnough,
+                 "the replica will not have what the read needs in time"};
+  const auto complete =
+      this->applied ? this->hooks.complete_until(*this->applied) : std::nullopt;
+  if (complete && job.request.max_age) {
+    refusal.replica_age = std::chrono::ceil<milliseconds>(now - *complete);
+  }
+  job.reply(refusal);
 }
 
 void ReplicaGate::OnTick(steady_clock::time_point now) {
@@ -107,7 +104,7 @@
     this->hooks.ask_replica(now);
   }
   for (HeldRead& read : ready) this->hooks.run(now, std::move(read.job));
-  for (const HeldRead& read : refused) this->Refuse(read.job);
+  for (const HeldRead& read : refused) this->Refuse(now, read.job);
 }
 
 std::optional<steady_clock::time_point> ReplicaGate::NextWakeup() const {
@@ -122,7 +119,7 @@
   refused.swap(this->held);
   this->applied.reset();
   this->next_question = now;
-  for (const HeldRead& read : refused) this->Refuse(read.job);
+  for (const HeldRead& read : refused) this->Refuse(now, read.job);
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/replica_gate.h
+++ b/src/lacewingferry/decisions/traffic/replica_gate.h
@@ -21,10 +21,9 @@
   std::function<void(std::chrono::steady_clock::time_point now, Job)> run;
   /** Asks the replica what it has applied. */
   std::function<void(std::chrono::steady_clock::time_point now)> ask_replica;
-  /** Asks for a sample of the primary's position, unless there is one that is
-   * younger than the interval. */
+  /** Wants samples of the primary's position for reads of an age. */
   std::function<void(std::chrono::steady_clock::time_point now,
-                     std::chrono::nanoseconds interval)>
+                     std::chrono::milliseconds max_age)>
       want_sample;
   /** The time up to which data that includes a position is complete. */
   std::function<std::optional<std::chrono::steady_clock::time_point>(
@@ -76,7 +75,7 @@
                  const Job& job) const;
   bool Hopeless(std::chrono::steady_clock::time_point now,
                 const HeldRead& read) const;
-  void Refuse(const Job& job) const;
+  void Refuse(std::chrono::steady_clock::time_point now, const Job& job) const;
 
   ReplicaGateHooks hooks;
   std::list<HeldRead> held;
