Serve reads of a stated age at replicas; hold reads for a near replica

Cause: a read of a stated age went to the primary, a replica that was a moment behind refused at once, and an answer told no age.

Owners of a replica's connections now prove how old its data is: a sample says that the primary stood at a position when this proxy asked, and a replica that has applied the position is complete up to that moment. Samples come free with the primary's answers, else by PositionProbe and PositionSample, batched for each pair of proxies and held to 1,536 bytes a second for a node. Only an owner whose lease holds gives a sample, from a status asked after the question came.

--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -1,5 +1,6 @@
 #include "bench/model/fleet.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "lacewingferry/decisions/ownership/slot_owners.h"
@@ -124,6 +125,13 @@
   Proxy* target = this->Find(to);
   if (target == nullptr || !from.alive) return;
   ++this->messages;
+  if (this->send_observer) {
+    const auto number = std::find_if(
+        this->proxies.begin(), this->proxies.end(),
+        [&from](const auto& proxy) { return proxy.get() == &from; });
+    this->send_observer(
+        static_cast<std::size_t>(number - this->proxies.begin()), body);
+  }
   this->network.Deliver(from.info.zone, target->info.zone,
                         [this, target, sender = from.info.id, body] {
                           if (target->alive) {
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bench/model/event_queue.h"
@@ -64,6 +66,12 @@
   /** Messages between proxies so far. */
   std::uint64_t Messages() const { return this->messages; }
 
+  /** Told each message that a proxy sends; may be empty. */
+  void SetSendObserver(
+      std::function<void(std::size_t proxy, const PeerBody&)> observer) {
+    this->send_observer = std::move(observer);
+  }
+
  private:
   struct Proxy {
     ProxyInfo info;
@@ -90,6 +98,7 @@
   std::vector<std::unique_ptr<Proxy>> proxies;
   std::uint64_t messages = 0;
   std::uint64_t boots = 0;
+  std::function<void(std::size_t, const PeerBody&)> send_observer;
 };
 
 }  // namespace lacewingferry::model
--- a/bench/model/read_scenario.cc
+++ b/bench/model/read_scenario.cc
@@ -1,5 +1,6 @@
 #include "bench/model/read_scenario.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <utility>
@@ -47,7 +48,8 @@
 }
 
 ReadScenarioOutcome RunReadScenario(const ReadScenario& scenario,
-                                    std::uint64_t seed) {
+                                    std::uint64_t seed,
+                                    const MessageSize& message_size) {
   EventQueue queue;
   std::map<MemberId, LagProcess> lags;
   std::unique_ptr<ReadWorkload> workload;
@@ -64,6 +66,14 @@
     workload->OnCommit(entry);
   };
   Fleet fleet(queue, options);
+  std::map<std::size_t, std::size_t> sent_bytes;
+  fleet.SetSendObserver([&](std::size_t proxy, const PeerBody& body) {
+    const bool position = std::holds_alternative<PositionProbe>(body) ||
+                          std::holds_alternative<PositionSample>(body);
+    if (!position || !message_size) return;
+    sent_bytes[proxy] +=
+        message_size(PeerMessage{NodeId("kisumu-a-proxy-1"), "", body});
+  });
   ReadWorkloadHooks hooks;
   hooks.submit = [&fleet](std::size_t proxy, StatementRequest request,
                           ReplyHook reply) {
@@ -83,7 +93,14 @@
   const auto end = queue.Now() + scenario.duration;
   workload->Start(end);
   queue.RunUntil(end + milliseconds(15000));
-  return ReadScenarioOutcome{workload->Result(), fleet.Messages()};
+  ReadScenarioOutcome outcome{workload->Result(), fleet.Messages()};
+  const std::chrono::duration<double> measured = scenario.duration;
+  for (const auto& entry : sent_bytes) {
+    outcome.control_bytes_a_second =
+        std::max(outcome.control_bytes_a_second,
+                 static_cast<double>(entry.second) / measured.count());
+  }
+  return outcome;
 }
 
 }  // namespace lacewingferry::model
--- a/bench/model/read_scenario.h
+++ b/bench/model/read_scenario.h
@@ -4,7 +4,9 @@
 // Defines RunReadScenario, one measured run of callers before one database.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -30,16 +32,22 @@
 struct ReadScenarioOutcome {
   ReadWorkloadResult result;
   std::uint64_t peer_messages = 0;
-  /** Bytes of probes and samples that the busiest proxy sent, a second. */
+  /** Bytes of questions and answers about positions that the busiest proxy
+   * sent, a second. */
   double control_bytes_a_second = 0;
 };
 
 /** The scenarios that docs/design/data-path-reads.md reports. */
 std::vector<ReadScenario> ReadScenarios();
 
-/** Runs a scenario in virtual time; equal seeds give equal results. */
+/** The encoded size of a message between proxies. */
+using MessageSize = std::function<std::size_t(const PeerMessage&)>;
+
+/** Runs a scenario in virtual time; equal seeds give equal results. Without
+ * message_size no bytes are counted. */
 ReadScenarioOutcome RunReadScenario(const ReadScenario& scenario,
-                                    std::uint64_t seed);
+                                    std::uint64_t seed,
+                                    const MessageSize& message_size);
 
 }  // namespace lacewingferry::model
 
--- a/bench/reads_bench_main.cc
+++ b/bench/reads_bench_main.cc
@@ -7,6 +7,7 @@
 
 #include "bench/model/read_report.h"
 #include "bench/model/read_scenario.h"
+#include "lacewingferry/adapters/msgpack/peer_codec.h"
 
 int main(int argc, char** argv) {
   using lacewingferry::model::ReadReport;
@@ -25,8 +26,12 @@
     ReadReport report;
     for (const ReadScenario& scenario : lacewingferry::model::ReadScenarios()) {
       for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        report.Add(scenario, seed,
-                   lacewingferry::model::RunReadScenario(scenario, seed));
+        report.Add(
+            scenario, seed,
+            lacewingferry::model::RunReadScenario(
+                scenario, seed, [](const auto& message) {
+                  return lacewingferry::EncodePeerMessage(message).size();
+                }));
       }
     }
     std::cout << (given.count("json") > 0 ? report.Json() : report.Table());
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -125,8 +125,14 @@
   traffic.incarnation = IncarnationNow(this->clock);
   const TrafficThreadHooks hooks{
       [this](const std::string& url, const PeerBody& body) {
-        this->peer_port.send(url, PeerMessage{this->settings.node,
-                                              this->settings.peer_url, body});
+        // Questions and answers about positions are many and small; their
+        // receiver knows the sender's address from its view.
+        const bool small = std::holds_alternative<PositionProbe>(body) ||
+                           std::holds_alternative<PositionSample>(body);
+        this->peer_port.send(
+            url,
+            PeerMessage{this->settings.node,
+                        small ? std::string() : this->settings.peer_url, body});
       },
       this->events, this->clock};
   for (std::size_t i = 0; i < this->settings.traffic_threads; ++i) {
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -112,7 +112,8 @@
     routed->view_number = this->view_number;
     routed->tried.Clear();
   }
-  const auto decision = this->routes.Choose(this->now, routed->job.request, routed->tried);
+  const auto decision =
+      this->routes.Choose(this->now, routed->job.request, routed->tried);
   if (!decision) {
     this->RouteLater(routed);
     return;
@@ -206,10 +207,12 @@
 
 void DatabaseTraffic::ObserveAnswer(const Routed& routed,
                                     const Answered& answer) {
-  const bool new_write = routed.job.request.kind == RequestKind::kWrite &&
-                         routed.job.request.transaction.Empty() &&
-                         !answer.repeated;
-  if (new_write) this->owned.OnWritePosition(routed.sent_at, answer.position);
+  const StatementRequest& request = routed.job.request;
+  const bool plain =
+      request.transaction.Empty() && (request.kind == RequestKind::kRead ||
+                                      request.kind == RequestKind::kWrite);
+  if (!plain || answer.repeated || answer.served_by_replica) return;
+  this->owned.OnPrimaryAnswer(routed.sent_at, answer.position);
 }
 
 void DatabaseTraffic::ObserveMember(const Routed& routed,
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -73,8 +73,9 @@
         executor->Submit(at, std::move(job));
       },
       [executor](steady_clock::time_point at) { executor->AskStatus(at); },
-      [this](steady_clock::time_point at, std::chrono::milliseconds max_age) {
-        this->sampler.Want(at, max_age);
+      [this](steady_clock::time_point at, std::chrono::milliseconds max_age,
+             std::optional<std::chrono::nanoseconds> known_age) {
+        this->sampler.Want(at, max_age, known_age);
       },
       executor_hooks.complete_until});
   return made;
@@ -180,10 +181,9 @@
   this->Settle(present);
 }
 
-void OwnedMembers::OnWritePosition(steady_clock::time_point sent_at,
+void OwnedMembers::OnPrimaryAnswer(steady_clock::time_point sent_at,
                                    const LogPosition& position) {
-  if (!this->owned.empty())
-    this->sampler.OnAcknowledgedWrite(sent_at, position);
+  if (!this->owned.empty()) this->sampler.OnPrimaryAnswer(sent_at, position);
 }
 
 void OwnedMembers::OnLease(steady_clock::time_point present,
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -45,8 +45,9 @@
   void OnSample(std::chrono::steady_clock::time_point now,
                 const SampledPosition& sample);
 
-  /** Takes the position of an acknowledged write that was sent at a time. */
-  void OnWritePosition(std::chrono::steady_clock::time_point sent_at,
+  /** Takes the position of an answer of the primary to a request that was sent
+   * at a time. */
+  void OnPrimaryAnswer(std::chrono::steady_clock::time_point sent_at,
                        const LogPosition& position);
 
   /** See DatabaseTraffic. */
--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -10,10 +10,16 @@
 using std::chrono::steady_clock;
 
 /** While reads of an age come, it is split into this many samples. */
-constexpr int kSamplesPerAge = 16;
+constexpr int kSamplesPerAge = 8;
+/** The same for data that is about as old as the reads allow, where a sparse
+ * sample decides wrongly. */
+constexpr int kSamplesIfClose = 32;
 /** After the last such read the samples are as far apart as this. */
-constexpr int kIdleSamplesPerAge = 32;
+constexpr int kIdleSamplesPerAge = 16;
 constexpr milliseconds kShortestInterval{20};
+/** Sequences start below this, so that they are short on the way; an answer to
+ * an earlier run of the process meets none of the open questions. */
+constexpr std::uint64_t kSequenceSpan = 60000;
 constexpr milliseconds kLongestInterval{500};
 /** No replica that lags by more than this is expected to catch up soon. */
 constexpr milliseconds kLongestInterest{20000};
@@ -29,19 +35,23 @@
                                  std::uint64_t first_sequence)
     : database(std::move(database_id)),
       hooks(std::move(sampler_hooks)),
-      next_sequence(first_sequence) {}
+      next_sequence(first_sequence % kSequenceSpan) {}
 
 void PositionSampler::SetPrimaryOwners(std::vector<NodeId> owners) {
   this->primary_owners = std::move(owners);
 }
 
-void PositionSampler::Want(steady_clock::time_point now, milliseconds max_age) {
+void PositionSampler::Want(steady_clock::time_point now, milliseconds max_age,
+                           std::optional<std::chrono::nanoseconds> known_age) {
   if (max_age >= this->longest_age || now >= this->wanted_until) {
     this->longest_age = std::min(max_age, kLongestInterest);
     this->wanted_until = now + this->longest_age;
   }
+  const bool close =
+      known_age && std::chrono::abs(*known_age - max_age) < max_age / 4;
+  const int parts = close ? kSamplesIfClose : kSamplesPerAge;
   const milliseconds interval =
-      std::clamp(max_age / kSamplesPerAge, kShortestInterval, kLongestInterval);
+      std::clamp(max_age / parts, kShortestInterval, kLongestInterval);
   if (this->last_asked && now - *this->last_asked < interval) return;
   this->Ask(now);
 }
--- a/src/lacewingferry/decisions/traffic/position_sampler.h
+++ b/src/lacewingferry/decisions/traffic/position_sampler.h
@@ -41,11 +41,14 @@
   /** Takes the proxies that own connections to the primary. */
   void SetPrimaryOwners(std::vector<NodeId> owners);
 
-  /** Takes that a read of a stated age came: asks for a sample unless one was
-   * asked for a sixteenth of the age ago, and goes on to ask now and then for
-   * as long as the age, so that a lagging replica can be judged later. */
+  /** Takes that a read of a stated age came for data whose age is known to be
+   * known_age at the most. Asks for a sample if the last question is a small
+   * part of the stated age ago, smaller if the two ages are close, and goes on
+   * to ask now and then for as long as the stated age, so that a lagging
+   * replica can be judged later. */
   void Want(std::chrono::steady_clock::time_point now,
-            std::chrono::milliseconds max_age);
+            std::chrono::milliseconds max_age,
+            std::optional<std::chrono::nanoseconds> known_age);
 
   /** Asks if it is time. */
   void OnTick(std::chrono::steady_clock::time_point now);
@@ -65,10 +68,11 @@
   void OnPrimaryPosition(std::chrono::steady_clock::time_point asked_at,
                          const LogPosition& position);
 
-  /** Takes the position of an acknowledged write. Its owner's lease held when
-   * it answered, so the primary had not passed the position at sent_at. */
-  void OnAcknowledgedWrite(std::chrono::steady_clock::time_point sent_at,
-                           const LogPosition& position) {
+  /** Takes the position that came with an answer of the primary. Its owner's
+   * lease held when it answered, so the primary had not passed the position at
+   * sent_at. Such samples cost no message. */
+  void OnPrimaryAnswer(std::chrono::steady_clock::time_point sent_at,
+                       const LogPosition& position) {
     this->samples.Add(sent_at, position);
   }
 
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/traffic/read_routing.cc
@@ -18,6 +18,8 @@
 /** A replica that is older than a read allows by more than this is not
  * expected to catch up while the read waits. */
 constexpr milliseconds kMostBehind{150};
+/** The wait at a replica that is only just too old. */
+constexpr milliseconds kCatchUpEstimate{50};
 /** What was heard of a replica's age counts for this long. */
 constexpr milliseconds kAgeMemory{250};
 /** One choice of this many goes to the own zone whatever is expected, so that
@@ -85,7 +87,7 @@
       // The replica has to catch up by the difference first.
       const milliseconds behind = route.age - *request.max_age;
       if (behind > kMostBehind) continue;
-      expected += behind;
+      expected += behind + kCatchUpEstimate;
     }
     if (expected >= least) continue;
     best = place;
--- a/src/lacewingferry/decisions/traffic/replica_gate.cc
+++ b/src/lacewingferry/decisions/traffic/replica_gate.cc
@@ -23,6 +23,14 @@
 ReplicaGate::ReplicaGate(ReplicaGateHooks gate_hooks)
     : hooks(std::move(gate_hooks)) {}
 
+std::optional<std::chrono::nanoseconds> ReplicaGate::KnownAge(
+    steady_clock::time_point now) const {
+  if (!this->applied) return std::nullopt;
+  const auto complete = this->hooks.complete_until(*this->applied);
+  if (!complete) return std::nullopt;
+  return now - *complete;
+}
+
 bool ReplicaGate::Satisfies(steady_clock::time_point now,
                             const Job& job) const {
   if (!this->applied) return false;
@@ -31,8 +39,8 @@
     return false;
   }
   if (!request.max_age) return true;
-  const auto complete = this->hooks.complete_until(*this->applied);
-  return complete && now + kRunAllowance - *complete <= *request.max_age;
+  const auto age = this->KnownAge(now);
+  return age && *age + kRunAllowance <= *request.max_age;
 }
 
 /**
@@ -50,13 +58,13 @@
     return time && *time > kLongestWait * kEstimateAllowance;
   }
   if (!request.max_age) return false;
-  const auto complete = this->hooks.complete_until(*this->applied);
-  return complete && now - *complete > *request.max_age + 2 * kLongestWait;
+  const auto age = this->KnownAge(now);
+  return age && *age > *request.max_age + 2 * kLongestWait;
 }
 
 void ReplicaGate::Submit(steady_clock::time_point now, Job job) {
   if (job.request.max_age) {
-    this->hooks.want_sample(now, *job.request.max_age);
+    this->hooks.want_sample(now, *job.request.max_age, this->KnownAge(now));
   }
   if (this->Satisfies(now, job)) {
     this->hooks.run(now, std::move(job));
@@ -79,10 +87,9 @@
 void ReplicaGate::Refuse(steady_clock::time_point now, const Job& job) const {
   NotRun refusal{RefusalCode::kNoReplicaFreshEnough,
                  "the replica will not have what the read needs in time"};
-  const auto complete =
-      this->applied ? this->hooks.complete_until(*this->applied) : std::nullopt;
-  if (complete && job.request.max_age) {
-    refusal.replica_age = std::chrono::ceil<milliseconds>(now - *complete);
+  const auto age = this->KnownAge(now);
+  if (age && job.request.max_age) {
+    refusal.replica_age = std::chrono::ceil<milliseconds>(*age);
   }
   job.reply(refusal);
 }
--- a/src/lacewingferry/decisions/traffic/replica_gate.h
+++ b/src/lacewingferry/decisions/traffic/replica_gate.h
@@ -21,9 +21,11 @@
   std::function<void(std::chrono::steady_clock::time_point now, Job)> run;
   /** Asks the replica what it has applied. */
   std::function<void(std::chrono::steady_clock::time_point now)> ask_replica;
-  /** Wants samples of the primary's position for reads of an age. */
+  /** Wants samples of the primary's position for a read of a stated age; see
+   * PositionSampler. */
   std::function<void(std::chrono::steady_clock::time_point now,
-                     std::chrono::milliseconds max_age)>
+                     std::chrono::milliseconds max_age,
+                     std::optional<std::chrono::nanoseconds> known_age)>
       want_sample;
   /** The time up to which data that includes a position is complete. */
   std::function<std::optional<std::chrono::steady_clock::time_point>(
@@ -71,6 +73,8 @@
     std::chrono::steady_clock::time_point until;
   };
 
+  std::optional<std::chrono::nanoseconds> KnownAge(
+      std::chrono::steady_clock::time_point now) const;
   bool Satisfies(std::chrono::steady_clock::time_point now,
                  const Job& job) const;
   bool Hopeless(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -1,5 +1,6 @@
 #include "lacewingferry/decisions/traffic/traffic_shard.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -11,6 +12,9 @@
 
 /** Connection numbers of different shards don't meet. */
 constexpr ConnectionId kConnectionsPerShard = 1ULL << 40U;
+/** The part of a node's 3 KB/s for control that questions and answers about
+ * primaries' positions may take. */
+constexpr std::uint64_t kPositionBytesPerSecond = 1536;
 
 }  // namespace
 
@@ -21,7 +25,12 @@
       settings(std::move(traffic_settings)),
       index(shard_index),
       count(shard_count),
-      next_connection(1 + shard_index * kConnectionsPerShard) {}
+      next_connection(1 + shard_index * kConnectionsPerShard),
+      outbox(
+          [this](const NodeId& node, const PeerBody& body) {
+            this->hooks.send(node, body);
+          },
+          std::max<std::uint64_t>(1, kPositionBytesPerSecond / shard_count)) {}
 
 std::size_t TrafficShard::IndexOf(const DatabaseId& database,
                                   std::size_t shard_count) {
@@ -30,21 +39,14 @@
 
 void TrafficShard::OnView(steady_clock::time_point now,
                           const RoutingViewPtr& view) {
+  this->present = now;
   for (const auto& entry : view->databases) {
     if (IndexOf(entry.first, this->count) != this->index) continue;
     if (this->databases.count(entry.first) > 0) continue;
-    TrafficHooks own = this->hooks;
-    own.next_connection = [this, id = entry.first] {
-      this->connections[this->next_connection] = id;
-      return this->next_connection++;
-    };
-    own.port.close = [this](ConnectionId id) {
-      this->connections.erase(id);
-      this->hooks.port.close(id);
-    };
     const auto added = this->databases.emplace(
-        entry.first, std::make_unique<DatabaseTraffic>(
-                         entry.first, std::move(own), this->settings));
+        entry.first,
+        std::make_unique<DatabaseTraffic>(
+            entry.first, this->HooksFor(entry.first), this->settings));
     added.first->second->OnLease(now, this->lease_until);
   }
   for (auto& entry : this->databases) {
@@ -53,6 +55,36 @@
   }
 }
 
+TrafficHooks TrafficShard::HooksFor(const DatabaseId& database) {
+  TrafficHooks own = this->hooks;
+  own.next_connection = [this, database] {
+    this->connections[this->next_connection] = database;
+    return this->next_connection++;
+  };
+  own.port.close = [this](ConnectionId id) {
+    this->connections.erase(id);
+    this->hooks.port.close(id);
+  };
+  own.send = [this](const NodeId& node, const PeerBody& body) {
+    this->Send(node, body);
+  };
+  return own;
+}
+
+void TrafficShard::Send(const NodeId& node, const PeerBody& body) {
+  if (const auto* probe = std::get_if<PositionProbe>(&body)) {
+    for (const ProbedDatabase& question : probe->databases) {
+      this->outbox.Add(this->present, node, question);
+    }
+  } else if (const auto* sample = std::get_if<PositionSample>(&body)) {
+    for (const SampledPosition& answer : sample->samples) {
+      this->outbox.Add(this->present, node, answer);
+    }
+  } else {
+    this->hooks.send(node, body);
+  }
+}
+
 DatabaseTraffic* TrafficShard::Find(const DatabaseId& database) {
   const auto found = this->databases.find(database);
   return found == this->databases.end() ? nullptr : found->second.get();
@@ -74,6 +106,7 @@
 
 void TrafficShard::Submit(steady_clock::time_point now,
                           StatementRequest request, ReplyHook reply) {
+  this->present = now;
   const DatabaseId database = request.database;
   DatabaseTraffic* traffic = this->Find(database);
   if (traffic == nullptr) {
@@ -87,6 +120,7 @@
 
 void TrafficShard::OnForward(steady_clock::time_point now, const NodeId& from,
                              const ForwardRequest& forward) {
+  this->present = now;
   DatabaseTraffic* traffic = this->Find(forward.request.database);
   if (traffic == nullptr) {
     this->hooks.send(
@@ -101,6 +135,7 @@
 void TrafficShard::OnForwardReply(steady_clock::time_point now,
                                   const NodeId& from,
                                   const ForwardReply& reply) {
+  this->present = now;
   DatabaseTraffic* traffic = this->Find(reply.database);
   if (traffic == nullptr) return;
   traffic->OnForwardReply(now, from, reply);
@@ -109,6 +144,7 @@
 
 void TrafficShard::OnProbe(steady_clock::time_point now, const NodeId& from,
                            const PositionProbe& probe) {
+  this->present = now;
   for (const ProbedDatabase& question : probe.databases) {
     DatabaseTraffic* traffic = this->Find(question.database);
     if (traffic == nullptr) continue;
@@ -119,6 +155,7 @@
 
 void TrafficShard::OnSample(steady_clock::time_point now,
                             const PositionSample& sample) {
+  this->present = now;
   for (const SampledPosition& answer : sample.samples) {
     DatabaseTraffic* traffic = this->Find(answer.database);
     if (traffic == nullptr) continue;
@@ -138,12 +175,14 @@
 }
 
 void TrafficShard::OnOpened(steady_clock::time_point now, ConnectionId id) {
+  this->present = now;
   this->OnConnection(
       id, [&](DatabaseTraffic& traffic) { traffic.OnOpened(now, id); });
 }
 
 void TrafficShard::OnLost(steady_clock::time_point now, ConnectionId id,
                           ConnectionFailure failure) {
+  this->present = now;
   this->OnConnection(
       id, [&](DatabaseTraffic& traffic) { traffic.OnLost(now, id, failure); });
   this->connections.erase(id);
@@ -151,6 +190,7 @@
 
 void TrafficShard::OnCompleted(steady_clock::time_point now, ConnectionId id,
                                const BatchResult& result) {
+  this->present = now;
   this->OnConnection(id, [&](DatabaseTraffic& traffic) {
     traffic.OnCompleted(now, id, result);
   });
@@ -158,6 +198,7 @@
 
 void TrafficShard::OnLease(steady_clock::time_point now,
                            steady_clock::time_point until) {
+  this->present = now;
   this->lease_until = until;
   for (auto& entry : this->databases) {
     entry.second->OnLease(now, until);
@@ -167,6 +208,7 @@
 
 void TrafficShard::ReleaseTerm(steady_clock::time_point now,
                                const DatabaseId& database, std::uint64_t term) {
+  this->present = now;
   DatabaseTraffic* traffic = this->Find(database);
   if (traffic == nullptr) return;
   traffic->ReleaseTerm(now, term);
@@ -179,6 +221,7 @@
                                        SqlStatement statement,
                                        steady_clock::time_point deadline,
                                        ControlReply reply) {
+  this->present = now;
   DatabaseTraffic* traffic = this->Find(database);
   if (traffic == nullptr) {
     reply(std::nullopt);
@@ -191,6 +234,8 @@
 }
 
 void TrafficShard::OnTick(steady_clock::time_point now) {
+  this->present = now;
+  this->outbox.OnTick(now);
   std::vector<DatabaseId> ready;
   for (const auto& entry : this->due) {
     if (entry.first > now) break;
@@ -204,8 +249,10 @@
 }
 
 std::optional<steady_clock::time_point> TrafficShard::NextWakeup() const {
-  if (this->due.empty()) return std::nullopt;
-  return this->due.begin()->first;
+  std::optional<steady_clock::time_point> next = this->outbox.NextWakeup();
+  if (this->due.empty()) return next;
+  const steady_clock::time_point first = this->due.begin()->first;
+  return next ? std::min(*next, first) : first;
 }
 
 template <typename Counter>
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "lacewingferry/decisions/traffic/database_traffic.h"
+#include "lacewingferry/decisions/traffic/position_outbox.h"
 
 namespace lacewingferry {
 
@@ -74,6 +75,8 @@
  private:
   using Entry = std::unique_ptr<DatabaseTraffic>;
 
+  TrafficHooks HooksFor(const DatabaseId& database);
+  void Send(const NodeId& node, const PeerBody& body);
   DatabaseTraffic* Find(const DatabaseId& database);
   void Reschedule(const DatabaseId& database, const DatabaseTraffic& traffic);
   template <typename Action>
@@ -86,6 +89,9 @@
   std::size_t index;
   std::size_t count;
   ConnectionId next_connection;
+  PositionOutbox outbox;
+  /** The present of the event that is being handled. */
+  std::chrono::steady_clock::time_point present;
   std::unordered_map<DatabaseId, Entry> databases;
   std::chrono::steady_clock::time_point lease_until =
       std::chrono::steady_clock::time_point::max();
