--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "bench/model/event_queue.h"
 #include "bench/model/fake_member.h"
 #include "bench/model/network.h"
+#include "lacewingferry/decisions/traffic/request_record.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry::model {
@@ -30,6 +32,10 @@
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
   /** Told each entry when a primary commits it; may be empty. */
   std::function<void(const MemberId&, const FakeEntry&)> on_commit;
+  /** The time until a member notices that a proxy has died. */
+  std::chrono::nanoseconds notice_delay{0};
+  /** The statements on the table of identified requests. */
+  RequestRecordSql record;
 };
 
 /** Members that replicate asynchronously, and the connections of proxies to
@@ -50,6 +56,11 @@
   /** Starts it again with the role and term that it had. */
   void Restart(const MemberId& id);
 
+  /** Lets a member's machine do nothing until a time; connections stay. A
+   * machine that is stalled for ever is one that lost its power. */
+  void Stall(const MemberId& id, std::chrono::steady_clock::time_point until);
+  bool Stalled(const MemberId& id) const;
+
   /** Changes of role, as the dialect's statements make them. */
   bool Fence(const MemberId& id, std::uint64_t term);
   bool Promote(const MemberId& id, std::uint64_t term);
@@ -75,6 +86,10 @@
     ConnectionId id = 0;
     bool open = false;
     bool in_transaction = false;
+    /** A statement of the transaction failed; only ROLLBACK helps. */
+    bool failed = false;
+    /** The member was fenced during the transaction. */
+    bool demoted = false;
     std::vector<std::pair<std::string, std::string>> puts;
   };
   using SessionPtr = std::shared_ptr<Session>;
@@ -87,9 +102,32 @@
   void Close(const MemberEvents* events, ConnectionId id);
   void End(const SessionPtr& session);
   void ReportLost(const SessionPtr& session, ConnectionFailure failure);
-  BatchResult RunBatch(Session& session, const SqlBatch& batch);
-  bool RunStatement(Session& session, const SqlStatement& statement,
-                    BatchResult& result);
+  /** A batch on its way through a member. */
+  struct RunningBatch {
+    SessionPtr session;
+    SqlBatch batch;
+    std::size_t next = 0;
+    BatchResult result;
+  };
+  using RunningBatchPtr = std::shared_ptr<RunningBatch>;
+
+  void RunBatch(const RunningBatchPtr& running);
+  void Answer(const RunningBatchPtr& running);
+  bool Blocked(const Session& session, const SqlStatement& statement) const;
+  /** Runs a statement; returns an error code, empty for success. */
+  std::string RunStatement(Session& session, const SqlStatement& statement,
+                           ResultSet& rows);
+  std::string RunControl(Session& session, const std::string& sql);
+  std::string RunRecord(Session& session, const SqlStatement& statement,
+                        ResultSet& rows);
+  std::string RunPut(Session& session, const SqlStatement& statement,
+                     ResultSet& rows);
+  void RollBack(Session& session);
+  /** Runs FENCE, PROMOTE and FOLLOW; none for another statement. */
+  std::optional<ResultSet> RunRoleStatement(FakeMember& member,
+                                            const SqlStatement& statement);
+  /** Runs an action at a member, after its stall if there is one. */
+  void WhenAwake(const MemberId& id, std::function<void()> action);
   void CommitOpen(Session& session, FakeMember& member);
   void Replicate(const MemberId& primary);
   void Deliver(const MemberId& primary, const MemberId& replica,
@@ -102,6 +140,7 @@
   FakeGroupOptions options;
   std::map<MemberId, FakeMember> members;
   std::map<std::pair<const MemberEvents*, ConnectionId>, SessionPtr> sessions;
+  std::map<MemberId, std::chrono::steady_clock::time_point> stalled_until;
   std::map<MemberId, std::size_t> open_count;
   std::map<MemberId, std::size_t> most_count;
 };
--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -10,30 +10,17 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <tuple>
 #include <utility>
 
+#include "lacewingferry/core/duration_text.h"
+#include "lacewingferry/core/endpoint_text.h"
+
 namespace lacewingferry::detail {
 namespace {
 
 constexpr std::size_t kLeastSecretCharacters = 16;
 constexpr std::size_t kMostSuggestedEdits = 3;
-constexpr std::uint64_t kGreatestPort = 65535;
-constexpr std::uint64_t kMostDurationUnits = 1000000000;
-
-/** A unit of time as settings write it. */
-struct DurationUnit {
-  const char* name;
-  std::chrono::milliseconds length;
-};
-
-constexpr DurationUnit kDurationUnits[] = {
-    {"ms", std::chrono::milliseconds(1)},
-    {"s", std::chrono::seconds(1)},
-    {"min", std::chrono::minutes(1)},
-    {"h", std::chrono::hours(1)},
-};
 
 Place PlaceOf(const std::string& file, const YAML::Mark& mark) {
   if (mark.is_null()) {
@@ -52,23 +39,12 @@
   return number;
 }
 
-std::optional<std::chrono::milliseconds> ParseDuration(
-    const std::string& text) {
-  const auto unit_start = std::find_if(
-      text.begin(), text.end(),
-      [](unsigned char letter) { return std::isdigit(letter) == 0; });
-  const std::optional<std::uint64_t> count =
-      ParseNumber(std::string(text.begin(), unit_start));
-  const std::string unit(unit_start, text.end());
-  if (!count || *count > kMostDurationUnits) {
-    return std::nullopt;
-  }
-  for (const DurationUnit& known : kDurationUnits) {
-    if (unit == known.name) {
-      return known.length * static_cast<std::int64_t>(*count);
-    }
-  }
-  return std::nullopt;
+bool IsName(const std::string& text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+           return std::isalnum(letter) != 0 || letter == '-' || letter == '_' ||
+                  letter == '.';
+         });
 }
 
 bool IsIpAddress(const std::string& host) {
@@ -77,20 +53,12 @@
          inet_pton(AF_INET6, host.c_str(), &parsed) == 1;
 }
 
-std::optional<Endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+std::optional<Endpoint> ParseIpEndpoint(const std::string& text) {
+  std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  if (endpoint && !IsIpAddress(endpoint->host)) {
     return std::nullopt;
   }
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::optional<std::uint64_t> port = ParseNumber(text.substr(colon + 1));
-  if (!IsIpAddress(host) || !port || *port == 0 || *port > kGreatestPort) {
-    return std::nullopt;
-  }
-  return Endpoint{host, static_cast<std::uint16_t>(*port)};
+  return endpoint;
 }
 
 std::size_t EditDistance(const std::string& a, const std::string& b) {
@@ -219,25 +187,28 @@
 
 void DocumentWalk::ReadName(const YAML::Node& mapping, const char* key,
                             Need need, std::string* target) {
-  std::string text;
-  const YAML::Node* node = this->FindScalar(mapping, key, need, &text);
-  if (node == nullptr) {
-    return;
+  const YAML::Node* node = this->Find(mapping, key, need);
+  if (node != nullptr) {
+    this->ReadItemName(*node, std::string("'") + key + "'", target);
   }
-  const bool valid =
-      !text.empty() &&
-      std::all_of(text.begin(), text.end(), [](unsigned char letter) {
-        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' ||
-               letter == '.';
-      });
-  if (!valid) {
-    this->Note(*node, std::string("'") + key +
-                          "' must be a name of letters, digits, '-', '_' and "
-                          "'.', not '" +
-                          text + "'");
-    return;
+}
+
+void DocumentWalk::ReadItemName(const YAML::Node& item, const std::string& name,
+                                std::string* target) {
+  if (!item.IsScalar()) {
+    this->Note(item, name + " must be a single value");
+  } else if (!IsName(item.Scalar())) {
+    this->Note(item, name +
+                         " must be a name of letters, digits, '-', '_' and "
+                         "'.', not '" +
+                         item.Scalar() + "'");
+  } else {
+    *target = item.Scalar();
   }
-  *target = text;
+}
+
+Place DocumentWalk::PlaceOfNode(const YAML::Node& node) const {
+  return PlaceOf(this->file, node.Mark());
 }
 
 void DocumentWalk::ReadNumber(const YAML::Node& mapping, const char* key,
@@ -266,15 +237,14 @@
   if (node == nullptr) {
     return;
   }
-  const std::optional<std::chrono::milliseconds> duration = ParseDuration(text);
-  if (!duration) {
+  try {
+    *target = ParseDuration(text);
+  } catch (const UserError&) {
     this->Note(*node, std::string("'") + key +
                           "' must be a duration with its unit, for example "
-                          "250ms, 2s, 1min or 1h, not '" +
+                          "250ms, 2s or 1min, not '" +
                           text + "'");
-    return;
   }
-  *target = *duration;
 }
 
 void DocumentWalk::ReadSecret(const YAML::Node& mapping, const char* key,
@@ -301,7 +271,7 @@
   if (node == nullptr) {
     return;
   }
-  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  const std::optional<Endpoint> endpoint = ParseIpEndpoint(text);
   if (!endpoint) {
     this->Note(*node, std::string("'") + key +
                           "' must be IP:PORT with a port from 1 to 65535, "
@@ -321,7 +291,7 @@
     return;
   }
   const bool has_scheme = text.compare(0, kScheme.size(), kScheme) == 0;
-  if (!has_scheme || !ParseEndpoint(text.substr(kScheme.size()))) {
+  if (!has_scheme || !ParseIpEndpoint(text.substr(kScheme.size()))) {
     this->Note(*node, std::string("'") + key +
                           "' must be tcp://IP:PORT by IP number with a port "
                           "from 1 to 65535, not '" +
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -8,8 +8,11 @@
 #include <variant>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/messages/configuration_messages.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
+#include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
+#include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
 #include "lacewingferry/core/messages/position_messages.h"
 
@@ -20,7 +23,11 @@
 using PeerBody =
     std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
                  AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
-                 PositionProbe, PositionSample>;
+                 JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
+                 LeaseReleased, MemberCommand, MemberCommandResult,
+                 PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
+                 ClusterUpdateRequest, ControlRedirect, ConfigurationOffer,
+                 ConfigurationReport, PositionProbe, PositionSample>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -15,14 +15,6 @@
 /** The pause before a request that no member could serve is routed anew. */
 constexpr milliseconds kRouteAgainPause{10};
 
-/** Whether another member, or the same one later, may serve the request. */
-bool MayRouteAgain(RefusalCode code) {
-  return code == RefusalCode::kNoPrimary ||
-         code == RefusalCode::kNoReplicaFreshEnough ||
-         code == RefusalCode::kNoOwner ||
-         code == RefusalCode::kMemberUnreachable;
-}
-
 /** The clock of an owner may run slow by one part in this many. */
 constexpr int kClockDriftParts = 1000;
 
@@ -71,6 +63,7 @@
 void DatabaseTraffic::Submit(steady_clock::time_point present,
                              StatementRequest request, ReplyHook reply) {
   this->now = present;
+  this->retries.OnRequest();
   auto routed = std::make_shared<Routed>();
   routed->job.deadline = present + request.timeout;
   routed->job.request = std::move(request);
@@ -131,8 +124,9 @@
   routed->tried.Clear();
   const auto again = this->now + kRouteAgainPause;
   if (again >= routed->job.deadline) {
-    routed->job.reply(routed->last_refusal.value_or(
-        NotRun{RefusalCode::kNoPrimary, "the database has no primary now"}));
+    this->Tell(routed, routed->last_refusal.value_or(NotRun{
+                           RefusalCode::kNoPrimary,
+                           "no member could serve the request in time"}));
     return;
   }
   this->delayed.emplace(again, routed);
@@ -140,6 +134,7 @@
 
 Job DatabaseTraffic::MakeAttempt(const RoutedPtr& routed) {
   routed->sent_at = this->now;
+  routed->job.term = this->database == nullptr ? 0 : this->database->term;
   Job job = routed->job;
   job.received = this->now;
   job.reply = [this, routed](const Outcome& outcome) {
@@ -157,7 +152,6 @@
                               std::chrono::nanoseconds return_time) {
   ForwardRequest forward;
   forward.member = member;
-  forward.term = this->database == nullptr ? 0 : this->database->term;
   forward.request = routed->job.request;
   forward.request.timeout = std::chrono::duration_cast<milliseconds>(
       routed->job.deadline - this->now);
@@ -166,8 +160,10 @@
     *forward.request.max_age -=
         std::chrono::duration_cast<milliseconds>(return_time);
   }
-  forward.forward_id = this->forwards.Add(
-      ForwardedJob{this->MakeAttempt(routed), owner, member});
+  Job attempt = this->MakeAttempt(routed);
+  forward.term = attempt.term;
+  forward.forward_id =
+      this->forwards.Add(ForwardedJob{std::move(attempt), owner, member});
   this->hooks.send(owner, forward);
 }
 
@@ -179,6 +175,7 @@
   job.request = forward.request;
   job.received = present;
   job.deadline = present + forward.request.timeout;
+  job.term = forward.term;
   job.reply = [this, from,
                forward_id = forward.forward_id](const Outcome& outcome) {
     this->hooks.send(from, ForwardReply{forward_id, this->id, outcome});
@@ -249,6 +246,11 @@
                 "the answer came after the stated age had passed"};
 }
 
+void DatabaseTraffic::Tell(const RoutedPtr& routed, const Outcome& outcome) {
+  const Job& job = routed->job;
+  job.reply(routed->history.Truth(job.request, job.term, outcome));
+}
+
 void DatabaseTraffic::OnOutcome(const RoutedPtr& routed, Outcome outcome) {
   if (auto* answer = std::get_if<Answered>(&outcome)) {
     this->ObserveAnswer(*routed, *answer);
@@ -256,15 +258,19 @@
     if (too_old) outcome = *too_old;
   }
   this->ObserveMember(*routed, outcome);
-  const auto* refusal = std::get_if<NotRun>(&outcome);
-  const bool again = refusal != nullptr && MayRouteAgain(refusal->code) &&
-                     routed->job.request.transaction.Empty() &&
-                     this->now < routed->job.deadline;
-  if (!again) {
-    routed->job.reply(outcome);
+  Job& job = routed->job;
+  const auto verdict = routed->history.Judge(
+      job.request, job.term, outcome, this->now < job.deadline, this->retries);
+  if (verdict == AttemptVerdict::kTell) {
+    this->Tell(routed, outcome);
     return;
   }
-  routed->last_refusal = *refusal;
+  if (const auto* refusal = std::get_if<NotRun>(&outcome)) {
+    routed->last_refusal = *refusal;
+  }
+  if (verdict == AttemptVerdict::kSettle) {
+    job.request.transaction = TransactionId();
+  }
   routed->tried.Add(routed->place);
   // Routed by the next tick: the refusal may come from within the executor
   // that this request would enter again.
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -13,10 +13,12 @@
 
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/traffic/attempt_history.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/owned_members.h"
 #include "lacewingferry/decisions/traffic/read_routing.h"
+#include "lacewingferry/decisions/traffic/retry_budget.h"
 #include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
 namespace lacewingferry {
@@ -103,6 +105,7 @@
     std::uint64_t view_number = 0;
     std::size_t place = 0;
     std::chrono::steady_clock::time_point sent_at;
+    AttemptHistory history;
     std::optional<NotRun> last_refusal;
   };
   using RoutedPtr = std::shared_ptr<Routed>;
@@ -112,6 +115,7 @@
   void RunHere(const RoutedPtr& routed, const MemberId& member);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
                const MemberId& member, std::chrono::nanoseconds return_time);
+  void Tell(const RoutedPtr& routed, const Outcome& outcome);
   Job MakeAttempt(const RoutedPtr& routed);
   void OnOutcome(const RoutedPtr& routed, Outcome outcome);
   void ObserveAnswer(const Routed& routed, const Answered& answer);
@@ -128,6 +132,7 @@
   const DatabaseView* database = nullptr;
   std::uint64_t view_number = 0;
   std::chrono::steady_clock::time_point now;
+  RetryBudget retries;
   RouteTable routes;
   OwnedMembers owned;
   ForwardTable forwards;
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -1,5 +1,6 @@
 #include "lacewingferry/decisions/traffic/owned_members.h"
 
+#include <functional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -61,12 +62,19 @@
                                             const MemberStatus& status) {
     this->OnStatus(member, asked_at, status);
   };
-  executor_hooks.complete_until = [this](const LogPosition& position) {
-    return this->sampler.Samples().CompleteUntil(position);
+  executor_hooks.age_of = [this](const LogPosition& position) {
+    return this->AgeOf(position);
   };
   Owned made;
-  made.executor = std::make_unique<MemberExecutor>(executor_hooks,
-                                                   this->settings.status_sql);
+  ExecutorSettings executor_settings{
+      RunSettings{
+          FlightSql{this->settings.status_sql, this->settings.request_record},
+          this->hooks.codec},
+      this->settings.transactions,
+      std::hash<MemberId>()(member) ^ std::hash<NodeId>()(this->settings.node) ^
+          this->settings.incarnation};
+  made.executor = std::make_unique<MemberExecutor>(
+      std::move(executor_hooks), std::move(executor_settings));
   MemberExecutor* executor = made.executor.get();
   made.gate = std::make_unique<ReplicaGate>(ReplicaGateHooks{
       [executor](steady_clock::time_point at, Job job) {
@@ -77,7 +85,9 @@
              std::optional<std::chrono::nanoseconds> known_age) {
         this->sampler.Want(at, max_age, known_age);
       },
-      executor_hooks.complete_until});
+      [this](const LogPosition& position) {
+        return this->sampler.Samples().CompleteUntil(position);
+      }});
   return made;
 }
 
@@ -116,8 +126,16 @@
     found = this->owned.emplace(id, this->MakeOwned(id)).first;
   }
   if (share == 0 || leads) found->second.gate->Withdraw(this->now);
-  found->second.executor->Configure(this->now, member.info, share, leads,
-                                    this->term, this->group_size);
+  found->second.executor->Configure(
+      this->now,
+      ExecutorRole{member.info, share, leads, this->term, this->group_size});
+}
+
+std::optional<std::chrono::nanoseconds> OwnedMembers::AgeOf(
+    const LogPosition& position) const {
+  const auto complete = this->sampler.Samples().CompleteUntil(position);
+  if (!complete) return std::nullopt;
+  return this->now - *complete;
 }
 
 OwnedMembers::Owned* OwnedMembers::Find(const MemberId& member) {
@@ -141,12 +159,31 @@
     return;
   }
   if (IsPlainRead(job.request) && member != this->primary) {
+    job.reply = this->WithAgeAtReceipt(job);
     found->gate->Submit(present, std::move(job));
   } else {
     found->executor->Submit(present, std::move(job));
   }
 }
 
+/** The age of the data at the request's receipt, which may be below zero. The
+ * proxy that received the request adds the time since it sent it. */
+ReplyHook OwnedMembers::WithAgeAtReceipt(const Job& job) const {
+  return [this, received = job.received,
+          reply = job.reply](const Outcome& outcome) {
+    const auto* answer = std::get_if<Answered>(&outcome);
+    if (answer == nullptr || !answer->age_bound) {
+      reply(outcome);
+      return;
+    }
+    Answered told = *answer;
+    told.age_bound =
+        *answer->age_bound -
+        std::chrono::floor<std::chrono::milliseconds>(this->now - received);
+    reply(told);
+  };
+}
+
 /** A status of the primary is a sample only while the lease on its term holds:
  * a replaced primary goes on telling a position that is no longer the newest.
  */
@@ -190,14 +227,20 @@
                            steady_clock::time_point until) {
   this->now = present;
   this->answer_gate.SetLease(until);
-  for (auto& entry : this->owned) entry.second.executor->OnGateChanged(present);
+  for (auto& entry : this->owned) {
+    entry.second.executor->OnGateChanged(present,
+                                         this->answer_gate.ReleasedTerm());
+  }
 }
 
 void OwnedMembers::ReleaseTerm(steady_clock::time_point present,
                                std::uint64_t released) {
   this->now = present;
   this->answer_gate.ReleaseTerm(released);
-  for (auto& entry : this->owned) entry.second.executor->OnGateChanged(present);
+  for (auto& entry : this->owned) {
+    entry.second.executor->OnGateChanged(present,
+                                         this->answer_gate.ReleasedTerm());
+  }
 }
 
 void OwnedMembers::RunControlStatement(steady_clock::time_point present,
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -84,8 +84,11 @@
   void OnStatus(const MemberId& member,
                 std::chrono::steady_clock::time_point asked_at,
                 const MemberStatus& status);
+  ReplyHook WithAgeAtReceipt(const Job& job) const;
   bool AskPrimary(std::chrono::steady_clock::time_point now);
   void Settle(std::chrono::steady_clock::time_point now);
+  std::optional<std::chrono::nanoseconds> AgeOf(
+      const LogPosition& position) const;
   Owned* Find(const MemberId& member);
   MemberExecutor* Find(ConnectionId id);
 
--- a/src/lacewingferry/decisions/traffic/traffic_hooks.h
+++ b/src/lacewingferry/decisions/traffic/traffic_hooks.h
@@ -9,7 +9,9 @@
 #include <string>
 
 #include "lacewingferry/core/messages/peer_message.h"
+#include "lacewingferry/decisions/traffic/job_run.h"
 #include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/decisions/traffic/transaction_table.h"
 #include "lacewingferry/ports/event_port.h"
 #include "lacewingferry/ports/member_port.h"
 
@@ -25,6 +27,8 @@
   std::function<ConnectionId()> next_connection;
   /** Told what the traffic shows of the members; may be empty. */
   MemberSignHook observe;
+  /** Writes and reads the stored answers of identified requests. */
+  AnswerCodec codec;
 };
 
 /** Who decides, and how. */
@@ -34,6 +38,8 @@
   std::string status_sql;
   /** Differs between the runs of a process. */
   std::uint64_t incarnation = 0;
+  RequestRecordSql request_record{};
+  TransactionLimits transactions{};
 };
 
 }  // namespace lacewingferry
--- a/standin/postgres_session.cc
+++ b/standin/postgres_session.cc
@@ -18,6 +18,9 @@
 /** Requests wait while more than this many bytes of answers do. */
 constexpr std::size_t kMaxQueuedAnswers = 4UL * 1024 * 1024;
 
+/** How long a client may take to read its last error. */
+constexpr std::chrono::milliseconds kShutTimeout{1000};
+
 std::uint32_t StartupCode(const PostgresFrame& frame) {
   if (frame.body.size() < sizeof(std::uint32_t))
     throw DecodeError("short startup message");
@@ -70,6 +73,11 @@
   this->sql.reset();
   this->answer.Error(reason, true);
   this->writer->Send(this->answer.TakeBytes());
+  this->timer.expires_after(kShutTimeout + this->delays.latency);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const boost::system::error_code& e) {
+        if (!e) self->Close();
+      });
 }
 
 void PostgresSession::Close() {
@@ -222,20 +230,19 @@
 }
 
 void PostgresSession::Handle(const QueryRequest& request) {
-  this->query = request.sql;
-  if (ClassifyStatement(request.sql).kind == StatementKind::kEmpty)
-    this->answer.EmptyQuery();
+  this->query = SimpleQuery{request.sql, false};
 }
 
 void PostgresSession::StepQuery() {
   try {
     std::string_view rest;
-    const auto statement = this->sql->Prepare(*this->query, rest);
-    this->query = std::string(rest);
+    const auto statement = this->sql->Prepare(this->query->rest, rest);
     if (statement->classified.kind == StatementKind::kEmpty) {
+      if (!this->query->any) this->answer.EmptyQuery();
       this->EndQuery();
       return;
     }
+    this->query = SimpleQuery{std::string(rest), true};
     this->Run(statement, {}, [this](const StatementResult& result) {
       this->AnswerQuery(result);
     });
--- a/tests/error/proxy_settings_test.cc
+++ b/tests/error/proxy_settings_test.cc
@@ -113,7 +113,7 @@
     CPPUNIT_ASSERT_EQUAL(
         std::string(
             "9:14: 'drain_limit' must be a duration with its unit, for "
-            "example 250ms, 2s, 1min or 1h, not '12'\n"
+            "example 250ms, 2s or 1min, not '12'\n"
             "10:18: 'traffic_threads' must be a whole number from 1 to 256, "
             "not '-1'\n"
             "11:8: 'peers' must be a list\n"
