--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -1,5 +1,6 @@
 #include "bench/model/fleet.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "lacewingferry/decisions/ownership/slot_owners.h"
@@ -176,6 +177,13 @@
   if (target == nullptr || !from.alive) return;
   if (from.cut || target->cut) return;
   ++this->messages;
+  if (this->send_observer) {
+    const auto number = std::find_if(
+        this->proxies.begin(), this->proxies.end(),
+        [&from](const auto& proxy) { return proxy.get() == &from; });
+    this->send_observer(
+        static_cast<std::size_t>(number - this->proxies.begin()), body);
+  }
   this->network.Deliver(
       from.info.zone, target->info.zone,
       [this, target, sender = from.info.id, body, sent_at = this->queue.Now()] {
@@ -193,6 +201,10 @@
       shard.OnForward(this->queue.Now(), from, *forward);
     } else if (const auto* reply = std::get_if<ForwardReply>(&body)) {
       shard.OnForwardReply(this->queue.Now(), from, *reply);
+    } else if (const auto* probe = std::get_if<PositionProbe>(&body)) {
+      shard.OnProbe(this->queue.Now(), from, *probe);
+    } else if (const auto* sample = std::get_if<PositionSample>(&body)) {
+      shard.OnSample(this->queue.Now(), *sample);
     }
     this->message_sent_at.reset();
   });
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bench/model/event_queue.h"
@@ -94,6 +95,7 @@
   }
   FakeGroup& Group() { return this->group; }
   Network& Net() { return this->network; }
+  const FleetOptions& Options() const { return this->options; }
   const DatabaseId& Database() const { return this->database; }
   MemberId MemberName(std::size_t number) const;
 
@@ -105,6 +107,12 @@
   /** Messages between proxies so far. */
   std::uint64_t Messages() const { return this->messages; }
 
+  /** Told each message that a proxy sends; may be empty. */
+  void SetSendObserver(
+      std::function<void(std::size_t proxy, const PeerBody&)> observer) {
+    this->send_observer = std::move(observer);
+  }
+
  private:
   struct Proxy {
     ProxyInfo info;
@@ -149,6 +157,7 @@
   std::optional<std::chrono::steady_clock::time_point> message_sent_at;
   std::chrono::steady_clock::time_point answer_made_at;
   std::uint64_t boots = 0;
+  std::function<void(std::size_t, const PeerBody&)> send_observer;
 };
 
 }  // namespace lacewingferry::model
--- a/src/lacewingferry/app/traffic_thread.h
+++ b/src/lacewingferry/app/traffic_thread.h
@@ -48,6 +48,8 @@
   void Submit(StatementRequest request, ReplyHook reply);
   void OnForward(const NodeId& from, const ForwardRequest& forward);
   void OnForwardReply(const NodeId& from, const ForwardReply& reply);
+  void OnProbe(const NodeId& from, const PositionProbe& probe);
+  void OnSample(const PositionSample& sample);
 
   /** Sets the end of the lease on a database. Until the first call no answer
    * of a primary leaves. */
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -15,20 +15,23 @@
 #include "lacewingferry/core/messages/forward_messages.h"
 #include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
+#include "lacewingferry/core/messages/position_messages.h"
 
 namespace lacewingferry {
 
 /** The messages by purpose. A codec numbers the alternatives by their order,
  * so new ones are added at the end. */
-using PeerBody = std::variant<
-    ForwardRequest, ForwardReply, VoteRequest, VoteReply, AppendRequest,
-    AppendReply, SnapshotRequest, MembershipUpdate, JoinRequest, LeaseRenewal,
-    LeaseGrant, LeaseRelease, LeaseReleased, MemberCommand, MemberCommandResult,
-    PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
-    ClusterUpdateRequest, ControlRedirect, ConfigurationOffer,
-    ConfigurationReport, MembershipDelta, MembershipAck, MemberHeard,
-    MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
-    MembershipBuckets, MembershipVersions, MembershipPull>;
+using PeerBody =
+    std::variant<ForwardRequest, ForwardReply, VoteRequest, VoteReply,
+                 AppendRequest, AppendReply, SnapshotRequest, MembershipUpdate,
+                 JoinRequest, LeaseRenewal, LeaseGrant, LeaseRelease,
+                 LeaseReleased, MemberCommand, MemberCommandResult,
+                 PrimarySuspicion, ObserveRequest, ObserveReply, ClusterUpdate,
+                 ClusterUpdateRequest, ControlRedirect, ConfigurationOffer,
+                 ConfigurationReport, MembershipDelta, MembershipAck,
+                 MemberHeard, MemberInquiry, NodeHeartbeat, NodeProbe,
+                 MembershipDigest, MembershipBuckets, MembershipVersions,
+                 MembershipPull, PositionProbe, PositionSample>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/traffic/job.h
+++ b/src/lacewingferry/decisions/traffic/job.h
@@ -19,6 +19,8 @@
 struct Job {
   StatementRequest request;
   std::chrono::steady_clock::time_point deadline;
+  /** When this proxy took the request; ages are told as of then. */
+  std::chrono::steady_clock::time_point received;
   ReplyHook reply;
   /** The term that the request was routed by; 0 for any. An owner that knows
    * another term doesn't run it. */
--- a/src/lacewingferry/decisions/traffic/job_run.cc
+++ b/src/lacewingferry/decisions/traffic/job_run.cc
@@ -178,6 +178,10 @@
   evidence.view_term = this->context.term;
   evidence.group_size = this->context.group_size;
   evidence.session_position = this->job.request.session_position;
+  evidence.max_age = this->job.request.max_age;
+  if (!this->context.primary) {
+    evidence.age = this->context.age_of(evidence.before.applied);
+  }
   const ReadVerdict verdict = JudgeRead(evidence);
   if (verdict.refusal) {
     RunStep refused = this->Finish(*verdict.refusal, ConnectionFate::kReusable);
@@ -188,6 +192,10 @@
   answer.result = ResultAt(result, this->flight.statement);
   answer.served_by_replica = !this->context.primary;
   answer.position = verdict.position;
+  if (evidence.age) {
+    answer.age_bound =
+        std::chrono::ceil<std::chrono::milliseconds>(*evidence.age);
+  }
   RunStep step;
   if (this->context.primary) {
     step = this->Hold(answer, after);
--- a/src/lacewingferry/decisions/traffic/job_run.h
+++ b/src/lacewingferry/decisions/traffic/job_run.h
@@ -17,6 +17,11 @@
 
 namespace lacewingferry {
 
+/** How old the data is that includes a position: the proven time for which it
+ * may lack writes. None if nothing is proven. */
+using AgeHook =
+    std::function<std::optional<std::chrono::nanoseconds>(const LogPosition&)>;
+
 /** What a run knows of its member when it starts. */
 struct RunContext {
   MemberId member;
@@ -25,6 +30,7 @@
   std::uint32_t group_size = 3;
   /** A name for a new transaction. */
   std::function<TransactionId()> next_transaction;
+  AgeHook age_of;
 };
 
 /** What doesn't differ between the runs of an executor. */
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -128,6 +128,11 @@
   }
 }
 
+void MemberExecutor::AskStatus(steady_clock::time_point now) {
+  this->runs.AskStatus();
+  this->Dispatch(now);
+}
+
 void MemberExecutor::Dispatch(steady_clock::time_point now) {
   this->runs.Pool().OpenMissing(now);
   if (now >= this->term_entry_at && !this->TermEntryDue(now)) {
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -54,6 +54,10 @@
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            ControlCall call);
 
+  /** Asks the member for its status on the next idle connection, ahead of
+   * waiting requests; on_status gets the answer. */
+  void AskStatus(std::chrono::steady_clock::time_point now);
+
   /** Answers or gives up what waits after the proxy's lease has changed or it
    * has released all terms up to released_term. */
   void OnGateChanged(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -108,6 +108,7 @@
   context.term = this->role.term;
   context.group_size = this->role.group_size;
   context.next_transaction = this->hooks.next_transaction;
+  context.age_of = this->hooks.age_of;
   Active& running = this->active[id];
   running = Active{};
   running.since = now;
@@ -129,6 +130,7 @@
 void MemberRuns::StartPoll(steady_clock::time_point now, ConnectionId id) {
   this->active[id] = Active{};
   this->active[id].since = now;
+  this->status_wanted = false;
   this->polls.OnSent(now);
   this->pool.Send(now, id, SqlBatch{{{this->settings.run.sql.status, {}}}});
 }
@@ -153,6 +155,7 @@
 
 void MemberRuns::OnRunResult(steady_clock::time_point now, ConnectionId id,
                              const BatchResult& result) {
+  const auto asked_at = this->active.at(id).since;
   JobRun& running = *this->active.at(id).run;
   RunStep step = running.OnResult(result);
   // A run that has ended leaves the table before its outcome is told.
@@ -172,7 +175,7 @@
   this->NoteTransaction(now, id, run, step);
   if (step.next) this->pool.Send(now, id, *step.next);
   if (step.fate) this->EndActive(now, id, *step.fate);
-  if (!step.status.empty()) this->TakeStatus(now, step.status);
+  if (!step.status.empty()) this->TakeStatus(now, asked_at, step.status);
   if (step.held) this->HoldAnswer(now, run, std::move(*step.held));
   if (step.outcome) this->Tell(run, *step.outcome);
 }
@@ -254,6 +257,7 @@
 void MemberRuns::OnPollResult(steady_clock::time_point now, ConnectionId id,
                               const BatchResult& result) {
   this->polls.OnEnded();
+  const auto asked_at = this->active.at(id).since;
   std::optional<Job> next = std::move(this->active.at(id).next);
   const bool in_transaction = !this->transactions.IdOn(id).Empty();
   this->EndActive(
@@ -261,12 +265,16 @@
       in_transaction ? ConnectionFate::kPinned : ConnectionFate::kReusable);
   if (next) this->StartRun(now, id, std::move(*next));
   if (!result.results.empty()) {
-    this->TakeStatus(now, ParseMemberStatus(result.results.front()));
+    this->TakeStatus(now, asked_at, ParseMemberStatus(result.results.front()));
   }
 }
 
 void MemberRuns::TakeStatus(steady_clock::time_point now,
+                            steady_clock::time_point asked_at,
                             const std::vector<MemberStatus>& rows) {
+  if (this->hooks.on_status) {
+    this->hooks.on_status(asked_at, SelfStatus(rows));
+  }
   if (!this->role.primary) return;
   this->confirmer.OnStatus(rows);
   this->polls.OnStatus(now);
@@ -356,6 +364,7 @@
 }
 
 bool MemberRuns::PollOverdue(steady_clock::time_point now) const {
+  if (this->status_wanted) return true;
   const auto oldest = this->pending.OldestSince();
   if (!oldest) return false;
   const auto overdue = this->polls.Overdue(*oldest, this->load.Confirmation());
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -42,6 +42,12 @@
   PendingAnswers::GateHook may_answer;
   /** Told what the traffic shows of the member; may be empty. */
   MemberSignHook observe;
+  /** Told what the member says of itself, and when it was asked. */
+  std::function<void(std::chrono::steady_clock::time_point asked_at,
+                     const MemberStatus&)>
+      on_status;
+  /** How old a replica's data is if it includes a position. */
+  AgeHook age_of;
 };
 
 /** How an executor works. */
@@ -110,7 +116,9 @@
   void OnTick(std::chrono::steady_clock::time_point now);
   std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
 
-  /** Whether the primary has to be asked before anything else runs. */
+  /** Asks the member for its status on the next connection that is free. */
+  void AskStatus() { this->status_wanted = true; }
+  /** Whether the member has to be asked before anything else runs. */
   bool PollOverdue(std::chrono::steady_clock::time_point now) const;
   /** Asks the primary if that is due and a connection is free for it. */
   void PollIfDue(std::chrono::steady_clock::time_point now);
@@ -152,6 +160,7 @@
   void OnPollResult(std::chrono::steady_clock::time_point now, ConnectionId id,
                     const BatchResult& result);
   void TakeStatus(std::chrono::steady_clock::time_point now,
+                  std::chrono::steady_clock::time_point asked_at,
                   const std::vector<MemberStatus>& rows);
   void FailActive(ConnectionId id);
   void CloseInDoubt(ConnectionId id);
@@ -166,6 +175,7 @@
   WriteConfirmer confirmer;
   PendingAnswers pending;
   StatusPolls polls;
+  bool status_wanted = false;
   LoadEstimate load;
   TransactionTable transactions;
   std::map<ConnectionId, Active> active;
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "lacewingferry/decisions/traffic/database_traffic.h"
+#include "lacewingferry/decisions/traffic/position_outbox.h"
 
 namespace lacewingferry {
 
@@ -35,6 +36,10 @@
                  const ForwardRequest& forward);
   void OnForwardReply(std::chrono::steady_clock::time_point now,
                       const NodeId& from, const ForwardReply& reply);
+  void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
+               const PositionProbe& probe);
+  void OnSample(std::chrono::steady_clock::time_point now,
+                const PositionSample& sample);
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
@@ -87,6 +92,8 @@
  private:
   using Entry = std::unique_ptr<DatabaseTraffic>;
 
+  TrafficHooks HooksFor(const DatabaseId& database);
+  void Send(const NodeId& node, const PeerBody& body);
   DatabaseTraffic* Find(const DatabaseId& database);
   void Reschedule(const DatabaseId& database, const DatabaseTraffic& traffic);
   template <typename Action>
@@ -99,6 +106,9 @@
   std::size_t index;
   std::size_t count;
   ConnectionId next_connection;
+  PositionOutbox outbox;
+  /** The present of the event that is being handled. */
+  std::chrono::steady_clock::time_point present;
   std::unordered_map<DatabaseId, Entry> databases;
   std::chrono::steady_clock::time_point lease_until;
   std::unordered_map<ConnectionId, DatabaseId> connections;
