--- a/src/lacewingferry/decisions/ownership/seat_holder.h
+++ b/src/lacewingferry/decisions/ownership/seat_holder.h
@@ -39,8 +39,8 @@
   SeatHolder(std::vector<NodeId> witnesses, SeatTimings timings,
              SeatHolderHooks hooks, std::uint64_t incarnation);
 
-  /** Sets how many seats in all of which members this proxy should hold. It keeps
-   * those that it has. */
+  /** Sets how many seats in all of which members this proxy should hold. It
+   * keeps those that it has. */
   void Want(std::vector<SeatWish> wishes);
 
   /** Takes a witness's answer. */
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -279,6 +279,11 @@
   this->FailActive(id);
 }
 
+void MemberRuns::EndTransaction(const TransactionId& id, const Active& by) {
+  const bool commit_sent = by.run && by.run->CommitSent();
+  commit_sent ? this->transactions.Remove(id) : this->transactions.Abort(id);
+}
+
 void MemberRuns::FailActive(ConnectionId id) {
   const TransactionId transaction = this->transactions.IdOn(id);
   const auto node = this->active.extract(id);
@@ -287,11 +292,7 @@
     return;
   }
   const Active& failed = node.mapped();
-  if (failed.run && failed.run->CommitSent()) {
-    this->transactions.Remove(transaction);
-  } else {
-    this->transactions.Abort(transaction);
-  }
+  this->EndTransaction(transaction, failed);
   if (!failed.run && !failed.control) this->polls.OnEnded();
   if (failed.run) {
     const auto outcome = failed.run->OnLost();
@@ -325,11 +326,7 @@
     if (!overdue) continue;
     const TransactionId& transaction =
         running.run->TheJob().request.transaction;
-    if (running.run->CommitSent()) {
-      this->transactions.Remove(transaction);
-    } else {
-      this->transactions.Abort(transaction);
-    }
+    this->EndTransaction(transaction, running);
     this->Tell(*running.run, running.run->Abandon());
   }
   for (const ConnectionId id : hung) this->CloseInDoubt(id);
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -153,6 +153,8 @@
                     const BatchResult& result);
   void TakeStatus(std::chrono::steady_clock::time_point now,
                   const std::vector<MemberStatus>& rows);
+  /** Forgets a transaction whose commit was sent; else notes its abort. */
+  void EndTransaction(const TransactionId& id, const Active& by);
   void FailActive(ConnectionId id);
   void CloseInDoubt(ConnectionId id);
   void AbortTransactions(const std::vector<TransactionId>& ids);
