--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -66,6 +66,11 @@
   void KillZone(std::size_t zone);
   void CutZone(std::size_t zone, bool cut);
 
+  /** Lets the member of a zone do nothing for a time. */
+  void LetLag(std::size_t zone, std::chrono::milliseconds duration) {
+    this->group.Stall(this->members[zone].id, this->queue.Now() + duration);
+  }
+
   FakeGroup& Group() { return this->group; }
   FailoverControl& Control() { return *this->control; }
   Network& Net() { return this->network; }
@@ -102,7 +107,7 @@
     MemberEvents events;
     std::unique_ptr<TrafficShard> shard;
     std::unique_ptr<ProxyFailover> failover;
-    std::chrono::steady_clock::time_point armed_for;
+    std::optional<std::chrono::steady_clock::time_point> armed_for;
   };
 
   void StartControl();
