--- a/bench/failover_bench_main.cc
+++ b/bench/failover_bench_main.cc
@@ -1,6 +1,7 @@
 // Measures failovers in virtual time and prints a table, or JSON.
 //
 //   failover_bench [--json] [--seeds N] [--first N]
+//                  [--deployment kraanwater|wanjiru] [--policy inquiry|fixed]
 
 #include <algorithm>
 #include <chrono>
@@ -20,6 +21,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/** The silence after which the baseline replaces a primary. */
+constexpr milliseconds kFixedTimeout{3000};
+
 /** The trials of one scenario, deployment and policy. */
 struct Row {
   std::string deployment;
@@ -40,7 +44,6 @@
 /** The usual way: a fixed time-out on a silent primary, and a lease that is
  * always waited out. */
 void UseFixedTimeout(FailoverFleetOptions& options) {
-  constexpr milliseconds kFixedTimeout{3000};
   options.settings.holder_silence = kFixedTimeout;
   options.filter =
       [](PeerBody& body) -> std::optional<std::chrono::nanoseconds> {
@@ -139,14 +142,25 @@
       "seeds", "Trials of each kind",
       cxxopts::value<std::uint64_t>()->default_value("500"))(
       "first", "The first seed",
-      cxxopts::value<std::uint64_t>()->default_value("1"));
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "deployment", "Only this deployment",
+      cxxopts::value<std::string>()->default_value(""))(
+      "policy", "Only this policy",
+      cxxopts::value<std::string>()->default_value(""));
+  const auto wanted = [](const std::string& chosen, const char* name) {
+    return chosen.empty() || chosen == name;
+  };
   const auto arguments = usage.parse(argc, argv);
   const auto seeds = arguments["seeds"].as<std::uint64_t>();
   const auto first = arguments["first"].as<std::uint64_t>();
+  const auto only_deployment = arguments["deployment"].as<std::string>();
+  const auto only_policy = arguments["policy"].as<std::string>();
   std::vector<Row> rows;
   if (arguments.count("json") == 0) PrintHeader();
   for (const char* deployment : {"kraanwater", "wanjiru"}) {
     for (const char* policy : {"inquiry", "fixed"}) {
+      if (!wanted(only_deployment, deployment)) continue;
+      if (!wanted(only_policy, policy)) continue;
       for (const FailoverScenario scenario : AllFailoverScenarios()) {
         Row row{deployment, policy, FailoverScenarioName(scenario), {}};
         for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -4,13 +4,14 @@
 #include <utility>
 #include <variant>
 
+#include "bench/model/role_statements.h"
+#include "bench/model/scaled_time.h"
 #include "lacewingferry/decisions/ownership/slot_owners.h"
 
 namespace lacewingferry::model {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::nanoseconds;
 using std::chrono::steady_clock;
 
 constexpr milliseconds kAnnouncementInterval{500};
@@ -18,24 +19,6 @@
 const char kStatus[] = "STATUS";
 const char kDatabase[] = "database-1";
 
-std::uint64_t NumberAt(const ResultSet& rows, std::size_t column) {
-  return std::stoull(*rows.rows.at(0).at(column));
-}
-
-SqlStatement RoleStatement(const MemberCommand& command) {
-  const SqlValue term(std::to_string(command.term));
-  switch (command.kind) {
-    case MemberCommandKind::kFence:
-      return SqlStatement{"FENCE", {term}};
-    case MemberCommandKind::kPromote:
-      return SqlStatement{"PROMOTE", {term}};
-    case MemberCommandKind::kFollow:
-      break;
-  }
-  // The model's endpoints carry the member's name as the host.
-  return SqlStatement{"FOLLOW", {term, SqlValue(command.primary_log.host)}};
-}
-
 }  // namespace
 
 FailoverFleet::FailoverFleet(EventQueue& event_queue,
@@ -208,29 +191,17 @@
 void FailoverFleet::RunCommand(Proxy& proxy, steady_clock::time_point now,
                                const MemberCommand& command,
                                ProxyFailoverHooks::CommandHook on_result) {
-  MemberCommandResult result;
-  result.command_id = command.command_id;
-  result.database = command.database;
-  result.member = command.member.id;
-  result.kind = command.kind;
-  result.term = command.term;
+  MemberCommandResult result = ResultOf(command, std::nullopt);
   if (this->options.instead_of_command &&
       this->options.instead_of_command(this->group, command, result)) {
     on_result(now, result);
     return;
   }
   proxy.shard->RunControlStatement(
-      now, command.database, command.member.id, RoleStatement(command),
+      now, command.database, command.member.id, RoleStatementOf(command),
       now + command.timeout,
-      [this, &proxy, result, on_result](const std::optional<ResultSet>& rows) {
-        MemberCommandResult answer = result;
-        if (rows) {
-          answer.answered = true;
-          answer.accepted = *rows->rows.at(0).at(0) == "t";
-          answer.member_term = NumberAt(*rows, 1);
-          answer.position = LogPosition{NumberAt(*rows, 2), NumberAt(*rows, 3)};
-        }
-        on_result(this->Local(proxy), answer);
+      [this, &proxy, command, on_result](const std::optional<ResultSet>& rows) {
+        on_result(this->Local(proxy), ResultOf(command, rows));
       });
 }
 
@@ -272,7 +243,7 @@
     ++this->control_messages;
     if (std::bernoulli_distribution(this->options.loss)(this->random)) return;
   }
-  nanoseconds delay{0};
+  std::chrono::nanoseconds delay{0};
   if (this->options.filter) {
     const auto extra = this->options.filter(body);
     if (!extra) return;
@@ -292,9 +263,8 @@
     return;
   }
   for (std::size_t i = 0; i < FailoverControl::kReplicas; ++i) {
-    if (FailoverControl::NodeOf(i) == to) {
-      this->control->Receive(i, from, body);
-    }
+    if (FailoverControl::NodeOf(i) != to) continue;
+    this->control->Receive(i, from, body);
   }
 }
 
@@ -324,7 +294,7 @@
   StatementRequest request;
   request.database = DatabaseId(kDatabase);
   request.kind = RequestKind::kWrite;
-  request.statement = SqlStatement{"PUT", {SqlValue(key), SqlValue("v")}};
+  request.statement = {"PUT", {SqlValue(key), SqlValue("v")}};
   request.timeout = kWriteTimeout;
   this->queue.After(
       this->options.places.to_callers, [this, proxy, key, request, on_answer] {
@@ -379,13 +349,8 @@
   for (const MemberInfo& info : this->members) {
     const FakeMember& member = this->group.Member(info.id);
     if (!member.alive || this->group.Stalled(info.id)) continue;
-    MemberAnnouncement announcement;
-    announcement.info = info;
-    announcement.primary = member.primary;
-    announcement.term = member.term;
-    announcement.replication_endpoint = Endpoint{info.id.Value(), 1};
-    announcement.position = member.Durable();
-    announcement.sequence = this->next_announcement++;
+    const MemberAnnouncement announcement =
+        AnnouncementOf(member, this->next_announcement++);
     for (std::size_t i = 0; i < FailoverControl::kReplicas; ++i) {
       this->network.Deliver(info.zone, this->options.places.zones[i],
                             [this, i, announcement] {
@@ -404,10 +369,7 @@
   }
   if (!next || *next == proxy.armed_for) return;
   proxy.armed_for = *next;
-  const double ticks =
-      static_cast<double>(next->time_since_epoch().count()) / proxy.clock_rate;
-  const steady_clock::time_point due(
-      steady_clock::duration(static_cast<steady_clock::rep>(ticks)));
+  const auto due = ScaledTime(*next, 1 / proxy.clock_rate);
   this->queue.At(due + std::chrono::microseconds(1),
                  [this, &proxy, armed = *next] {
                    if (!proxy.alive || proxy.armed_for != armed) return;
@@ -419,11 +381,7 @@
 }
 
 steady_clock::time_point FailoverFleet::Local(const Proxy& proxy) const {
-  const double ticks =
-      static_cast<double>(this->queue.Now().time_since_epoch().count()) *
-      proxy.clock_rate;
-  return steady_clock::time_point(
-      steady_clock::duration(static_cast<steady_clock::rep>(ticks)));
+  return ScaledTime(this->queue.Now(), proxy.clock_rate);
 }
 
 AvailabilityZone FailoverFleet::ZoneOf(const NodeId& node) const {
