--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -42,7 +42,9 @@
                    const BatchResult& result);
 
   /** Takes the end of the proxy's one lease, by its own clock, for all its
-   * databases. */
+   * databases. Whoever calls this has to see to it that every change of term
+   * that the grant knew of came before, as a view or a released term: a grant
+   * made after a promotion would else let the replaced primary answer. */
   void OnLease(std::chrono::steady_clock::time_point now,
                std::chrono::steady_clock::time_point until);
 
@@ -56,6 +58,16 @@
   void ReleaseTerm(std::chrono::steady_clock::time_point now,
                    const DatabaseId& database, std::uint64_t term);
 
+  /** Closes connections to a member at once until no more than most exist,
+   * when this proxy has lost its claim to the slots. */
+  void LimitConnections(std::chrono::steady_clock::time_point now,
+                        const DatabaseId& database, const MemberId& member,
+                        std::size_t most);
+
+  /** Connections to one member, also those being opened. */
+  std::size_t Connections(const DatabaseId& database,
+                          const MemberId& member) const;
+
   /** Runs a statement of control (fence, promote, follow, status) on one of
    * this proxy's own connections of the member, ahead of all requests. reply
    * gets none if this proxy has no connection to it, or no answer until the
@@ -88,8 +100,7 @@
   std::size_t count;
   ConnectionId next_connection;
   std::unordered_map<DatabaseId, Entry> databases;
-  std::chrono::steady_clock::time_point lease_until =
-      std::chrono::steady_clock::time_point::max();
+  std::chrono::steady_clock::time_point lease_until;
   std::unordered_map<ConnectionId, DatabaseId> connections;
   std::unordered_map<DatabaseId, std::chrono::steady_clock::time_point> due_at;
   std::set<std::pair<std::chrono::steady_clock::time_point, DatabaseId>> due;
