Refuse with starting, not unknown_database, before the first view; move CallerApi to app

It is true that nothing ran, but the answer reads as permanent. The balancer's health check says no until the first view. CallerApi uses decisions, so it belongs to the wiring; the layer check holds again.

--- a/src/lacewingferry/adapters/http/caller_api.cc
+++ b/src/lacewingferry/app/caller_api.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/adapters/http/caller_api.h"
+#include "lacewingferry/app/caller_api.h"
 
 #include <utility>
 
--- a/src/lacewingferry/adapters/http/caller_api.h
+++ b/src/lacewingferry/app/caller_api.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_ADAPTERS_HTTP_CALLER_API_H_
-#define LACEWINGFERRY_ADAPTERS_HTTP_CALLER_API_H_
+#ifndef LACEWINGFERRY_APP_CALLER_API_H_
+#define LACEWINGFERRY_APP_CALLER_API_H_
 
 // Defines CallerApi, the HTTP interface of a proxy.
 
@@ -56,4 +56,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_ADAPTERS_HTTP_CALLER_API_H_
+#endif  // LACEWINGFERRY_APP_CALLER_API_H_
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "lacewingferry/adapters/histogram/request_metrics.h"
-#include "lacewingferry/adapters/http/caller_api.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/app/caller_api.h"
 #include "lacewingferry/app/proxy_control.h"
 #include "lacewingferry/app/traffic_thread.h"
 
@@ -85,6 +85,8 @@
   PeerPort peer_port;
   std::unique_ptr<ProxyControl> state;
   RequestMetrics metrics;
+  /** Whether any database is known; the balancer sends no work before. */
+  std::atomic<bool> started{false};
   std::atomic<bool> stopping{false};
   std::chrono::steady_clock::time_point stop_began;
   std::size_t counted = 0;
@@ -174,6 +176,11 @@
       reply(NotRun{RefusalCode::kStopping, "this proxy is stopping"});
       return;
     }
+    if (!this->started) {
+      reply(NotRun{RefusalCode::kStarting,
+                   "this proxy has not yet learned of any database"});
+      return;
+    }
     TrafficThread& thread = this->ThreadOf(request.database);
     ReplyHook back = [this, &io, reply = std::move(reply), kind = request.kind,
                       received = this->clock.now()](const Outcome& outcome) {
@@ -189,7 +196,7 @@
       boost::asio::post(io, [done, problem] { done(problem); });
     });
   };
-  hooks.accepting = [this] { return !this->stopping.load(); };
+  hooks.accepting = [this] { return this->started && !this->stopping; };
   hooks.metrics = [this] { return this->metrics.Format(); };
   return hooks;
 }
@@ -247,6 +254,7 @@
   };
   hooks.publish = [this](const RoutingViewPtr& view) {
     for (auto& thread : this->threads) thread->Publish(view);
+    if (!view->databases.empty()) this->started = true;
   };
   hooks.run_statement = [this](const DatabaseId& database,
                                const MemberId& member,
--- a/src/lacewingferry/core/outcome.cc
+++ b/src/lacewingferry/core/outcome.cc
@@ -32,6 +32,8 @@
       return "member_unreachable";
     case RefusalCode::kTermLost:
       return "term_lost";
+    case RefusalCode::kStarting:
+      return "starting";
   }
   throw InternalError("refusal code without a name");
 }
--- a/src/lacewingferry/core/outcome.h
+++ b/src/lacewingferry/core/outcome.h
@@ -30,6 +30,7 @@
   kInvalidRequest = 10,
   kMemberUnreachable = 11,
   kTermLost = 12,
+  kStarting = 13,
 };
 
 /** The request had no effect and never will have one. */
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -196,7 +196,7 @@
     CPPUNIT_ASSERT(group.Leader() == leader && group.CanServeReads(leader));
     std::size_t voters = 0;
     const GroupStatus status = group.Node(leader).Status(group.Queue().Now());
-    for (const MemberStatus& member : status.members) {
+    for (const VoterStatus& member : status.members) {
       const bool crashed = member.member.node == NodeOf((leader + 1) % 5) ||
                            member.member.node == NodeOf((leader + 2) % 5);
       CPPUNIT_ASSERT(!crashed);
