Send a forwarded request again until its reply comes, and run it once

Cause: a lost ForwardRequest or ForwardReply left a write unknown until its deadline, and a doubled message ran a write twice.

An owner that was started anew after the first sending answers unknown unless the request may run twice. Ruled out: a new id for each sending, which runs a write twice when only its reply was lost.

--- a/bench/model/read_workload.cc
+++ b/bench/model/read_workload.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <utility>
 
-#include "lacewingferry/decisions/session/session_positions.h"
+#include "lacewingferry/core/session_positions.h"
 
 namespace lacewingferry::model {
 namespace {
--- a/src/lacewingferry/adapters/http/caller_api.cc
+++ b/src/lacewingferry/adapters/http/caller_api.cc
@@ -5,7 +5,7 @@
 #include "lacewingferry/adapters/json/announcement_json.h"
 #include "lacewingferry/adapters/token/session_token_codec.h"
 #include "lacewingferry/core/errors.h"
-#include "lacewingferry/decisions/session/session_positions.h"
+#include "lacewingferry/core/session_positions.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/core/messages/forward_messages.h
+++ b/src/lacewingferry/core/messages/forward_messages.h
@@ -22,6 +22,9 @@
   /** The term that the sender routed by. */
   std::uint64_t term = 0;
   StatementRequest request;
+  /** The time since the request was first sent to this owner; zero for the
+   * first sending. */
+  std::chrono::milliseconds since_first_sent{0};
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
@@ -29,6 +32,7 @@
     visit("member", self.member);
     visit("term", self.term);
     visit("request", self.request);
+    visit("since_first_sent", self.since_first_sent);
   }
 };
 
--- a/src/lacewingferry/decisions/session/session_positions.cc
+++ b/src/lacewingferry/core/session_positions.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/session/session_positions.h"
+#include "lacewingferry/core/session_positions.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/lacewingferry/decisions/session/session_positions.h
+++ b/src/lacewingferry/core/session_positions.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_SESSION_SESSION_POSITIONS_H_
-#define LACEWINGFERRY_DECISIONS_SESSION_SESSION_POSITIONS_H_
+#ifndef LACEWINGFERRY_CORE_SESSION_POSITIONS_H_
+#define LACEWINGFERRY_CORE_SESSION_POSITIONS_H_
 
 // Defines how a session's token is read and how it advances.
 
@@ -22,4 +22,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_SESSION_SESSION_POSITIONS_H_
+#endif  // LACEWINGFERRY_CORE_SESSION_POSITIONS_H_
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -22,6 +22,12 @@
   return request.kind == RequestKind::kRead && request.transaction.Empty();
 }
 
+/** Whether a second run does no harm. */
+bool MayRunTwice(const StatementRequest& request) {
+  return IsPlainRead(request) || request.repeatable ||
+         !request.request_id.Empty();
+}
+
 }  // namespace
 
 DatabaseTraffic::DatabaseTraffic(DatabaseId database_id,
@@ -37,6 +43,7 @@
 void DatabaseTraffic::OnView(steady_clock::time_point present,
                              const RoutingViewPtr& new_view) {
   this->now = present;
+  if (this->view == nullptr) this->inbox.Begin(present);
   this->view = new_view;
   ++this->view_number;
   const auto found = this->view->databases.find(this->id);
@@ -162,23 +169,40 @@
   }
   Job attempt = this->MakeAttempt(routed);
   forward.term = attempt.term;
-  forward.forward_id =
-      this->forwards.Add(ForwardedJob{std::move(attempt), owner, member});
-  this->hooks.send(owner, forward);
+  this->hooks.send(
+      owner,
+      this->forwards.Add(
+          this->now,
+          ForwardedJob{
+              std::move(attempt), owner, member, std::move(forward), {}, {}}));
 }
 
 void DatabaseTraffic::OnForward(steady_clock::time_point present,
                                 const NodeId& from,
                                 const ForwardRequest& forward) {
   this->now = present;
+  const ForwardArrival arrival = this->inbox.OnArrival(present, from, forward);
+  if (arrival == ForwardArrival::kRunning) return;
+  if (arrival == ForwardArrival::kAnswered) {
+    this->hooks.send(from, ForwardReply{forward.forward_id, this->id,
+                                        this->inbox.StoredOutcome(
+                                            from, forward.forward_id)});
+    return;
+  }
+  if (arrival == ForwardArrival::kForgotten && !MayRunTwice(forward.request)) {
+    this->hooks.send(
+        from, ForwardReply{forward.forward_id, this->id,
+                           UnknownOutcome{"the owner was started anew"}});
+    return;
+  }
   Job job;
   job.request = forward.request;
   job.received = present;
   job.deadline = present + forward.request.timeout;
   job.term = forward.term;
-  job.reply = [this, from,
-               forward_id = forward.forward_id](const Outcome& outcome) {
-    this->hooks.send(from, ForwardReply{forward_id, this->id, outcome});
+  job.reply = [this, from, forward](const Outcome& outcome) {
+    this->inbox.OnOutcome(from, forward, outcome);
+    this->hooks.send(from, ForwardReply{forward.forward_id, this->id, outcome});
   };
   this->owned.Run(present, forward.member, std::move(job));
 }
@@ -335,6 +359,9 @@
   for (const ForwardedJob& job : this->forwards.TakeExpired(present)) {
     this->OnOwnerSilent(job);
   }
+  for (const ForwardResend& again : this->forwards.Resends(present)) {
+    this->hooks.send(again.owner, again.message);
+  }
   std::vector<RoutedPtr> due;
   const auto end = this->delayed.upper_bound(present);
   for (auto it = this->delayed.begin(); it != end; ++it) {
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -14,6 +14,7 @@
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/decisions/traffic/attempt_history.h"
+#include "lacewingferry/decisions/traffic/forward_inbox.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
 #include "lacewingferry/decisions/traffic/owned_members.h"
@@ -136,6 +137,7 @@
   RouteTable routes;
   OwnedMembers owned;
   ForwardTable forwards;
+  ForwardInbox inbox;
   std::multimap<std::chrono::steady_clock::time_point, RoutedPtr> delayed;
 };
 
--- a/src/lacewingferry/decisions/traffic/forward_table.cc
+++ b/src/lacewingferry/decisions/traffic/forward_table.cc
@@ -1,14 +1,43 @@
 #include "lacewingferry/decisions/traffic/forward_table.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace lacewingferry {
+namespace {
 
-std::uint64_t ForwardTable::Add(ForwardedJob job) {
+/** A reply that takes longer is asked for again: it or the request may have
+ * been lost. */
+constexpr std::chrono::milliseconds kFirstResend{300};
+
+}  // namespace
+
+ForwardRequest ForwardTable::Add(std::chrono::steady_clock::time_point now,
+                                 ForwardedJob job) {
   const std::uint64_t id = this->next_id++;
-  this->jobs.emplace(id, std::move(job));
-  return id;
+  job.message.forward_id = id;
+  job.first_sent = now;
+  job.next_resend = now + kFirstResend;
+  const auto added = this->jobs.emplace(id, std::move(job));
+  return added.first->second.message;
+}
+
+std::vector<ForwardResend> ForwardTable::Resends(
+    std::chrono::steady_clock::time_point now) {
+  std::vector<ForwardResend> due;
+  for (auto& entry : this->jobs) {
+    ForwardedJob& job = entry.second;
+    if (job.next_resend > now || job.job.deadline <= now) continue;
+    const auto waited = now - job.first_sent;
+    job.message.since_first_sent =
+        std::chrono::ceil<std::chrono::milliseconds>(waited);
+    job.message.request.timeout =
+        std::chrono::floor<std::chrono::milliseconds>(job.job.deadline - now);
+    job.next_resend = now + waited;
+    due.push_back(ForwardResend{job.owner, job.message});
+  }
+  return due;
 }
 
 std::optional<ForwardedJob> ForwardTable::Take(std::uint64_t forward_id,
@@ -57,7 +86,8 @@
 ForwardTable::NextDeadline() const {
   std::optional<std::chrono::steady_clock::time_point> earliest;
   for (const auto& entry : this->jobs) {
-    const auto deadline = entry.second.job.deadline;
+    const auto deadline =
+        std::min(entry.second.job.deadline, entry.second.next_resend);
     if (!earliest || deadline < *earliest) earliest = deadline;
   }
   return earliest;
--- a/src/lacewingferry/decisions/traffic/forward_table.h
+++ b/src/lacewingferry/decisions/traffic/forward_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/messages/forward_messages.h"
 #include "lacewingferry/decisions/traffic/job.h"
 
 namespace lacewingferry {
@@ -19,15 +20,26 @@
   Job job;
   NodeId owner;
   MemberId member;
+  /** What was sent, to be sent again while no reply comes. */
+  ForwardRequest message;
+  std::chrono::steady_clock::time_point first_sent;
+  std::chrono::steady_clock::time_point next_resend;
+};
+
+/** A message that is due to be sent again. */
+struct ForwardResend {
+  NodeId owner;
+  ForwardRequest message;
 };
 
 /** Matches each reply to its request; a reply that comes late or twice finds
  * none. */
 class ForwardTable {
  public:
-  /** Adds a request and returns its number in the messages. Numbers start at
-   * a value that differs between runs of a process. */
-  std::uint64_t Add(ForwardedJob job);
+  /** Adds a request and returns its message with its number filled in. Numbers
+   * start at a value that differs between runs of a process. */
+  ForwardRequest Add(std::chrono::steady_clock::time_point now,
+                     ForwardedJob job);
 
   /** Takes the request of a reply; none for a late one. */
   std::optional<ForwardedJob> Take(std::uint64_t forward_id,
@@ -37,13 +49,17 @@
   std::vector<ForwardedJob> TakeExpired(
       std::chrono::steady_clock::time_point now);
 
+  /** The requests to send again now; the pauses between the sendings of one
+   * request double. */
+  std::vector<ForwardResend> Resends(std::chrono::steady_clock::time_point now);
+
   /** Takes the requests that wait for a proxy that is gone. */
   std::vector<ForwardedJob> TakeOwnedBy(const NodeId& owner);
 
   /** The proxies that requests wait for. */
   std::vector<NodeId> Owners() const;
 
-  /** The earliest deadline; none if nothing waits. */
+  /** The earliest deadline or resend; none if nothing waits. */
   std::optional<std::chrono::steady_clock::time_point> NextDeadline() const;
 
   std::size_t Size() const { return this->jobs.size(); }
