Tell an early leave from a planned stop, and name the likely cause

Without that wait control had adopted the database, recorded no members_changed and asked one replica where it needs two. After the rename both files were checked for syntax only; the planned-stop suite was not run again.

--- a/tests/correctness/processes_leaving_primary_test.cc
+++ b/tests/correctness/processes_early_leave_test.cc
@@ -9,13 +9,14 @@
 
 constexpr std::chrono::milliseconds kLoadLength{20000};
 
-class ProcessesLeavingPrimaryTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(ProcessesLeavingPrimaryTest);
-  CPPUNIT_TEST(LeavingPrimaryIsReplaced);
+class ProcessesEarlyLeaveTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ProcessesEarlyLeaveTest);
+  CPPUNIT_TEST(PrimaryThatLeavesAtOnceIsReplaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void LeavingPrimaryIsReplaced() {
+  // The primary leaves before control has admitted all members.
+  void PrimaryThatLeavesAtOnceIsReplaced() {
     ProcessCluster cluster("kraanwater");
     cluster.StartLoad(kLoadLength);
     const MemberId leaving = cluster.FailPrimary(SIGTERM);
@@ -24,7 +25,7 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ProcessesLeavingPrimaryTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessesEarlyLeaveTest);
 
 }  // namespace
 }  // namespace lacewingferry::testing
--- a/tests/correctness/processes_planned_stop_test.cc
+++ b/tests/correctness/processes_planned_stop_test.cc
@@ -15,11 +15,14 @@
 constexpr std::chrono::milliseconds kStopLimit{20000};
 /** A leaving member gets no new work after this time. */
 constexpr std::chrono::milliseconds kLeaveNotice{2000};
+/** Within this time control admits all members of a new database. */
+constexpr std::chrono::milliseconds kAdmissionTime{4000};
 
 class ProcessesPlannedStopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ProcessesPlannedStopTest);
   CPPUNIT_TEST(StoppingProxyCutsNoRequest);
   CPPUNIT_TEST(LeavingReplicaGetsNoNewWork);
+  CPPUNIT_TEST(LeavingPrimaryIsReplaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,6 +59,15 @@
     }
   }
 
+  void LeavingPrimaryIsReplaced() {
+    ProcessCluster cluster("kraanwater");
+    cluster.StartLoad(kLoadLength * 2);
+    std::this_thread::sleep_for(kAdmissionTime);
+    const MemberId leaving = cluster.FailPrimary(SIGTERM);
+    cluster.WaitForOtherPrimary(leaving);
+    cluster.FinishLoad();
+  }
+
  private:
   std::string TokenOf(ProcessCluster& cluster) {
     return cluster.Send(0, cluster.Request(RequestKind::kRead, "SELECT 1"))
