--- a/tests/correctness/voter_repair_test.cc
+++ b/tests/correctness/voter_repair_test.cc
@@ -16,9 +16,9 @@
 
 const steady_clock::time_point kNow{seconds(1000)};
 
-MemberStatus Member(const std::string& name, ControlRole role,
+VoterStatus Member(const std::string& name, ControlRole role,
                     milliseconds silence) {
-  MemberStatus status;
+  VoterStatus status;
   status.member = {VoterId(name), NodeId("n-" + name), role};
   status.last_heard = kNow - silence;
   status.connected = silence < milliseconds(400);
@@ -26,15 +26,15 @@
   return status;
 }
 
-MemberStatus Voter(const std::string& name, milliseconds silence = {}) {
+VoterStatus Voter(const std::string& name, milliseconds silence = {}) {
   return Member(name, ControlRole::kVoter, silence);
 }
 
-MemberStatus Learner(const std::string& name, milliseconds silence = {}) {
+VoterStatus Learner(const std::string& name, milliseconds silence = {}) {
   return Member(name, ControlRole::kLearner, silence);
 }
 
-GroupStatus Group(std::vector<MemberStatus> members) {
+GroupStatus Group(std::vector<VoterStatus> members) {
   GroupStatus group;
   group.leader = members.front().member.voter;
   group.refusal = ChangeRefusal::kNone;
@@ -47,7 +47,7 @@
 int Margin(const GroupStatus& group) {
   int voters = 0;
   int connected = 0;
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     if (status.member.role != ControlRole::kVoter) continue;
     ++voters;
     connected += status.connected;
@@ -57,14 +57,14 @@
 
 void Make(GroupStatus& group, const MembershipChange& change) {
   ControlConfiguration configuration;
-  for (const MemberStatus& status : group.members) {
+  for (const VoterStatus& status : group.members) {
     configuration.members.push_back(status.member);
   }
   configuration = ApplyChange(configuration, change);
-  std::vector<MemberStatus> members;
+  std::vector<VoterStatus> members;
   for (const ControlMember& member : configuration.members) {
-    MemberStatus status = Learner(member.voter.Value());
-    for (const MemberStatus& old : group.members) {
+    VoterStatus status = Learner(member.voter.Value());
+    for (const VoterStatus& old : group.members) {
       if (old.member.voter == member.voter) status = old;
     }
     status.member = member;
@@ -148,7 +148,7 @@
   void NeverLowersTheMargin() {
     CPPUNIT_ASSERT(rc::check([](const std::vector<bool>& more_voters,
                                 const std::vector<bool>& learners) {
-      std::vector<MemberStatus> members{Voter("leader")};
+      std::vector<VoterStatus> members{Voter("leader")};
       for (bool lost : more_voters) {
         if (members.size() == kMaxVoters) break;
         members.push_back(Voter("v" + std::to_string(members.size()),
