Send a stored acknowledgement again only under the lease on the newest term

Cause: an owner keeps the outcomes of forwarded requests and sends them again when the sender asks again. Ruled out: the lease alone as the check, for a lease renewed for the newer term is open for the older one too. An HTTP connection that ends reads what its caller still sends, so that the answer to an oversized body isn't lost to a reset (BadInputTest).

--- a/src/lacewingferry/adapters/http/http_connection.cc
+++ b/src/lacewingferry/adapters/http/http_connection.cc
@@ -13,6 +13,9 @@
 /** The time for a request to arrive once its first byte is there. */
 constexpr std::chrono::seconds kRequestTimeout{10};
 constexpr std::chrono::seconds kWriteTimeout{10};
+/** The time for a caller to read the last answer and close. */
+constexpr std::chrono::seconds kLingerTimeout{2};
+constexpr std::size_t kDiscardedBytes = 16384;
 /** An idle connection that stays silent for this long is closed. */
 constexpr std::chrono::minutes kIdleTimeout{10};
 
@@ -148,7 +151,21 @@
                       boost::system::error_code ignored;
                       self->stream.socket().shutdown(
                           boost::asio::ip::tcp::socket::shutdown_send, ignored);
+                      self->buffer = boost::beast::flat_buffer();
+                      self->stream.expires_after(kLingerTimeout);
+                      self->DiscardInput();
                     });
 }
 
+void HttpConnection::DiscardInput() {
+  // Closing with input unread would reset the connection, and a caller that
+  // still sends an oversized request might lose the answer to it.
+  this->stream.async_read_some(
+      this->buffer.prepare(kDiscardedBytes),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t) {
+        if (!error) self->DiscardInput();
+      });
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/adapters/http/http_connection.h
+++ b/src/lacewingferry/adapters/http/http_connection.h
@@ -43,6 +43,7 @@
   void Reject(boost::system::error_code error);
   void Respond(HttpResponse response, bool keep_alive);
   void Write(bool keep_alive);
+  void DiscardInput();
 
   boost::beast::tcp_stream stream;
   boost::asio::steady_timer idle_timer;
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -191,9 +191,7 @@
   const ForwardArrival arrival = this->inbox.OnArrival(present, from, forward);
   if (arrival == ForwardArrival::kRunning) return;
   if (arrival == ForwardArrival::kAnswered) {
-    this->hooks.send(from, ForwardReply{forward.forward_id, this->id,
-                                        this->inbox.StoredOutcome(
-                                            from, forward.forward_id)});
+    this->SendStoredOutcome(from, forward);
     return;
   }
   if (arrival == ForwardArrival::kForgotten && !MayRunTwice(forward.request)) {
@@ -214,6 +212,21 @@
   this->owned.Run(present, forward.member, std::move(job));
 }
 
+void DatabaseTraffic::SendStoredOutcome(const NodeId& from,
+                                        const ForwardRequest& forward) {
+  Outcome outcome = this->inbox.StoredOutcome(from, forward.forward_id);
+  const auto* answer = std::get_if<Answered>(&outcome);
+  // An acknowledgement that is sent again leaves now: it needs the lease on
+  // its own term now, whatever held when it left for the first time. An answer
+  // without a position began a transaction.
+  const bool written = answer != nullptr && answer->position.term > 0;
+  const std::uint64_t term = written ? answer->position.term : forward.term;
+  const bool silenced = answer != nullptr && !answer->served_by_replica &&
+                        !this->owned.MayAnswer(this->now, term);
+  if (silenced) outcome = UnknownOutcome{"the term of the answer has ended"};
+  this->hooks.send(from, ForwardReply{forward.forward_id, this->id, outcome});
+}
+
 void DatabaseTraffic::OnForwardReply(steady_clock::time_point present,
                                      const NodeId& from,
                                      const ForwardReply& reply) {
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -118,6 +118,7 @@
   };
   using RoutedPtr = std::shared_ptr<Routed>;
 
+  void SendStoredOutcome(const NodeId& from, const ForwardRequest& forward);
   void Route(const RoutedPtr& routed);
   void RouteInTransaction(const RoutedPtr& routed);
   void RunHere(const RoutedPtr& routed, const MemberId& member);
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -58,6 +58,13 @@
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            const MemberId& member, ControlCall call);
 
+  /** Whether an answer of the primary of a term may leave now: the term is
+   * the newest that this proxy knows, and the lease holds. */
+  bool MayAnswer(std::chrono::steady_clock::time_point present,
+                 std::uint64_t of_term) const {
+    return of_term >= this->term && this->answer_gate.Open(present, of_term);
+  }
+
   /** Closes connections to a member until no more than most exist. */
   void LimitConnections(const MemberId& member, std::size_t most);
 
