--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -415,7 +415,8 @@
   FakeMember& source = this->members.at(primary);
   FakeMember& target = this->members.at(replica);
   const bool streams =
-      source.alive && target.alive && source.primary && source.term == term &&
+      source.alive && target.alive && !this->Stalled(primary) &&
+      !this->Stalled(replica) && source.primary && source.term == term &&
       target.term == term && target.following == primary &&
       this->network.Reaches(source.info.zone, target.info.zone);
   if (!streams) {
--- a/tests/correctness/voter_repair_test.cc
+++ b/tests/correctness/voter_repair_test.cc
@@ -17,7 +17,7 @@
 const steady_clock::time_point kNow{seconds(1000)};
 
 VoterStatus Member(const std::string& name, ControlRole role,
-                    milliseconds silence) {
+                   milliseconds silence) {
   VoterStatus status;
   status.member = {VoterId(name), NodeId("n-" + name), role};
   status.last_heard = kNow - silence;
