--- a/bench/processes/workload_tables.cc
+++ b/bench/processes/workload_tables.cc
@@ -1,5 +1,7 @@
 #include "bench/processes/workload_tables.h"
 
+#include <utility>
+
 namespace lacewingferry::processes {
 
 const char kBookingsTable[] = "bookings";
@@ -26,8 +28,9 @@
   for (const std::string& table : TaggedTables()) {
     statements.push_back("CREATE TABLE IF NOT EXISTS " + table +
                          " (tag TEXT NOT NULL, caller TEXT NOT NULL)");
-    statements.push_back("CREATE INDEX IF NOT EXISTS " + table + "_by_tag ON " +
-                         table + " (tag)");
+    std::string index = "CREATE INDEX IF NOT EXISTS ";
+    index.append(table).append("_by_tag ON ").append(table).append(" (tag)");
+    statements.push_back(std::move(index));
   }
   return statements;
 }
--- a/bench/write_path_main.cc
+++ b/bench/write_path_main.cc
@@ -43,7 +43,7 @@
   one.timeout = milliseconds(1000);
   PrintRow(name + " 1 caller", one);
   OverloadOptions capacity = one;
-  capacity.callers = 2 * fleet.slots;
+  capacity.callers = std::size_t{2} * fleet.slots;
   PrintRow(name + " at capacity", capacity);
   OverloadOptions all = one;
   all.callers = callers;
