--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -70,6 +70,7 @@
   void Send(const NodeId& to, const PeerBody& body);
   void SendTo(const std::string& url, const PeerBody& body);
   void OnPeerMessage(const PeerMessage& message);
+  void OnProxyMessage(const PeerMessage& message);
   MembershipSettings MembershipParts() const;
   MembershipHooks MembershipEffects();
   void OnRecord(const MembershipRecord& record);
@@ -224,12 +225,15 @@
 void ControlProgram::Impl::OnPeerMessage(const PeerMessage& message) {
   this->parts.hybrid.receive(HybridTime(message.sent_at));
   if (!message.from_url.empty()) this->urls[message.from] = message.from_url;
-  if (this->replica.OnMessage(message.from, message.body)) {
-    // The log's own message.
-  } else if (this->membership.OnMessage(this->parts.hybrid.clock.now(),
-                                        message)) {
-    // Membership's own message.
-  } else if (!this->replica.Serving()) {
+  const bool taken =
+      this->replica.OnMessage(message.from, message.body) ||
+      this->membership.OnMessage(this->parts.hybrid.clock.now(), message);
+  if (!taken) this->OnProxyMessage(message);
+  this->Advance();
+}
+
+void ControlProgram::Impl::OnProxyMessage(const PeerMessage& message) {
+  if (!this->replica.Serving()) {
     this->Redirect(message.from);
   } else if (const auto* report =
                  std::get_if<ConfigurationReport>(&message.body)) {
@@ -238,7 +242,6 @@
     this->manager.OnMessage(this->parts.hybrid.clock.now(), message.from,
                             message.body);
   }
-  this->Advance();
 }
 
 MembershipSettings ControlProgram::Impl::MembershipParts() const {
