--- a/tests/error/control_storage_test.cc
+++ b/tests/error/control_storage_test.cc
@@ -88,10 +88,10 @@
 
  public:
   void FullDiskAtEveryByteLosesNothingAcknowledged() {
-    constexpr std::size_t last_room = 1200;
+    constexpr std::size_t kLastRoom = 1200;
     bool failed_once = false;
     bool passed_once = false;
-    for (std::size_t room = 0; room < last_room; ++room) {
+    for (std::size_t room = 0; room < kLastRoom; ++room) {
       std::string pattern =
           (std::filesystem::temp_directory_path() / "ferry-XXXXXX").string();
       CPPUNIT_ASSERT(mkdtemp(pattern.data()) != nullptr);
