Measure idle callers and the way through a proxy

Cause: the first run read the memory before connections were accepted, and compared a stand-in with latency to one without.

--- a/bench/proxy_bench_main.cc
+++ b/bench/proxy_bench_main.cc
@@ -12,6 +12,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "bench/processes/child_process.h"
@@ -21,6 +22,7 @@
 #include "bench/processes/local_cluster.h"
 #include "bench/processes/poll_until.h"
 #include "bench/processes/statement_client.h"
+#include "lacewingferry/core/duration_text.h"
 
 // Measures a real proxy on loopback: its memory with idle callers, and a
 // statement through it beside the same statement at the next hop. The figures
@@ -36,6 +38,7 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr milliseconds kStartLimit{60000};
+constexpr milliseconds kAcceptPause{1000};
 constexpr int kStatements = 2000;
 constexpr std::size_t kIdleCallers[] = {0, 500, 1000, 2300};
 
@@ -63,6 +66,8 @@
       callers.push_back(std::make_unique<tcp::socket>(io));
       callers.back()->connect(endpoint);
     }
+    // The proxy accepts connections after the system has completed them.
+    std::this_thread::sleep_for(kAcceptPause);
     std::cout << std::setw(12) << wanted << "   " << ResidentKilobytes(pid)
               << " kB\n";
   }
@@ -138,7 +143,9 @@
       {folder + "/standin_db", "--member", "bench", "--database", "bench",
        "--group", "bench", "--zone", "nh-a", "--port",
        std::to_string(direct.port), "--replication-port",
-       std::to_string(ports.Take()), "--initial-primary"},
+       std::to_string(ports.Take()), "--latency",
+       lacewingferry::FormatDuration(plan.deployment.latency),
+       "--initial-primary"},
       cluster.Files().LogOf("bench"));
   lacewingferry::processes::PollUntil(kStartLimit, [&direct] {
     return PQping(
