Found the control log by the decision that was there; keep report times in chrono

Cause, found on reading the whole change: ControlProgram wrote FoundControlLog again beside decisions/consensus/found_control_log, and seeded its random engine as ControlReplica does. Both now open the folder through OpenControlDisk, and the program calls the decision. ReadReport kept three times as doubles; they are nanoseconds until they are printed.

Behaviour stays.

--- a/bench/model/read_report.cc
+++ b/bench/model/read_report.cc
@@ -11,14 +11,18 @@
 
 using std::chrono::nanoseconds;
 
-double QuantileMs(std::vector<nanoseconds> times, double quantile) {
-  if (times.empty()) return 0;
+nanoseconds Quantile(std::vector<nanoseconds> times, double quantile) {
+  if (times.empty()) return nanoseconds(0);
   const auto place = static_cast<std::size_t>(
       quantile * static_cast<double>(times.size() - 1));
   std::nth_element(times.begin(),
                    times.begin() + static_cast<std::ptrdiff_t>(place),
                    times.end());
-  return std::chrono::duration<double, std::milli>(times[place]).count();
+  return times[place];
+}
+
+double InMilliseconds(nanoseconds time) {
+  return std::chrono::duration<double, std::milli>(time).count();
 }
 
 }  // namespace
@@ -30,9 +34,9 @@
   line.seed = seed;
   line.least_share = scenario.least_share;
   line.result = outcome.result;
-  line.read_median_ms = QuantileMs(outcome.result.read_times, 0.5);
-  line.read_p99_ms = QuantileMs(outcome.result.read_times, 0.99);
-  line.write_p99_ms = QuantileMs(outcome.result.write_times, 0.99);
+  line.read_median = Quantile(outcome.result.read_times, 0.5);
+  line.read_p99 = Quantile(outcome.result.read_times, 0.99);
+  line.write_p99 = Quantile(outcome.result.write_times, 0.99);
   line.violations = outcome.result.Violations();
   line.control_bytes = outcome.control_bytes_a_second;
   if (line.violations > 0) this->passed = false;
@@ -60,9 +64,10 @@
         << std::setprecision(2) << std::setw(7) << line.least_share
         << std::setw(8) << line.result.refused << std::setw(9)
         << line.violations << std::setprecision(1) << std::setw(9)
-        << line.read_median_ms << std::setw(9) << line.read_p99_ms
-        << std::setw(10) << line.write_p99_ms << std::setw(9)
-        << line.control_bytes << "\n";
+        << InMilliseconds(line.read_median) << std::setw(9)
+        << InMilliseconds(line.read_p99) << std::setw(10)
+        << InMilliseconds(line.write_p99) << std::setw(9) << line.control_bytes
+        << "\n";
   }
   return out.str();
 }
@@ -80,9 +85,9 @@
         << ", \"least_share\": " << line.least_share
         << ", \"refused\": " << line.result.refused
         << ", \"violations\": " << line.violations
-        << ", \"read_p50_ms\": " << line.read_median_ms
-        << ", \"read_p99_ms\": " << line.read_p99_ms
-        << ", \"write_p99_ms\": " << line.write_p99_ms
+        << ", \"read_p50_ms\": " << InMilliseconds(line.read_median)
+        << ", \"read_p99_ms\": " << InMilliseconds(line.read_p99)
+        << ", \"write_p99_ms\": " << InMilliseconds(line.write_p99)
         << ", \"probe_bytes_a_second\": " << line.control_bytes << "}";
   }
   out << "\n]\n";
--- a/bench/model/read_report.h
+++ b/bench/model/read_report.h
@@ -4,6 +4,7 @@
 // Defines ReadReport, the figures of several measured runs as a table or as
 // JSON.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -31,9 +32,9 @@
     std::uint64_t seed = 0;
     double least_share = 0;
     ReadWorkloadResult result;
-    double read_median_ms = 0;
-    double read_p99_ms = 0;
-    double write_p99_ms = 0;
+    std::chrono::nanoseconds read_median{0};
+    std::chrono::nanoseconds read_p99{0};
+    std::chrono::nanoseconds write_p99{0};
     std::uint64_t violations = 0;
     double control_bytes = 0;
   };
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -8,20 +8,17 @@
 #include <csignal>
 #include <map>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 
-#include "lacewingferry/adapters/disk/disk_storage.h"
 #include "lacewingferry/adapters/http/http_server.h"
-#include "lacewingferry/adapters/msgpack/log_codec.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/app/control_replica.h"
 #include "lacewingferry/app/operator_api.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/in_force_tracker.h"
-#include "lacewingferry/decisions/consensus/control_log.h"
-#include "lacewingferry/decisions/consensus/voter_identity.h"
+#include "lacewingferry/decisions/consensus/found_control_log.h"
 #include "lacewingferry/decisions/failover/failover_manager.h"
 #include "lacewingferry/decisions/membership/membership_node.h"
 #include "lacewingferry/decisions/ownership/slot_owners.h"
@@ -40,16 +37,8 @@
 }  // namespace
 
 void FoundControlLog(const ControlSettings& settings) {
-  const StoragePort storage = MakeDiskStorage(settings.data_folder);
-  const LogCodecPort codec = MakeLogCodec();
-  std::random_device device;
-  std::mt19937_64 random((static_cast<std::uint64_t>(device()) << 32U) ^
-                         device());
-  const VoterId self = LoadOrCreateIdentity(storage, codec, random);
-  ControlConfiguration first;
-  first.members.push_back(
-      ControlMember{self, settings.node, ControlRole::kVoter});
-  ControlLog(storage, codec).Found(first);
+  ControlDisk disk = OpenControlDisk(settings.data_folder);
+  FoundControlLog(disk.storage, disk.codec, settings.node, disk.random);
 }
 
 /** The steps of an input: the replica takes messages of the log, the manager
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -1,14 +1,12 @@
 #include "lacewingferry/app/control_replica.h"
 
 #include <algorithm>
-#include <random>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
-#include "lacewingferry/adapters/disk/disk_storage.h"
 #include "lacewingferry/adapters/msgpack/field_codec.h"
-#include "lacewingferry/adapters/msgpack/log_codec.h"
+#include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/decisions/consensus/voter_identity.h"
 
 namespace lacewingferry {
@@ -18,12 +16,6 @@
 
 constexpr std::chrono::seconds kRepairInterval{1};
 
-std::mt19937_64 SeedFromDevice() {
-  std::random_device device;
-  return std::mt19937_64((static_cast<std::uint64_t>(device()) << 32U) ^
-                         device());
-}
-
 RepairSettings MakeRepairSettings(const ControlSettings& settings) {
   RepairSettings repair;
   repair.voters = settings.voters.size();
@@ -49,14 +41,13 @@
 ControlReplica::ControlReplica(const ControlSettings& settings,
                                ControlReplicaHooks replica_hooks)
     : hooks(std::move(replica_hooks)), repair(MakeRepairSettings(settings)) {
-  const StoragePort storage = MakeDiskStorage(settings.data_folder);
-  std::mt19937_64 random = SeedFromDevice();
+  ControlDisk disk = OpenControlDisk(settings.data_folder);
   RaftParts parts;
-  parts.codec = MakeLogCodec();
-  parts.self = LoadOrCreateIdentity(storage, parts.codec, random);
-  parts.storage = storage;
+  parts.self = LoadOrCreateIdentity(disk.storage, disk.codec, disk.random);
+  parts.storage = disk.storage;
+  parts.codec = disk.codec;
   parts.hooks = this->MakeRaftHooks();
-  parts.seed = random();
+  parts.seed = disk.random();
   for (const PeerAddress& voter : settings.voters) {
     if (voter.id != settings.node) parts.settings.seeds.push_back(voter.id);
   }
