--- a/tests/support/process_cluster.cc
+++ b/tests/support/process_cluster.cc
@@ -41,7 +41,7 @@
     : local(StartCluster(deployment)) {}
 
 MemberId ProcessCluster::FailPrimary(int signal) {
-  const MemberId primary =
+  MemberId primary =
       this->local->PrimaryOf(this->Database(), kProcessDeadline);
   this->failures.push_back(
       {this->Database(), primary, std::chrono::steady_clock::now()});
@@ -72,7 +72,7 @@
 }
 
 processes::RunVerdict ProcessCluster::FinishLoad() {
-  const auto verdict = processes::CheckRun(this->Plan(), this->load->Finish(),
+  auto verdict = processes::CheckRun(this->Plan(), this->load->Finish(),
                                            this->failures, kProcessDeadline);
   std::ostringstream table;
   processes::WriteVerdict(verdict, table);
