Count a write's majority by the identity of the members

WriteConfirmer counted whatever replicas the primary's status showed, so a server that follows the primary without being one of the term's members (a replacement that isn't admitted yet, a stranger) made a majority with it. The next failover doesn't fence that server, and the write is lost.

Now only rows of the counted members count, the primary's own among them, and a member with two rows once. While control has named no members nothing is confirmed. When the members change between send and confirm, what the earlier ones confirmed is forgotten: an answer that was counted two changes back could leave on a newer lease. A replica that doesn't count is no half of a pair for the position of a read either.

Views made by tests and by the model now name the members.

--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -33,14 +33,8 @@
   std::uniform_real_distribution<double> drift(-this->options.clock_drift,
                                                this->options.clock_drift);
   for (std::size_t i = 0; i < zones.size(); ++i) {
-    MemberInfo info;
-    info.id = MemberId("member-" + std::to_string(i));
-    info.database = DatabaseId(kDatabase);
-    info.group = GroupId("group");
-    info.zone = zones[i];
-    info.slots = this->options.places.slots;
-    this->members.push_back(info);
-    this->group.AddMember(info);
+    this->members.push_back(this->NewMember(i));
+    this->group.AddMember(this->members.back());
     for (std::uint32_t j = 0; j < this->options.places.proxies_per_zone; ++j) {
       auto proxy = std::make_unique<Proxy>();
       proxy->info.id = NodeId(zones[i].Value() + "/" + std::to_string(j));
@@ -56,6 +50,41 @@
   this->AnnounceMembers();
 }
 
+MemberInfo FailoverFleet::NewMember(std::size_t zone) {
+  MemberInfo info;
+  info.id = MemberId("member-" + std::to_string(this->next_member++));
+  info.database = DatabaseId(kDatabase);
+  info.group = GroupId("group");
+  info.zone = this->options.places.zones[zone];
+  info.slots = this->options.places.slots;
+  return info;
+}
+
+MemberInfo FailoverFleet::AddStranger(std::size_t zone) {
+  MemberInfo info = this->NewMember(zone);
+  this->group.AddMember(info);
+  this->FollowPrimary(info.id);
+  return info;
+}
+
+void FailoverFleet::FollowPrimary(const MemberId& member) {
+  if (!this->entry.primary.Empty()) {
+    this->group.Follow(member, this->entry.term, this->entry.primary);
+    return;
+  }
+  this->queue.After(kAnnouncementInterval,
+                    [this, member] { this->FollowPrimary(member); });
+}
+
+void FailoverFleet::ReplaceMember(std::size_t zone) {
+  this->group.Stall(this->members[zone].id, steady_clock::time_point::max());
+  this->members[zone] = this->AddStranger(zone);
+  for (auto& proxy : this->proxies) {
+    this->PublishView(*proxy);
+    this->Arm(*proxy);
+  }
+}
+
 void FailoverFleet::StartControl() {
   FailoverControlOptions control_options;
   control_options.codec = this->options.codec;
--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -71,6 +71,14 @@
     this->group.Stall(this->members[zone].id, this->queue.Now() + duration);
   }
 
+  /** Lets a new server follow the primary from a zone, which nobody was told
+   * of. */
+  MemberInfo AddStranger(std::size_t zone);
+
+  /** Ends the server of a zone for good; one under a new name, empty, takes
+   * its place and announces itself. */
+  void ReplaceMember(std::size_t zone);
+
   FakeGroup& Group() { return this->group; }
   FailoverControl& Control() { return *this->control; }
   Network& Net() { return this->network; }
@@ -110,6 +118,8 @@
     std::optional<std::chrono::steady_clock::time_point> armed_for;
   };
 
+  MemberInfo NewMember(std::size_t zone);
+  void FollowPrimary(const MemberId& member);
   void StartControl();
   void StartProxy(Proxy& proxy, std::uint64_t incarnation);
   TrafficHooks TrafficHooksOf(Proxy& proxy);
@@ -150,6 +160,7 @@
   std::uint64_t control_messages = 0;
   std::uint64_t next_key = 1;
   std::uint64_t next_announcement = 1;
+  std::size_t next_member = 0;
 };
 
 }  // namespace lacewingferry::model
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -253,6 +253,7 @@
   entry.primary = this->primary;
   entry.group_size = this->group_size;
   for (const auto& member : this->group.Members()) {
+    entry.counted_members.push_back(member.first);
     entry.members.push_back(
         RoutedMember{member.second.info,
                      AssignSlotOwners(member.second.info, view->proxies)});
--- a/src/lacewingferry/decisions/session/read_judgement.cc
+++ b/src/lacewingferry/decisions/session/read_judgement.cc
@@ -74,7 +74,8 @@
                   "the member's data is not proven to be of the stated age");
   }
   const LogPosition& seen = evidence.after.applied;
-  const bool on_majority = seen.term == evidence.after.term &&
+  const bool on_majority = evidence.counted &&
+                           seen.term == evidence.after.term &&
                            evidence.group_size <= kLargestPairMajority;
   ReadVerdict verdict;
   verdict.position =
--- a/src/lacewingferry/decisions/session/read_judgement.h
+++ b/src/lacewingferry/decisions/session/read_judgement.h
@@ -24,6 +24,8 @@
   std::uint64_t view_term = 0;
   /** How many members the group has when whole. */
   std::uint32_t group_size = 3;
+  /** Whether the member is one of those that a majority is counted of. */
+  bool counted = false;
   /** The newest position that the proxy knows to be on a majority. */
   LogPosition confirmed;
   /** What the session had seen; none for a read outside a session. */
--- a/src/lacewingferry/decisions/traffic/job_run.cc
+++ b/src/lacewingferry/decisions/traffic/job_run.cc
@@ -177,6 +177,7 @@
   evidence.primary = this->context.primary;
   evidence.view_term = this->context.term;
   evidence.group_size = this->context.group_size;
+  evidence.counted = this->context.counted;
   evidence.session_position = this->job.request.session_position;
   evidence.max_age = this->job.request.max_age;
   if (!this->context.primary) {
--- a/src/lacewingferry/decisions/traffic/job_run.h
+++ b/src/lacewingferry/decisions/traffic/job_run.h
@@ -28,6 +28,8 @@
   bool primary = false;
   std::uint64_t term = 0;
   std::uint32_t group_size = 3;
+  /** Whether the member is one of those that a majority is counted of. */
+  bool counted = false;
   /** A name for a new transaction. */
   std::function<TransactionId()> next_transaction;
   AgeHook age_of;
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -32,7 +32,7 @@
 void MemberRuns::Configure(const ExecutorRole& new_role) {
   const bool new_term = new_role.term != this->role.term;
   this->role = new_role;
-  this->confirmer.SetGroupSize(new_role.group_size);
+  this->confirmer.SetMembers(new_role.group_size, new_role.counted_members);
   this->confirmer.SetTerm(new_role.term);
   for (const ConnectionId id :
        this->pool.Configure(new_role.info, new_role.share)) {
@@ -107,6 +107,9 @@
   context.primary = this->role.primary;
   context.term = this->role.term;
   context.group_size = this->role.group_size;
+  const auto& counted = this->role.counted_members;
+  context.counted = std::find(counted.begin(), counted.end(),
+                              this->role.info.id) != counted.end();
   context.next_transaction = this->hooks.next_transaction;
   context.age_of = this->hooks.age_of;
   Active& running = this->active[id];
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -66,6 +66,8 @@
   bool primary = false;
   std::uint64_t term = 0;
   std::uint32_t group_size = 3;
+  /** The members of which a majority is counted. */
+  std::vector<MemberId> counted_members;
 };
 
 /** Runs one batch at a time on each connection and turns the results into
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -99,6 +99,7 @@
   if (view != nullptr) {
     this->term = view->term;
     this->group_size = view->group_size;
+    this->counted_members = view->counted_members;
     for (const RoutedMember& member : view->members) {
       known.insert(member.info.id);
       this->ConfigureMember(member);
@@ -127,8 +128,8 @@
   }
   if (share == 0 || leads) found->second.gate->Withdraw(this->now);
   found->second.executor->Configure(
-      this->now,
-      ExecutorRole{member.info, share, leads, this->term, this->group_size});
+      this->now, ExecutorRole{member.info, share, leads, this->term,
+                              this->group_size, this->counted_members});
 }
 
 std::optional<std::chrono::nanoseconds> OwnedMembers::AgeOf(
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -113,6 +113,7 @@
   MemberId primary;
   std::uint64_t term = 0;
   std::uint32_t group_size = 0;
+  std::vector<MemberId> counted_members;
   std::uint64_t next_transaction;
   /** The present of the event that is being handled. */
   std::chrono::steady_clock::time_point now;
--- a/src/lacewingferry/decisions/traffic/write_confirmer.cc
+++ b/src/lacewingferry/decisions/traffic/write_confirmer.cc
@@ -3,23 +3,36 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <map>
+#include <utility>
 
 namespace lacewingferry {
 namespace {
 
 /**
- * The newest position that a majority of the group holds. The primary's own
+ * The newest position that a majority of the members holds. The primary's own
  * row comes from the same statement; a replica whose row names another term
- * follows another primary and doesn't count.
+ * follows another primary and doesn't count. A member with several rows, after
+ * it connected anew, counts once, with the lowest.
  */
 LogPosition MajorityPosition(const std::vector<MemberStatus>& rows,
-                             std::uint64_t term, std::uint32_t group_size) {
-  std::vector<LogPosition> durable;
+                             std::uint64_t term, std::uint32_t group_size,
+                             const std::vector<MemberId>& members) {
+  std::map<MemberId, LogPosition> known;
   for (const MemberStatus& row : rows) {
-    if (row.term == term) durable.push_back(row.durable);
+    if (row.term != term) continue;
+    if (std::find(members.begin(), members.end(), row.member) ==
+        members.end()) {
+      continue;
+    }
+    const auto place = known.emplace(row.member, row.durable).first;
+    place->second = std::min(place->second, row.durable);
   }
   const std::size_t majority = group_size / 2 + 1;
-  if (durable.size() < majority) return {};
+  if (known.size() < majority) return {};
+  std::vector<LogPosition> durable;
+  durable.reserve(known.size());
+  for (const auto& item : known) durable.push_back(item.second);
   const auto middle =
       durable.begin() + static_cast<std::ptrdiff_t>(majority - 1);
   std::nth_element(durable.begin(), middle, durable.end(),
@@ -29,12 +42,21 @@
 
 }  // namespace
 
+void WriteConfirmer::SetMembers(std::uint32_t whole_size,
+                                std::vector<MemberId> counted) {
+  if (whole_size == this->group_size && counted == this->members) return;
+  this->group_size = whole_size;
+  this->members = std::move(counted);
+  this->confirmed = LogPosition{};
+}
+
 void WriteConfirmer::OnStatus(const std::vector<MemberStatus>& rows) {
   const MemberStatus& self = SelfStatus(rows);
   if (!self.primary || self.term != this->term) return;
   this->newest = std::max(this->newest, self.durable);
   this->confirmed = std::max(
-      this->confirmed, MajorityPosition(rows, this->term, this->group_size));
+      this->confirmed,
+      MajorityPosition(rows, this->term, this->group_size, this->members));
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/write_confirmer.h
+++ b/src/lacewingferry/decisions/traffic/write_confirmer.h
@@ -7,13 +7,17 @@
 #include <cstdint>
 #include <vector>
 
+#include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/log_position.h"
 #include "lacewingferry/decisions/traffic/member_status.h"
 
 namespace lacewingferry {
 
 /**
- * Counts a majority of the whole group, the primary included. A position is
+ * Counts a majority of the whole group by identity, the primary included if
+ * it is one of the members that count. Whoever else follows the primary, such
+ * as a replacement that control has not admitted yet, confirms nothing: the
+ * next failover doesn't ask it. A position is
  * confirmed only once the majority holds an entry of the primary's own term:
  * entries of an earlier term can still lose against those of a term between,
  * even while a majority holds them. One report confirms all positions up to
@@ -21,8 +25,10 @@
  */
 class WriteConfirmer {
  public:
-  /** Sets how many members the group has when whole. */
-  void SetGroupSize(std::uint32_t members) { this->group_size = members; }
+  /** Takes the members that count and how many the group has when whole.
+   * With other ones than before, what was confirmed by the earlier ones has to
+   * be confirmed anew; control relies on it when it changes members again. */
+  void SetMembers(std::uint32_t whole_size, std::vector<MemberId> counted);
 
   /** Takes the term whose primary is asked. */
   void SetTerm(std::uint64_t current) { this->term = current; }
@@ -44,6 +50,7 @@
 
  private:
   std::uint32_t group_size = 3;
+  std::vector<MemberId> members;
   std::uint64_t term = 0;
   LogPosition newest;
   LogPosition confirmed;
--- a/tests/correctness/held_answer_test.cc
+++ b/tests/correctness/held_answer_test.cc
@@ -43,6 +43,8 @@
     this->gate = AnswerGate();
     this->confirmer = WriteConfirmer();
     this->confirmer.SetTerm(kTerm);
+    this->confirmer.SetMembers(3,
+                               {MemberId("a"), MemberId("b"), MemberId("c")});
     this->outcomes.clear();
   }
 
--- a/tests/correctness/read_judgement_test.cc
+++ b/tests/correctness/read_judgement_test.cc
@@ -161,6 +161,7 @@
     evidence.before = member.Status();
     evidence.after = member.Status();
     evidence.primary = at == this->primary;
+    evidence.counted = true;
     evidence.view_term = this->term;
     evidence.confirmed = this->Confirmed();
     evidence.session_position = session.position;
@@ -200,6 +201,7 @@
   evidence.before.applied = applied;
   evidence.after = evidence.before;
   evidence.primary = primary;
+  evidence.counted = true;
   evidence.view_term = term;
   return evidence;
 }
@@ -213,6 +215,7 @@
   CPPUNIT_TEST(CapsAnOlderTermsTail);
   CPPUNIT_TEST(IgnoresAnotherTermsMark);
   CPPUNIT_TEST(CapsInALargerGroup);
+  CPPUNIT_TEST(CapsAtAMemberThatDoesNotCount);
   CPPUNIT_TEST(SaysThatATermWasLost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -274,6 +277,13 @@
     CPPUNIT_ASSERT((JudgeRead(evidence).position == LogPosition{2, 97}));
   }
 
+  void CapsAtAMemberThatDoesNotCount() {
+    ReadEvidence evidence = At({2, 100}, 2, false);
+    evidence.counted = false;
+    evidence.confirmed = {2, 97};
+    CPPUNIT_ASSERT((JudgeRead(evidence).position == LogPosition{2, 97}));
+  }
+
   void SaysThatATermWasLost() {
     ReadEvidence evidence = At({2, 90}, 3, true);
     evidence.session_position = LogPosition{2, 95};
--- a/tests/correctness/standin_identified_write_test.cc
+++ b/tests/correctness/standin_identified_write_test.cc
@@ -96,6 +96,7 @@
     entry.term = 1;
     entry.primary = MemberId("works-db-1-a");
     entry.group_size = 1;
+    entry.counted_members = {entry.primary};
     MemberInfo info;
     info.id = entry.primary;
     info.database = this->database;
