--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -14,10 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds kAnnouncementInterval{500};
 constexpr milliseconds kWriteTimeout{1500};
 const char kStatus[] = "STATUS";
-const char kDatabase[] = "database-1";
 
 }  // namespace
 
@@ -50,41 +48,6 @@
   this->AnnounceMembers();
 }
 
-MemberInfo FailoverFleet::NewMember(std::size_t zone) {
-  MemberInfo info;
-  info.id = MemberId("member-" + std::to_string(this->next_member++));
-  info.database = DatabaseId(kDatabase);
-  info.group = GroupId("group");
-  info.zone = this->options.places.zones[zone];
-  info.slots = this->options.places.slots;
-  return info;
-}
-
-MemberInfo FailoverFleet::AddStranger(std::size_t zone) {
-  MemberInfo info = this->NewMember(zone);
-  this->group.AddMember(info);
-  this->FollowPrimary(info.id);
-  return info;
-}
-
-void FailoverFleet::FollowPrimary(const MemberId& member) {
-  if (!this->entry.primary.Empty()) {
-    this->group.Follow(member, this->entry.term, this->entry.primary);
-    return;
-  }
-  this->queue.After(kAnnouncementInterval,
-                    [this, member] { this->FollowPrimary(member); });
-}
-
-void FailoverFleet::ReplaceMember(std::size_t zone) {
-  this->group.Stall(this->members[zone].id, steady_clock::time_point::max());
-  this->members[zone] = this->AddStranger(zone);
-  for (auto& proxy : this->proxies) {
-    this->PublishView(*proxy);
-    this->Arm(*proxy);
-  }
-}
-
 void FailoverFleet::StartControl() {
   FailoverControlOptions control_options;
   control_options.codec = this->options.codec;
@@ -374,22 +337,6 @@
       [&](const std::string& key) { return state.count(key) == 0; }));
 }
 
-void FailoverFleet::AnnounceMembers() {
-  for (const MemberInfo& info : this->members) {
-    const FakeMember& member = this->group.Member(info.id);
-    if (!member.alive || this->group.Stalled(info.id)) continue;
-    const MemberAnnouncement announcement =
-        AnnouncementOf(member, this->next_announcement++);
-    for (std::size_t i = 0; i < FailoverControl::kReplicas; ++i) {
-      this->network.Deliver(info.zone, this->options.places.zones[i],
-                            [this, i, announcement] {
-                              this->control->Announce(i, announcement);
-                            });
-    }
-  }
-  this->queue.After(kAnnouncementInterval, [this] { this->AnnounceMembers(); });
-}
-
 void FailoverFleet::Arm(Proxy& proxy) {
   if (!proxy.alive) return;
   auto next = proxy.shard->NextWakeup();
--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -75,8 +75,8 @@
    * of. */
   MemberInfo AddStranger(std::size_t zone);
 
-  /** Ends the server of a zone for good; one under a new name, empty, takes
-   * its place and announces itself. */
+  /** Lets the server of a zone announce itself no more, and one under a new
+   * name, empty, in its place. */
   void ReplaceMember(std::size_t zone);
 
   FakeGroup& Group() { return this->group; }
@@ -108,6 +108,8 @@
   std::uint64_t ControlMessages() const { return this->control_messages; }
 
  private:
+  static constexpr char kDatabase[] = "database-1";
+
   struct Proxy {
     ProxyInfo info;
     double clock_rate = 1;
--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -418,7 +418,8 @@
       source.alive && target.alive && !this->Stalled(primary) &&
       !this->Stalled(replica) && source.primary && source.term == term &&
       target.term == term && target.following == primary &&
-      this->network.Reaches(source.info.zone, target.info.zone);
+      this->network.Reaches(source.info.zone, target.info.zone) &&
+      (!this->options.streams || this->options.streams(replica));
   if (!streams) {
     // Tries again while the replica still wants this primary's log.
     if (target.following == primary && target.term == term) {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -30,6 +30,8 @@
   std::function<std::chrono::nanoseconds(const SqlBatch&)> service_time;
   /** The time from an entry's arrival at a replica until reads see it. */
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
+  /** Whether a replica's stream works at present; empty for always. */
+  std::function<bool(const MemberId&)> streams;
   /** Told each entry when a primary commits it; may be empty. */
   std::function<void(const MemberId&, const FakeEntry&)> on_commit;
   /** The time until a member notices that a proxy has died. */
--- a/bench/model/role_statements.cc
+++ b/bench/model/role_statements.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "lacewingferry/decisions/traffic/member_status.h"
+
 namespace lacewingferry::model {
 namespace {
 
@@ -18,6 +20,8 @@
       return SqlStatement{"FENCE", {term}};
     case MemberCommandKind::kPromote:
       return SqlStatement{"PROMOTE", {term}};
+    case MemberCommandKind::kReport:
+      return SqlStatement{"STATUS", {}};
     case MemberCommandKind::kFollow:
       break;
   }
@@ -35,6 +39,13 @@
   result.term = command.term;
   if (!rows) return result;
   result.answered = true;
+  if (command.kind == MemberCommandKind::kReport) {
+    const auto status = ParseMemberStatus(*rows);
+    result.accepted = true;
+    result.member_term = SelfStatus(status).term;
+    result.position = SelfStatus(status).durable;
+    return result;
+  }
   result.accepted = *rows->rows.at(0).at(0) == "t";
   result.member_term = NumberAt(*rows, 1);
   result.position = LogPosition{NumberAt(*rows, 2), NumberAt(*rows, 3)};
--- a/src/lacewingferry/core/database_term.h
+++ b/src/lacewingferry/core/database_term.h
@@ -46,6 +46,12 @@
   /** The fewest members that are a majority. */
   std::uint32_t Majority() const { return this->group_size / 2 + 1; }
 
+  /** Whether the database has as many members as it should, which are
+   * wanted_size at the least. A removal makes it smaller for a while. */
+  bool Whole(std::uint32_t wanted_size) const {
+    return this->members.size() >= std::max(this->group_size, wanted_size);
+  }
+
   bool HasMember(const MemberId& id) const {
     return std::find(this->members.begin(), this->members.end(), id) !=
            this->members.end();
--- a/src/lacewingferry/core/messages/failover_messages.h
+++ b/src/lacewingferry/core/messages/failover_messages.h
@@ -22,6 +22,8 @@
   kFence = 0,
   kPromote = 1,
   kFollow = 2,
+  /** Change nothing, and report the term and the end of the log. */
+  kReport = 3,
 };
 
 /** Asks an owner of a member's connections to run a command on it. */
@@ -62,7 +64,7 @@
   bool accepted = false;
   /** The highest term that the member was told. */
   std::uint64_t member_term = 0;
-  /** For kFence: the end of the member's log after the fence. */
+  /** For kFence and kReport: the end of the member's log since. */
   LogPosition position;
 
   template <typename Self, typename Visitor>
--- a/src/lacewingferry/decisions/failover/failover_context.h
+++ b/src/lacewingferry/decisions/failover/failover_context.h
@@ -59,6 +59,12 @@
   std::chrono::milliseconds proposal_retry{400};
   /** The pause between two orders to a member that doesn't follow. */
   std::chrono::milliseconds rejoin_pause{2000};
+  /** A replica of which nothing was heard for this long is lost, and a new
+   * member may take its place. Long against a restart of its VM. */
+  std::chrono::milliseconds member_lost_after{std::chrono::minutes(15)};
+  /** How long a change of members may take to be proved safe before it is
+   * begun anew. */
+  std::chrono::milliseconds member_proof_limit{10000};
   /** How many members a database has when whole. */
   std::uint32_t group_size = 3;
 };
--- a/src/lacewingferry/decisions/failover/failover_manager.cc
+++ b/src/lacewingferry/decisions/failover/failover_manager.cc
@@ -6,8 +6,6 @@
 #include <variant>
 #include <vector>
 
-#include "lacewingferry/decisions/failover/member_admission.h"
-
 namespace lacewingferry {
 namespace {
 
@@ -30,7 +28,8 @@
                                  FailoverSettings settings)
     : context{std::move(failover_hooks), settings, terms},
       grantor(terms, settings.lease),
-      commander(this->context) {}
+      commander(this->context),
+      changes(this->context, this->commander, this->grantor) {}
 
 template <typename Action>
 void FailoverManager::Handle(steady_clock::time_point now, Action action) {
@@ -56,11 +55,11 @@
   this->leader = leads;
   this->grantor.OnLeadership(now, leads);
   this->commander.CancelAll();
+  this->changes.OnLeadership(now);
   this->runs.clear();
   this->inquiries.clear();
   this->held_down.clear();
   this->next_rejoin.clear();
-  this->next_admission.clear();
   if (!leads) return;
   // Holders get time to find the new leader.
   this->next_sweep = now + this->context.settings.holder_silence;
@@ -92,9 +91,12 @@
     this->StartRun(now, entry);
   } else if (std::holds_alternative<AdoptDatabase>(command.body)) {
     this->Record(EventCode::kDatabaseAdopted, EventLevel::kInfo, entry, "");
-  } else if (std::holds_alternative<AddMember>(command.body) ||
-             std::holds_alternative<RemoveMember>(command.body)) {
-    this->Record(EventCode::kMembersChanged, EventLevel::kInfo, entry, "");
+  } else if (const auto* add = std::get_if<AddMember>(&command.body)) {
+    this->Record(EventCode::kMembersChanged, EventLevel::kInfo, entry,
+                 "added " + add->member.Value());
+  } else if (const auto* remove = std::get_if<RemoveMember>(&command.body)) {
+    this->Record(EventCode::kMembersChanged, EventLevel::kInfo, entry,
+                 "removed " + remove->member.Value());
   } else {
     const bool chosen = entry.phase == TermPhase::kPromoting;
     this->Record(
@@ -243,44 +245,23 @@
     return;
   }
   this->context.members[announcement.info.id] = announcement;
-  this->announced[announcement.info.database].insert(announcement.info.id);
+  this->changes.OnHeard(now, announcement.info);
   if (!this->leader) return;
   this->Handle(now, [&] {
-    this->Admit(now, announcement.info.database);
+    this->changes.Consider(now, announcement.info.database);
     this->BringBack(now, announcement);
   });
 }
 
-void FailoverManager::Admit(steady_clock::time_point now,
-                            const DatabaseId& database) {
-  auto& next = this->next_admission[database];
-  if (now < next) return;
-  const DatabaseTerm* entry = this->context.terms.Find(database);
-  // Leases on earlier members end first: their holders still count a majority
-  // of those.
-  if (entry != nullptr &&
-      now < this->grantor.FreeAt(DatabaseStamp{database, entry->term,
-                                               entry->members_revision})) {
-    return;
-  }
-  std::vector<MemberAnnouncement> members;
-  for (const MemberId& id : this->announced[database]) {
-    members.push_back(*this->context.FindMember(id));
-  }
-  const auto command =
-      NextAdmission(entry, members, this->context.settings.group_size);
-  if (!command) return;
-  next = now + this->context.settings.proposal_retry;
-  this->context.hooks.propose(now, *command);
-}
-
 void FailoverManager::BringBack(steady_clock::time_point now,
                                 const MemberAnnouncement& announcement) {
   const DatabaseTerm* entry =
       this->context.terms.Find(announcement.info.database);
   const MemberId& id = announcement.info.id;
   if (entry == nullptr || entry->phase != TermPhase::kSteady) return;
-  if (!entry->HasMember(id) || id == entry->primary) return;
+  if (id == entry->primary) return;
+  // A stranger is left alone unless it can take a member's place.
+  if (!entry->HasMember(id) && !this->changes.HasRoom(now, *entry)) return;
   const MemberAnnouncement* primary = this->context.FindMember(entry->primary);
   if (primary == nullptr) return;
   // A member that was fenced and never told to follow stays in the log's
--- a/src/lacewingferry/decisions/failover/failover_manager.h
+++ b/src/lacewingferry/decisions/failover/failover_manager.h
@@ -9,13 +9,13 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/decisions/failover/database_terms.h"
 #include "lacewingferry/decisions/failover/failover_context.h"
 #include "lacewingferry/decisions/failover/failover_run.h"
+#include "lacewingferry/decisions/failover/member_changes.h"
 #include "lacewingferry/decisions/failover/member_commander.h"
 #include "lacewingferry/decisions/failover/primary_inquiry.h"
 #include "lacewingferry/decisions/lease/lease_grantor.h"
@@ -93,8 +93,6 @@
   void StartRun(std::chrono::steady_clock::time_point now,
                 const DatabaseTerm& entry);
   void LookForSilentHolders(std::chrono::steady_clock::time_point now);
-  void Admit(std::chrono::steady_clock::time_point now,
-             const DatabaseId& database);
   void BringBack(std::chrono::steady_clock::time_point now,
                  const MemberAnnouncement& announcement);
   void OrderToRejoin(std::chrono::steady_clock::time_point now,
@@ -107,6 +105,7 @@
   FailoverContext context;
   LeaseGrantor grantor;
   MemberCommander commander;
+  MemberChanges changes;
   bool leader = false;
   /** Whether an input is being worked on; a control log of one replica applies
    * a proposal before it returns. */
@@ -117,11 +116,9 @@
   std::chrono::steady_clock::time_point next_sweep;
   Runs runs;
   std::map<DatabaseId, PrimaryInquiry> inquiries;
-  std::map<DatabaseId, std::set<MemberId>> announced;
   /** Before these times silence alone opens no inquiry. */
   std::map<DatabaseId, std::chrono::steady_clock::time_point> held_down;
   std::map<MemberId, std::chrono::steady_clock::time_point> next_rejoin;
-  std::map<DatabaseId, std::chrono::steady_clock::time_point> next_admission;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/failover/member_admission.cc
+++ b/src/lacewingferry/decisions/failover/member_admission.cc
@@ -3,9 +3,8 @@
 #include <algorithm>
 
 namespace lacewingferry {
-namespace {
 
-std::optional<DatabaseCommand> Adopt(
+std::optional<DatabaseCommand> NextAdoption(
     const std::vector<MemberAnnouncement>& announced,
     std::uint32_t group_size) {
   const MemberAnnouncement* primary = nullptr;
@@ -31,23 +30,4 @@
   return DatabaseCommand{adopt};
 }
 
-}  // namespace
-
-std::optional<DatabaseCommand> NextAdmission(
-    const DatabaseTerm* entry, const std::vector<MemberAnnouncement>& announced,
-    std::uint32_t group_size) {
-  if (entry == nullptr) return Adopt(announced, group_size);
-  if (entry->phase != TermPhase::kSteady) return std::nullopt;
-  if (entry->members.size() >= entry->group_size) return std::nullopt;
-  for (const MemberAnnouncement& member : announced) {
-    if (entry->HasMember(member.info.id) || member.term != entry->term ||
-        member.info.leaving) {
-      continue;
-    }
-    return DatabaseCommand{AddMember{entry->database, entry->term,
-                                     entry->members_revision, member.info.id}};
-  }
-  return std::nullopt;
-}
-
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/failover/member_command_sql.cc
+++ b/src/lacewingferry/decisions/failover/member_command_sql.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/traffic/member_status.h"
 
 namespace lacewingferry {
 namespace {
@@ -44,6 +45,15 @@
   result.answered = true;
 }
 
+void ReadReport(const ResultSet& rows, MemberCommandResult& result) {
+  const std::vector<MemberStatus> status = ParseMemberStatus(rows);
+  const MemberStatus& self = SelfStatus(status);
+  result.accepted = true;
+  result.member_term = self.term;
+  result.position = self.durable;
+  result.answered = true;
+}
+
 }  // namespace
 
 SqlStatement BuildMemberCommand(const MemberDialect& dialect,
@@ -58,6 +68,8 @@
       return {dialect.follow,
               {term, command.primary_log.host,
                std::to_string(command.primary_log.port)}};
+    case MemberCommandKind::kReport:
+      return {dialect.status, {}};
   }
   throw InternalError("member command of an unknown kind");
 }
@@ -72,7 +84,11 @@
   result.term = command.term;
   if (!rows || rows->rows.empty()) return result;
   try {
-    ReadRow(rows->rows.front(), result);
+    if (command.kind == MemberCommandKind::kReport) {
+      ReadReport(*rows, result);
+    } else {
+      ReadRow(rows->rows.front(), result);
+    }
   } catch (const DecodeError&) {
     result.answered = false;
   }
--- a/tests/correctness/counted_members_test.cc
+++ b/tests/correctness/counted_members_test.cc
@@ -86,6 +86,7 @@
  private:
   void SetMembers(const std::vector<const char*>& names) {
     std::vector<MemberId> members;
+    members.reserve(names.size());
     for (const char* name : names) members.emplace_back(name);
     this->confirmer.SetMembers(static_cast<std::uint32_t>(members.size()),
                                members);
