Let processes that don't know each other compare their records

A print of the peers at the leader showed an empty list after the restart: control processes have only each other as seeds, found each other's empty tables equal, counted as joined, and nothing led them to a proxy again. So there was no owner to ask for evidence or to carry an order. Ruled out: the order to rejoin and the inquiry's rule (the orders were sent to nobody); the dead primary's place in the view.

--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -100,6 +100,11 @@
                        const PrimaryObserverHooks::SightHook& on_sight) {
     this->Probe(member, on_sight);
   };
+  parts.probe_server = [this](steady_clock::time_point,
+                              const MemberInfo& member,
+                              const PrimaryObserverHooks::SightHook& on_sight) {
+    this->ProbeMemberServer(member, on_sight);
+  };
   parts.on_lease = [this](steady_clock::time_point, const DatabaseStamp& stamp,
                           steady_clock::time_point until) {
     this->hooks.lease(stamp.database, until);
@@ -149,6 +154,19 @@
       });
 }
 
+void ProxyControl::ProbeMemberServer(
+    const MemberInfo& member, const PrimaryObserverHooks::SightHook& on_sight) {
+  this->hooks.probe_server(
+      member.endpoint, kProbeTimeout,
+      [this, on_sight](ServerProbeResult result) {
+        if (result == ServerProbeResult::kAnswered) {
+          on_sight(this->hooks.now(), MemberSight::kAnswers);
+        } else if (result == ServerProbeResult::kRefused) {
+          on_sight(this->hooks.now(), MemberSight::kRefuses);
+        }
+      });
+}
+
 std::string ProxyControl::Announce(const MemberAnnouncement& announcement) {
   try {
     this->membership.OnAnnouncement(this->hooks.now(), announcement);
@@ -174,6 +192,7 @@
 
 void ProxyControl::Dispatch(const PeerMessage& message) {
   const auto now = this->hooks.now();
+  this->membership.OnContact(now, message.from, message.from_url);
   if (this->membership.OnMessage(now, message)) return;
   if (const auto* offer = std::get_if<ConfigurationOffer>(&message.body)) {
     this->configuration.OfferWhole(offer->configuration);
