Probe the primary from the replicas' zones by a connection of its own

Cause: an observer in a replica's zone owns no connection to the primary, so its statement to the primary was never sent and the primary always counted as silent; the age of the replica's link was never fed either. An inquiry proved no more than that a majority of replicas answer. The model in virtual time probed directly, which hid it. Ruled out: a status statement through the primary's owners (what the primary's zone sees must not count, and the owners were dead); a session of its own (takes one of 5 or 2 slots); the replica's link (no dialect tells its age yet; the field and its code go). Now: connect, SSLRequest, first byte of the answer, close. ServerProbeTest: it answers while all slots are taken, is refused, and times out at a frozen process.

--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -172,6 +172,7 @@
                                PrimaryObserverHooks::SightHook on_sight) {
     this->Probe(proxy, member, std::move(on_sight));
   };
+  hooks.probe_server = hooks.probe;
   hooks.on_lease = [&proxy](steady_clock::time_point now,
                             const DatabaseStamp& stamp,
                             steady_clock::time_point until) {
--- a/bench/model/membership_fleet.cc
+++ b/bench/model/membership_fleet.cc
@@ -10,6 +10,8 @@
 
 constexpr milliseconds kAnnounceInterval{500};
 constexpr milliseconds kLookInterval{10};
+/** The first proxies are the seeds. */
+constexpr std::size_t kSeedCount = 3;
 constexpr std::size_t kMembersPerDatabase = 3;
 /** One-way latencies with their spread. */
 constexpr microseconds kInside{500};
@@ -96,6 +98,16 @@
   this->processes[process].node.reset();
 }
 
+std::vector<std::string> MembershipFleet::SeedsOf(NodeRole role) const {
+  std::vector<std::string> seeds;
+  const bool control =
+      role == NodeRole::kControl && this->settings.control_seeds;
+  const std::size_t first = control ? this->settings.proxies : 0;
+  const std::size_t count = control ? this->settings.controls : kSeedCount;
+  for (std::size_t i = 0; i < count; ++i) seeds.push_back(UrlOf(first + i));
+  return seeds;
+}
+
 void MembershipFleet::Start(std::size_t number) {
   Process& process = this->processes[number];
   // Of the size that a wall clock in microseconds gives.
@@ -105,7 +117,7 @@
   node.self = process.info;
   node.role = process.role;
   node.incarnation = process.incarnation;
-  node.seeds = {UrlOf(0), UrlOf(1), UrlOf(2)};
+  node.seeds = this->SeedsOf(process.role);
   node.random_seed = this->random();
   node.faults = this->settings.faults;
   MembershipHooks hooks;
--- a/bench/model/membership_fleet.h
+++ b/bench/model/membership_fleet.h
@@ -25,6 +25,9 @@
   std::size_t controls = 3;
   std::size_t members = 84;
   std::uint64_t seed = 1;
+  /** Whether control processes have only each other as seeds, as in the
+   * settings of the program; otherwise the first proxies. */
+  bool control_seeds = false;
   /** The share of messages lost, doubled and late by up to late_by. */
   double loss = 0;
   double doubled = 0;
@@ -100,6 +103,7 @@
   std::size_t ZoneOf(std::size_t number) const {
     return number % this->settings.zones;
   }
+  std::vector<std::string> SeedsOf(NodeRole role) const;
   bool Happens(double share);
   std::chrono::microseconds Delay(std::size_t from, std::size_t to);
 
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -214,10 +214,11 @@
 void ControlProgram::Impl::OnPeerMessage(const PeerMessage& message) {
   this->parts.hybrid.receive(HybridTime(message.sent_at));
   if (!message.from_url.empty()) this->urls[message.from] = message.from_url;
+  const auto now = this->parts.hybrid.clock.now();
   try {
-    const bool taken =
-        this->replica.OnMessage(message.from, message.body) ||
-        this->membership.OnMessage(this->parts.hybrid.clock.now(), message);
+    this->membership.OnContact(now, message.from, message.from_url);
+    const bool taken = this->replica.OnMessage(message.from, message.body) ||
+                       this->membership.OnMessage(now, message);
     if (!taken) this->OnProxyMessage(message);
   } catch (const UserError& error) {
     this->parts.events.record(
--- a/src/lacewingferry/app/proxy_control.h
+++ b/src/lacewingferry/app/proxy_control.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "lacewingferry/adapters/libpq/server_probe.h"
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/settings.h"
 #include "lacewingferry/decisions/configuration/configuration_holder.h"
@@ -33,6 +34,11 @@
                      std::chrono::steady_clock::time_point deadline,
                      ControlReply)>
       run_statement;
+  /** Tests whether a server answers; the result comes back on the control
+   * thread. */
+  std::function<void(const Endpoint&, std::chrono::milliseconds timeout,
+                     ServerProbeHook)>
+      probe_server;
   /** Sets the end of the lease on a database. */
   std::function<void(const DatabaseId&,
                      std::chrono::steady_clock::time_point until)>
@@ -96,6 +102,8 @@
                   const ProxyFailoverHooks::CommandHook& on_result);
   void Probe(const MemberInfo& member,
              const PrimaryObserverHooks::SightHook& on_sight);
+  void ProbeMemberServer(const MemberInfo& member,
+                         const PrimaryObserverHooks::SightHook& on_sight);
   MembershipSettings MembershipParts() const;
   MembershipHooks MembershipEffects();
   void OnRecord(const MembershipRecord& record);
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -263,6 +263,16 @@
                                const ControlReply& reply) {
     this->RunStatement(database, member, statement, deadline, reply);
   };
+  hooks.probe_server = [this](const Endpoint& server,
+                              std::chrono::milliseconds timeout,
+                              ServerProbeHook on_result) {
+    ProbeServer(
+        this->control, server, timeout,
+        [this, on_result = std::move(on_result)](ServerProbeResult result) {
+          on_result(result);
+          this->ArmControlTimer();
+        });
+  };
   hooks.lease = [this](const DatabaseId& database,
                        std::chrono::steady_clock::time_point until) {
     this->ThreadOf(database).SetLease(database, until);
--- a/src/lacewingferry/core/messages/failover_messages.h
+++ b/src/lacewingferry/core/messages/failover_messages.h
@@ -133,9 +133,6 @@
   MemberId replica;
   MemberSight primary_sight = MemberSight::kUnknown;
   MemberSight replica_sight = MemberSight::kUnknown;
-  /** Whether the replica's own link to the primary brought anything since
-   * the request. */
-  bool replica_hears_primary = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
@@ -144,7 +141,6 @@
     visit("replica", self.replica);
     visit("primary_sight", self.primary_sight);
     visit("replica_sight", self.replica_sight);
-    visit("replica_hears_primary", self.replica_hears_primary);
   }
 };
 
--- a/src/lacewingferry/decisions/failover/primary_inquiry.cc
+++ b/src/lacewingferry/decisions/failover/primary_inquiry.cc
@@ -11,8 +11,7 @@
 bool HasLostPrimary(const ObserveReply& reply) {
   const bool primary_gone = reply.primary_sight == MemberSight::kRefuses ||
                             reply.primary_sight == MemberSight::kSilent;
-  return primary_gone && reply.replica_sight == MemberSight::kAnswers &&
-         !reply.replica_hears_primary;
+  return primary_gone && reply.replica_sight == MemberSight::kAnswers;
 }
 
 }  // namespace
--- a/src/lacewingferry/decisions/failover/primary_inquiry.h
+++ b/src/lacewingferry/decisions/failover/primary_inquiry.h
@@ -24,10 +24,9 @@
 };
 
 /**
- * Asks, for each replica, an owner of its connections to try the primary and
+ * Asks, for each replica, an owner of its connections to probe the primary and
  * the replica from the replica's own zone. A replica has lost the primary if
- * it answers itself while the primary doesn't answer from there, and if its
- * own link brings nothing from the primary.
+ * it answers itself while the primary doesn't answer from there.
  *
  * The primary is lost when the replicas that lost it are a majority of the
  * whole group. Then it can't acknowledge writes, whether it is dead or on the
--- a/src/lacewingferry/decisions/failover/primary_observer.cc
+++ b/src/lacewingferry/decisions/failover/primary_observer.cc
@@ -100,12 +100,6 @@
                     });
 }
 
-void PrimaryObserver::OnReplicaLink(steady_clock::time_point asked,
-                                    const MemberId& replica, milliseconds age) {
-  steady_clock::time_point& heard = this->links[replica];
-  heard = std::max(heard, asked - age);
-}
-
 void PrimaryObserver::OnRequest(steady_clock::time_point now,
                                 const NodeId& from,
                                 const ObserveRequest& request) {
@@ -129,11 +123,11 @@
   Observation& observation = this->observations.at(number);
   observation.next_probe = now + kProbeRepeat;
   const auto probe = [&](const MemberInfo& member) {
-    this->hooks.probe(now, member,
-                      [this, number, id = member.id](steady_clock::time_point,
-                                                     MemberSight sight) {
-                        this->OnSight(number, id, sight);
-                      });
+    this->hooks.probe_server(now, member,
+                             [this, number, id = member.id](
+                                 steady_clock::time_point, MemberSight sight) {
+                               this->OnSight(number, id, sight);
+                             });
   };
   if (!Settled(observation.primary_sight)) probe(observation.request.primary);
   if (!Settled(observation.replica_sight)) probe(observation.request.replica);
@@ -158,15 +152,12 @@
   const Observation observation = this->observations.at(number);
   this->observations.erase(number);
   const ObserveRequest& request = observation.request;
-  const auto link = this->links.find(request.replica.id);
   ObserveReply reply;
   reply.inquiry_id = request.inquiry_id;
   reply.database = request.database;
   reply.replica = request.replica.id;
   reply.primary_sight = OrSilent(observation.primary_sight);
   reply.replica_sight = OrSilent(observation.replica_sight);
-  reply.replica_hears_primary =
-      link != this->links.end() && link->second >= observation.started;
   this->hooks.reply(observation.asker, reply);
 }
 
--- a/src/lacewingferry/decisions/failover/primary_observer.h
+++ b/src/lacewingferry/decisions/failover/primary_observer.h
@@ -23,11 +23,15 @@
 
   /** Reports to the leader of control. */
   std::function<void(const PrimarySuspicion&)> suspect;
-  /** Tries a member; on_sight gets kAnswers or kRefuses, or nothing for
-   * silence, and never within the call. */
+  /** Runs a status statement on one of this proxy's own connections to a
+   * member; on_sight gets kAnswers or kRefuses, or nothing for silence, and
+   * never within the call. */
   std::function<void(std::chrono::steady_clock::time_point now,
                      const MemberInfo& member, SightHook on_sight)>
       probe;
+  /** The same for any member, without a slot: tests whether its server process
+   * answers a new connection. */
+  decltype(probe) probe_server;
   /** Answers the control replica that asked. */
   std::function<void(const NodeId& to, const ObserveReply&)> reply;
 };
@@ -73,12 +77,6 @@
   void OnSign(std::chrono::steady_clock::time_point now, const MemberId& member,
               MemberSign sign);
 
-  /** Takes that a replica said when it last heard its primary: how long ago
-   * by the replica's own clock, counted back from the sending of the question
-   * so that the time is never too late. */
-  void OnReplicaLink(std::chrono::steady_clock::time_point asked,
-                     const MemberId& replica, std::chrono::milliseconds age);
-
   /** Takes control's question; the answer goes to the sender. */
   void OnRequest(std::chrono::steady_clock::time_point now, const NodeId& from,
                  const ObserveRequest& request);
@@ -119,7 +117,6 @@
   PrimaryObserverHooks hooks;
   PrimaryObserverSettings settings;
   std::map<MemberId, Watch> watches;
-  std::map<MemberId, std::chrono::steady_clock::time_point> links;
   std::map<std::uint64_t, Observation> observations;
   std::uint64_t next_observation = 1;
 };
--- a/src/lacewingferry/decisions/failover/proxy_failover.cc
+++ b/src/lacewingferry/decisions/failover/proxy_failover.cc
@@ -45,6 +45,7 @@
     this->hooks.send(this->finder.Target(), suspicion);
   };
   own.probe = this->hooks.probe;
+  own.probe_server = this->hooks.probe_server;
   own.reply = [this](const NodeId& to, const ObserveReply& reply) {
     this->hooks.send(to, reply);
   };
--- a/src/lacewingferry/decisions/failover/proxy_failover.h
+++ b/src/lacewingferry/decisions/failover/proxy_failover.h
@@ -31,6 +31,7 @@
       run_command;
   /** See PrimaryObserverHooks. */
   decltype(PrimaryObserverHooks::probe) probe;
+  decltype(PrimaryObserverHooks::probe_server) probe_server;
   /** See LeaseHolderHooks. */
   decltype(LeaseHolderHooks::on_lease) on_lease;
   decltype(LeaseHolderHooks::release_term) release_term;
@@ -77,10 +78,6 @@
               MemberSign sign) {
     this->observer.OnSign(now, member, sign);
   }
-  void OnReplicaLink(std::chrono::steady_clock::time_point asked,
-                     const MemberId& replica, std::chrono::milliseconds age) {
-    this->observer.OnReplicaLink(asked, replica, age);
-  }
 
   /** Gives up all leases, for a planned stop. */
   void ReleaseAll(std::chrono::steady_clock::time_point now) {
--- a/src/lacewingferry/decisions/membership/membership_node.h
+++ b/src/lacewingferry/decisions/membership/membership_node.h
@@ -75,6 +75,12 @@
   bool OnMessage(std::chrono::steady_clock::time_point now,
                  const PeerMessage& message);
 
+  /** Takes that a process sent a message of any kind. Processes that don't
+   * know each other, because one restarted and all its seeds did too, compare
+   * their records. */
+  void OnContact(std::chrono::steady_clock::time_point now, const NodeId& from,
+                 const std::string& from_url);
+
   /** Tells all peers that this process takes no new work. */
   void StartDraining(std::chrono::steady_clock::time_point now);
 
@@ -167,6 +173,7 @@
   TimePoint next_own_comparison;
   std::chrono::milliseconds own_interval{200};
   TimePoint next_zone_comparison;
+  TimePoint next_stranger_comparison;
   std::size_t zone_turn = 0;
   std::map<AvailabilityZone, TimePoint> contacts;
   std::map<AvailabilityZone, TimePoint> unreachable;
--- a/src/lacewingferry/decisions/membership/membership_node_peers.cc
+++ b/src/lacewingferry/decisions/membership/membership_node_peers.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kJoinComparison{200};
 constexpr milliseconds kRepeatComparison{300};
 constexpr milliseconds kAnswerTimeout{1000};
+constexpr milliseconds kStrangerComparison{200};
 constexpr seconds kOtherZoneComparison{1};
 /** A relay compares with one other zone at a time. */
 constexpr seconds kSilencePerZone{3};
@@ -141,6 +142,16 @@
       this->topology.Find(this->AnyOf(candidates))->info.peer_url);
 }
 
+void MembershipNode::OnContact(TimePoint now, const NodeId& from,
+                               const std::string& from_url) {
+  const bool known =
+      from == this->self.info.id || this->topology.Find(from) != nullptr;
+  if (known || this->left || from_url.empty()) return;
+  if (now < this->next_stranger_comparison) return;
+  this->next_stranger_comparison = now + kStrangerComparison;
+  this->comparison.Begin(from_url);
+}
+
 void MembershipNode::NoteContact(TimePoint now, const NodeId& from) {
   const NodeState* node = this->topology.Find(from);
   if (node == nullptr || !this->IsRelay()) return;
