Keep reads away from replicas that fail, are slow or have just returned

Cause: a proxy chose the replica with the least expected answer time and had nothing besides. A replica that died took reads into its owner's queue until their deadline, a refusal at once counted as a fast answer and drew more reads to the failed replica, and a replica that became slow got all reads of its zone until its first slow answers were back.

Now a breaker for each replica opens after five bad answers in a row and tries one read at a time after a growing, randomized pause; it opens for slowness only while another replica is closed and faster. A replica that returns starts with a tenth of the reads. The owner refuses reads at once while none of its connections to a replica serves, so that they go elsewhere. Answers carry how long the replica took, so that neither the way between zones nor the wait for replication makes one look slow. The primary is never passed over and its connections go on showing signs to the failover's observer.

Ruled out: judging by the whole answer time (the wait for replication looks like slowness); counting refusals under load as failures (both replicas open and the reads go to the primary); a run of slow answers that keeps a cold replica out (it never warms up: tries alone are 2 to 4 a second).

Runs: CircuitBreaker, SlowStart, SlowMember, WriteOverload, ReplicaShare, TrafficChaos, SlotHandover, FaultPoint, SessionFailover and TransactionLifetime tests. The tests with real processes were not run for this commit.

--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -118,9 +118,11 @@
   if (found == this->sessions.end()) return;
   const SessionPtr session = found->second;
   const AvailabilityZone zone = this->members.at(session->member).info.zone;
-  const auto service = this->options.service_time
-                           ? this->options.service_time(batch)
-                           : std::chrono::nanoseconds(0);
+  auto service = this->options.service_time ? this->options.service_time(batch)
+                                            : std::chrono::nanoseconds(0);
+  if (this->options.member_delay) {
+    service += this->options.member_delay(session->member, batch);
+  }
   auto running = std::make_shared<RunningBatch>();
   running->session = session;
   running->batch = batch;
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -28,6 +28,9 @@
   std::chrono::nanoseconds connect_delay{std::chrono::milliseconds(10)};
   /** The time that a batch holds its connection at the member. */
   std::function<std::chrono::nanoseconds(const SqlBatch&)> service_time;
+  /** What a member adds to that; empty for nothing. */
+  std::function<std::chrono::nanoseconds(const MemberId&, const SqlBatch&)>
+      member_delay;
   /** The time from an entry's arrival at a replica until reads see it. */
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
   /** Told each entry when a primary commits it; may be empty. */
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -46,6 +46,10 @@
       return "request_refused";
     case EventCode::kRequestUnknown:
       return "request_unknown";
+    case EventCode::kReplicaPassedOver:
+      return "replica_passed_over";
+    case EventCode::kReplicaTakenBack:
+      return "replica_taken_back";
     case EventCode::kPeerMessageRejected:
       return "peer_message_rejected";
     case EventCode::kDatabaseAdopted:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -26,6 +26,8 @@
   kConnectionLost = 3002,
   kRequestRefused = 3101,
   kRequestUnknown = 3102,
+  kReplicaPassedOver = 3201,
+  kReplicaTakenBack = 3202,
   kPeerMessageRejected = 4001,
   kDatabaseAdopted = 5001,
   kPrimarySuspected = 5002,
--- a/src/lacewingferry/core/outcome.h
+++ b/src/lacewingferry/core/outcome.h
@@ -61,6 +61,9 @@
   bool repeated = false;
   /** Set when the request opened a transaction. */
   TransactionId transaction;
+  /** How long a replica took for a read once its data was new enough: the wait
+   * for a connection and the run. Zero where that was not measured. */
+  std::chrono::nanoseconds member_time{0};
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
@@ -71,6 +74,7 @@
     visit("age_bound", self.age_bound);
     visit("repeated", self.repeated);
     visit("transaction", self.transaction);
+    visit("member_time", self.member_time);
   }
 };
 
--- a/src/lacewingferry/decisions/traffic/connection_pool.cc
+++ b/src/lacewingferry/decisions/traffic/connection_pool.cc
@@ -131,6 +131,18 @@
   this->Observe(now, MemberSign::kAnswered);
 }
 
+bool ConnectionPool::Unserving(steady_clock::time_point now,
+                               std::chrono::nanoseconds patience) const {
+  if (this->entries.empty()) return this->failures > 0;
+  return std::all_of(this->entries.begin(), this->entries.end(),
+                     [&](const auto& entry) {
+                       const Entry& one = entry.second;
+                       if (this->failures > 0 && one.state == State::kOpening)
+                         return true;
+                       return Outstanding(one) && now - one.began >= patience;
+                     });
+}
+
 bool ConnectionPool::Outstanding(const Entry& entry) {
   return entry.state == State::kOpening || entry.state == State::kBusy;
 }
--- a/src/lacewingferry/decisions/traffic/connection_pool.h
+++ b/src/lacewingferry/decisions/traffic/connection_pool.h
@@ -82,6 +82,11 @@
   /** When OpenMissing or ObserveSilence is due next. */
   std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
 
+  /** Whether no connection serves: none is left and the last attempt to
+   * connect failed, or all have been outstanding for longer than patience. */
+  bool Unserving(std::chrono::steady_clock::time_point now,
+                 std::chrono::nanoseconds patience) const;
+
   bool Owns(ConnectionId id) const { return this->entries.count(id) > 0; }
   std::size_t Size() const { return this->entries.size(); }
   std::uint32_t Limit() const { return this->limit; }
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/decisions/traffic/breaker_events.h"
 #include "lacewingferry/decisions/traffic/transaction_name.h"
 
 namespace lacewingferry {
@@ -44,6 +45,8 @@
     : id(std::move(database_id)),
       hooks(std::move(traffic_hooks)),
       settings(std::move(traffic_settings)),
+      choice(std::hash<NodeId>()(this->settings.node),
+             BreakerEvents(this->hooks.events, this->id)),
       owned(this->id, this->hooks, this->settings) {
   this->forwards.StartAt(this->settings.incarnation);
 }
@@ -57,7 +60,7 @@
   const auto found = this->view->databases.find(this->id);
   const bool known = found != this->view->databases.end();
   this->database = known ? &found->second : nullptr;
-  this->routes.Rebuild(this->database, this->settings.zone,
+  this->choice.Rebuild(present, this->database, this->settings.zone,
                        this->settings.node);
   this->owned.Configure(present, this->database);
   this->FailForwardsToLostProxies();
@@ -121,7 +124,7 @@
     routed->tried.Clear();
   }
   const auto decision =
-      this->routes.Choose(this->now, routed->job.request, routed->tried);
+      this->choice.Choose(this->now, routed->job.request, routed->tried);
   if (!decision) {
     this->RouteLater(routed);
     return;
@@ -260,14 +263,10 @@
                                     const Outcome& outcome) {
   if (routed.view_number != this->view_number) return;
   if (!routed.job.request.transaction.Empty()) return;
-  this->routes.Observe(routed.place, this->now - routed.sent_at);
-  std::optional<milliseconds> age;
-  if (const auto* answer = std::get_if<Answered>(&outcome)) {
-    age = answer->age_bound;
-  } else if (const auto* refusal = std::get_if<NotRun>(&outcome)) {
-    age = refusal->replica_age;
-  }
-  if (age) this->routes.ObserveAge(this->now, routed.place, *age);
+  const bool read = routed.job.request.kind == RequestKind::kRead;
+  this->choice.OnOutcome(
+      this->now, EndedAttempt{routed.place, read, this->now - routed.sent_at},
+      outcome);
 }
 
 /**
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -17,8 +17,8 @@
 #include "lacewingferry/decisions/traffic/forward_inbox.h"
 #include "lacewingferry/decisions/traffic/forward_table.h"
 #include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/decisions/traffic/member_choice.h"
 #include "lacewingferry/decisions/traffic/owned_members.h"
-#include "lacewingferry/decisions/traffic/read_routing.h"
 #include "lacewingferry/decisions/traffic/retry_budget.h"
 #include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
@@ -142,7 +142,7 @@
   std::uint64_t view_number = 0;
   std::chrono::steady_clock::time_point now;
   RetryBudget retries;
-  RouteTable routes;
+  MemberChoice choice;
   OwnedMembers owned;
   ForwardTable forwards;
   ForwardInbox inbox;
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -1,5 +1,6 @@
 #include "lacewingferry/decisions/traffic/member_executor.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -13,6 +14,11 @@
 constexpr milliseconds kTermEntryPause{50};
 /** How long the first entry of a term may take. */
 constexpr milliseconds kTermEntryLimit{1000};
+constexpr char kNotServing[] = "no connection to the member serves at present";
+/** A replica whose connections have all been outstanding for so many times the
+ * usual hold, and this at the least, doesn't serve. */
+constexpr int kPatienceHolds = 4;
+constexpr milliseconds kLeastPatience{250};
 /** The identifier under which a term's first entry is written. */
 RequestId TermEntryId(std::uint64_t term) {
   return RequestId("ferry/term/" + std::to_string(term));
@@ -43,14 +49,17 @@
   this->role = new_role;
   this->term_entry_at = now;
   this->runs.Configure(new_role);
-  if (lost_office) this->RefuseQueued("the member is no longer the primary");
+  if (lost_office) {
+    this->RefuseQueued(RefusalCode::kNoPrimary,
+                       "the member is no longer the primary");
+  }
   this->Dispatch(now);
 }
 
-void MemberExecutor::RefuseQueued(const char* detail) {
+void MemberExecutor::RefuseQueued(RefusalCode code, const char* detail) {
   // None of these was sent, so another member may take them at once.
   for (const Job& job : this->queue.TakeAll()) {
-    this->runs.Refuse(job, NotRun{RefusalCode::kNoPrimary, detail});
+    this->runs.Refuse(job, NotRun{code, detail});
   }
 }
 
@@ -59,7 +68,7 @@
   none.share = 0;
   none.primary = false;
   this->Configure(now, none);
-  this->RefuseQueued("the member is gone");
+  this->RefuseQueued(RefusalCode::kNoPrimary, "the member is gone");
   this->control_calls.FailAll();
 }
 
@@ -77,6 +86,7 @@
 void MemberExecutor::OnLost(steady_clock::time_point now, ConnectionId id,
                             ConnectionFailure failure) {
   this->runs.OnLost(now, id, failure);
+  this->RefuseIfUnserving(now);
   this->Dispatch(now);
 }
 
@@ -86,6 +96,20 @@
   this->Dispatch(now);
 }
 
+/** What waits for a replica may be served elsewhere; what waits for the primary
+ * may not. Where statements usually take long, so does the patience. */
+bool MemberExecutor::Unserving(steady_clock::time_point now) const {
+  if (this->role.primary) return false;
+  const auto patience = std::max<std::chrono::nanoseconds>(
+      kLeastPatience, kPatienceHolds * this->runs.Load().Hold());
+  return this->runs.Pool().Unserving(now, patience);
+}
+
+void MemberExecutor::RefuseIfUnserving(steady_clock::time_point now) {
+  if (this->queue.Size() == 0 || !this->Unserving(now)) return;
+  this->RefuseQueued(RefusalCode::kNoOwner, kNotServing);
+}
+
 AdmissionState MemberExecutor::Admission(steady_clock::time_point now) const {
   return AdmissionState{this->role.share, this->role.primary, this->role.term,
                         this->may_answer(now, this->role.term)};
@@ -97,6 +121,9 @@
     return;
   }
   auto refusal = CheckRole(this->Admission(now), job);
+  if (!refusal && this->Unserving(now)) {
+    refusal = NotRun{RefusalCode::kNoOwner, kNotServing};
+  }
   if (!refusal) {
     refusal = CheckExpectedWait(now, job, this->queue.CountAhead(job),
                                 this->runs.Pool().Size(), this->runs.Load());
@@ -189,6 +216,7 @@
                              "no connection was free within the time limit"});
   }
   this->runs.OnTick(now);
+  this->RefuseIfUnserving(now);
   this->Dispatch(now);
 }
 
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -79,6 +79,10 @@
   /** Whether a connection is this executor's. */
   bool Owns(ConnectionId id) const { return this->runs.Pool().Owns(id); }
 
+  /** Whether the member is a replica and none of the connections to it serves,
+   * so that reads have to go elsewhere. */
+  bool Unserving(std::chrono::steady_clock::time_point now) const;
+
   /** Requests that wait, run or await confirmation. */
   std::size_t Unfinished() const;
 
@@ -89,7 +93,8 @@
   std::size_t Connections() const { return this->runs.Pool().Size(); }
 
  private:
-  void RefuseQueued(const char* detail);
+  void RefuseQueued(RefusalCode code, const char* detail);
+  void RefuseIfUnserving(std::chrono::steady_clock::time_point now);
   AdmissionState Admission(std::chrono::steady_clock::time_point now) const;
   void Dispatch(std::chrono::steady_clock::time_point now);
   bool DispatchTo(std::chrono::steady_clock::time_point now, ConnectionId id);
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -126,6 +126,7 @@
   ConnectionPool& Pool() { return this->pool; }
   const ConnectionPool& Pool() const { return this->pool; }
   LoadEstimate& Load() { return this->load; }
+  const LoadEstimate& Load() const { return this->load; }
   /** Whether the primary's log has an entry of its own term. */
   bool TermBegun() const { return this->confirmer.TermBegun(); }
   /** Requests that run or await confirmation. */
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -77,7 +77,8 @@
       std::move(executor_hooks), std::move(executor_settings));
   MemberExecutor* executor = made.executor.get();
   made.gate = std::make_unique<ReplicaGate>(ReplicaGateHooks{
-      [executor](steady_clock::time_point at, Job job) {
+      [this, executor](steady_clock::time_point at, Job job) {
+        job.reply = this->WithMemberTime(at, std::move(job.reply));
         executor->Submit(at, std::move(job));
       },
       [executor](steady_clock::time_point at) { executor->AskStatus(at); },
@@ -158,7 +159,8 @@
     job.reply(NotRun{RefusalCode::kNoOwner, "not an owner of the member"});
     return;
   }
-  if (IsPlainRead(job.request) && member != this->primary) {
+  if (IsPlainRead(job.request) && member != this->primary &&
+      !found->executor->Unserving(present)) {
     job.reply = this->WithAgeAtReceipt(job);
     found->gate->Submit(present, std::move(job));
   } else {
@@ -184,6 +186,20 @@
   };
 }
 
+ReplyHook OwnedMembers::WithMemberTime(steady_clock::time_point began,
+                                       ReplyHook reply) const {
+  return [this, began, reply = std::move(reply)](const Outcome& outcome) {
+    const auto* answer = std::get_if<Answered>(&outcome);
+    if (answer == nullptr) {
+      reply(outcome);
+      return;
+    }
+    Answered told = *answer;
+    told.member_time = this->now - began;
+    reply(told);
+  };
+}
+
 /** A status of the primary is a sample only while the lease on its term holds:
  * a replaced primary goes on telling a position that is no longer the newest.
  */
@@ -266,6 +282,7 @@
   this->now = present;
   MemberExecutor* executor = this->Find(id);
   if (executor != nullptr) executor->OnLost(present, id, failure);
+  this->Settle(present);
 }
 
 void OwnedMembers::OnCompleted(steady_clock::time_point present,
@@ -279,7 +296,12 @@
 void OwnedMembers::Settle(steady_clock::time_point present) {
   this->now = present;
   for (auto& entry : this->owned) {
-    if (entry.second.gate->Held() > 0) entry.second.gate->OnTick(present);
+    if (entry.second.gate->Held() == 0) continue;
+    if (entry.second.executor->Unserving(present)) {
+      entry.second.gate->Withdraw(present);
+    } else {
+      entry.second.gate->OnTick(present);
+    }
   }
 }
 
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/traffic/read_routing.cc
@@ -81,7 +81,8 @@
     const Route& route = this->routes[place];
     if (place == this->primary || !route.usable || tried.Has(place)) continue;
     const bool first = own_zone_first && route.own_zone;
-    nanoseconds expected = first ? nanoseconds(0) : route.expected;
+    nanoseconds expected =
+        first ? nanoseconds(0) : std::max(route.expected, route.silence);
     if (request.max_age && !first && now < route.age_until &&
         route.age > *request.max_age) {
       // The replica has to catch up by the difference first.
@@ -133,6 +134,15 @@
   route.fastest = first ? answer_time : std::min(route.fastest, answer_time);
 }
 
+void RouteTable::ObserveSilence(std::size_t place, nanoseconds silence) {
+  this->routes[place].silence = silence;
+}
+
+void RouteTable::Forget(std::size_t place) {
+  Route& route = this->routes[place];
+  route.expected = route.own_zone ? kOwnZoneEstimate : kOtherZoneEstimate;
+}
+
 void RouteTable::ObserveAge(steady_clock::time_point now, std::size_t place,
                             milliseconds age) {
   this->routes[place].age = age;
--- a/src/lacewingferry/decisions/traffic/read_routing.h
+++ b/src/lacewingferry/decisions/traffic/read_routing.h
@@ -12,26 +12,10 @@
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/core/statement.h"
+#include "lacewingferry/decisions/traffic/member_set.h"
 
 namespace lacewingferry {
 
-/** A set of members by their places in a view; places from 64 on are never in
- * it. */
-class MemberSet {
- public:
-  void Add(std::size_t place) {
-    if (place < kPlaces) this->bits |= 1ULL << place;
-  }
-  bool Has(std::size_t place) const {
-    return place < kPlaces && ((this->bits >> place) & 1U) != 0;
-  }
-  void Clear() { this->bits = 0; }
-
- private:
-  static constexpr std::size_t kPlaces = 64;
-  std::uint64_t bits = 0;
-};
-
 /** Where a request goes. The pointers stay valid until the next Rebuild. */
 struct RouteDecision {
   std::size_t place = 0;
@@ -65,6 +49,13 @@
   /** Takes how long an answer or a refusal of a member took. */
   void Observe(std::size_t place, std::chrono::nanoseconds answer_time);
 
+  /** Takes for how long a member that owes answers has given none; zero for one
+   * that owes none. */
+  void ObserveSilence(std::size_t place, std::chrono::nanoseconds silence);
+
+  /** Takes that what was learnt of a member's answer times no longer holds. */
+  void Forget(std::size_t place);
+
   /** Takes how old a replica's data was at a time. */
   void ObserveAge(std::chrono::steady_clock::time_point now, std::size_t place,
                   std::chrono::milliseconds age);
@@ -84,6 +75,7 @@
     std::uint32_t slots = 0;
     std::chrono::nanoseconds expected{0};
     std::chrono::nanoseconds fastest{0};
+    std::chrono::nanoseconds silence{0};
     /** How old the data was when that was last heard of. */
     std::chrono::milliseconds age{0};
     std::chrono::steady_clock::time_point age_until;
