--- a/src/lacewingferry/adapters/json/json_fields.cc
+++ b/src/lacewingferry/adapters/json/json_fields.cc
@@ -8,8 +8,19 @@
 namespace lacewingferry::detail {
 namespace {
 
-nlohmann::json ParseObject(const std::string& text, const std::string& what) {
-  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+using nlohmann::json;
+
+/** No request or announcement nests as deep as this. A copy of a value calls
+ * itself for each level, so that depth has to have a bound. */
+constexpr int kMostLevels = 16;
+
+json ParseObject(const std::string& text, const std::string& what) {
+  const auto check_depth = [&what](int depth, json::parse_event_t, json&) {
+    if (depth <= kMostLevels) return true;
+    throw UserError(what + ": nested deeper than " +
+                    std::to_string(kMostLevels) + " levels");
+  };
+  json parsed = json::parse(text, check_depth, false);
   if (!parsed.is_object()) throw UserError(what + ": not a JSON object");
   return parsed;
 }
--- a/src/lacewingferry/adapters/msgpack/field_codec.h
+++ b/src/lacewingferry/adapters/msgpack/field_codec.h
@@ -220,13 +220,25 @@
   return std::string(buffer.data(), buffer.size());
 }
 
+/** Throws DecodeError unless the bytes hold one whole value and no more.
+ *
+ * Unpacking sets memory aside for as many values as an array says that it has.
+ * This pass sets none aside, and an array that passes has its values. */
+inline void RequireWholeValue(const char* bytes, std::size_t size) {
+  std::size_t offset = 0;
+  msgpack::null_visitor visitor;
+  if (!msgpack::parse(bytes, size, offset, visitor)) {
+    throw DecodeError("truncated or malformed");
+  }
+  if (offset != size) throw DecodeError("bytes after the end of a message");
+}
+
 /** Decodes a record that fills the bytes exactly. Throws DecodeError. */
 template <typename T>
 T DecodeFields(const char* bytes, std::size_t size) {
+  RequireWholeValue(bytes, size);
   try {
-    std::size_t offset = 0;
-    const msgpack::object_handle handle = msgpack::unpack(bytes, size, offset);
-    if (offset != size) throw DecodeError("bytes after the end of a message");
+    const msgpack::object_handle handle = msgpack::unpack(bytes, size);
     T value{};
     UnpackValue(handle.get(), value);
     return value;
