Let control's settings say when a silent member is lost

The time after which a silent backend server may lose its place was fixed at 15 minutes. An operator knows how long restarts of the VMs take, and a test with real processes can't wait that long.

--- a/bench/processes/cluster_files.cc
+++ b/bench/processes/cluster_files.cc
@@ -13,6 +13,8 @@
 namespace {
 
 const char kOperatorSecret[] = "a local cluster's operator secret";
+/** Short, so that a test sees a replacement. */
+const char kMemberLostAfter[] = "2s";
 const char kTokenSecret[] = "a local cluster's token secret";
 
 std::filesystem::path MakeFolder() {
@@ -109,6 +111,7 @@
     root["voters"] = PeersOf(plan.controls);
     root["data_folder"] = data;
     root["operator_secret"] = kOperatorSecret;
+    root["member_lost_after"] = kMemberLostAfter;
     WriteFile(this->SettingsOf(control.id.Value()), YAML::Dump(root) + "\n");
   }
 }
--- a/src/lacewingferry/adapters/yaml/control_settings_reader.cc
+++ b/src/lacewingferry/adapters/yaml/control_settings_reader.cc
@@ -33,9 +33,10 @@
   DocumentWalk walk(detail::ReadWholeFile(path), path);
   ControlSettings settings;
   const YAML::Node& root = walk.Root();
-  if (walk.ExpectMapping(root, "the settings of a control process",
-                         {"node", "zone", "region", "listen", "peer_url",
-                          "voters", "data_folder", "operator_secret", "log"})) {
+  if (walk.ExpectMapping(
+          root, "the settings of a control process",
+          {"node", "zone", "region", "listen", "peer_url", "voters",
+           "data_folder", "operator_secret", "member_lost_after", "log"})) {
     walk.ReadId(root, "node", Need::kRequired, &settings.node);
     walk.ReadId(root, "zone", Need::kRequired, &settings.zone);
     walk.ReadText(root, "region", Need::kRequired, &settings.region);
@@ -44,6 +45,8 @@
     ReadVoters(&walk, root, &settings);
     walk.ReadText(root, "data_folder", Need::kRequired, &settings.data_folder);
     walk.ReadSecret(root, "operator_secret", &settings.operator_secret);
+    walk.ReadDuration(root, "member_lost_after", Need::kOptional,
+                      &settings.member_lost_after);
     detail::ReadLog(&walk, root, &settings.log);
   }
   walk.ThrowFindings();
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -34,6 +34,12 @@
 constexpr std::size_t kMostOperatorBody = 1U << 20U;
 constexpr std::size_t kMostOperatorConnections = 64;
 
+FailoverSettings FailoverTimes(const ControlSettings& settings) {
+  FailoverSettings times;
+  times.member_lost_after = settings.member_lost_after;
+  return times;
+}
+
 }  // namespace
 
 void FoundControlLog(const ControlSettings& settings) {
@@ -101,7 +107,8 @@
       timer(this->control),
       membership(this->MembershipParts(), this->MembershipEffects()),
       replica(this->settings, this->ReplicaHooks()),
-      manager(this->replica.State().Terms(), this->ManagerHooks()) {
+      manager(this->replica.State().Terms(), this->ManagerHooks(),
+              FailoverTimes(this->settings)) {
   for (const PeerAddress& voter : this->settings.voters) {
     this->urls[voter.id] = voter.url;
   }
--- a/src/lacewingferry/core/settings.h
+++ b/src/lacewingferry/core/settings.h
@@ -80,6 +80,9 @@
   std::string data_folder;
   /** Authenticates operators' requests; 16 characters or more. */
   std::string operator_secret;
+  /** A backend server of which nothing was heard for this long may lose its
+   * place to a new one. Long against a restart of its VM. */
+  std::chrono::milliseconds member_lost_after{std::chrono::minutes(15)};
   LogSettings log;
 };
 
--- a/tests/error/control_settings_test.cc
+++ b/tests/error/control_settings_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <string>
 
 #include "lacewingferry/adapters/yaml/control_settings_reader.h"
@@ -29,8 +30,10 @@
   void ReadsACorrectFile() {
     const TemporaryFile file(
         std::string(kCorrect) +
-        "voters: [{id: control-1, url: 'tcp://127.0.0.1:7101'}]\n");
+        "voters: [{id: control-1, url: 'tcp://127.0.0.1:7101'}]\n"
+        "member_lost_after: 20min\n");
     const ControlSettings settings = ReadControlSettings(file.Path());
+    CPPUNIT_ASSERT(std::chrono::minutes(20) == settings.member_lost_after);
     CPPUNIT_ASSERT_EQUAL(std::string("data/control-1"), settings.data_folder);
     CPPUNIT_ASSERT_EQUAL(std::string("control-1"),
                          settings.voters.at(0).id.Value());
