--- a/src/lacewingferry/adapters/yaml/document_walk.cc
+++ b/src/lacewingferry/adapters/yaml/document_walk.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/adapters/yaml/document_walk.h"
 
 #include <arpa/inet.h>
+#include <yaml-cpp/eventhandler.h>
 
 #include <algorithm>
 #include <cctype>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <tuple>
 #include <utility>
 
@@ -95,25 +97,79 @@
   return std::string(", did you mean '") + nearest + "'?";
 }
 
+/** Notes where the root of each document is. */
+class RootMarks : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& /*mark*/) override {
+    this->at_root = true;
+  }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t /*anchor*/) override {
+    this->Note(mark);
+  }
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t /*anchor*/) override {
+    this->Note(mark);
+  }
+  void OnScalar(const YAML::Mark& mark, const std::string& /*tag*/,
+                YAML::anchor_t /*anchor*/,
+                const std::string& /*value*/) override {
+    this->Note(mark);
+  }
+  void OnSequenceStart(const YAML::Mark& mark, const std::string& /*tag*/,
+                       YAML::anchor_t /*anchor*/,
+                       YAML::EmitterStyle::value /*style*/) override {
+    this->Note(mark);
+  }
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& mark, const std::string& /*tag*/,
+                  YAML::anchor_t /*anchor*/,
+                  YAML::EmitterStyle::value /*style*/) override {
+    this->Note(mark);
+  }
+  void OnMapEnd() override {}
+
+  std::vector<YAML::Mark> roots;
+
+ private:
+  void Note(const YAML::Mark& mark) {
+    if (std::exchange(this->at_root, false)) this->roots.push_back(mark);
+  }
+
+  bool at_root = false;
+};
+
+/** The roots of the first two documents. A text that begins with a comma has
+ * documents without end, all at one place, so that no more may be read. */
+std::vector<YAML::Mark> FirstRoots(const std::string& text) {
+  std::istringstream in(text);
+  YAML::Parser parser(in);
+  RootMarks marks;
+  while (marks.roots.size() < 2 && parser.HandleNextDocument(marks)) {
+  }
+  return marks.roots;
+}
+
 }  // namespace
 
 DocumentWalk::DocumentWalk(const std::string& text, std::string path)
     : file(std::move(path)) {
-  std::vector<YAML::Node> documents;
+  std::vector<YAML::Mark> roots;
   try {
-    documents = YAML::LoadAll(text);
+    roots = FirstRoots(text);
+    if (roots.size() == 1) this->root = YAML::Load(text);
   } catch (const YAML::Exception& error) {
     throw FindingsError({Finding{PlaceOf(this->file, error.mark),
                                  "not valid YAML: " + error.msg}});
   }
-  if (documents.empty()) {
+  if (roots.empty()) {
     throw FindingsError({Finding{Place{this->file, 0, 0}, "is empty"}});
   }
-  if (documents.size() > 1) {
-    throw FindingsError({Finding{PlaceOf(this->file, documents[1].Mark()),
-                                 "a second document starts here"}});
+  if (roots.size() > 1) {
+    const bool stuck = roots[0].pos == roots[1].pos;
+    throw FindingsError({Finding{PlaceOf(this->file, roots[1]),
+                                 stuck ? "not valid YAML: nothing begins here"
+                                       : "a second document starts here"}});
   }
-  this->root = documents.front();
 }
 
 void DocumentWalk::Note(const YAML::Node& node, const std::string& message) {
