--- a/bench/model/chaos_control.cc
+++ b/bench/model/chaos_control.cc
@@ -1,6 +1,7 @@
 #include "bench/model/chaos_control.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingferry::model {
 namespace {
@@ -93,6 +94,7 @@
   }
   const auto best = std::max_element(
       fenced.begin(), fenced.end(), [&](std::size_t a, std::size_t b) {
+        if (!this->faults.most_advanced) std::swap(a, b);
         return group.Member(this->fleet.MemberName(a)).Durable() <
                group.Member(this->fleet.MemberName(b)).Durable();
       });
--- a/bench/model/chaos_control.h
+++ b/bench/model/chaos_control.h
@@ -21,6 +21,9 @@
   /** Whether control waits for the leases to end before it promotes; else they
    * never end and it doesn't wait. */
   bool waits_for_leases = true;
+  /** Whether it promotes the fenced member with the newest log; else the one
+   * with the oldest. */
+  bool most_advanced = true;
 };
 
 /** Reaches every zone that isn't isolated. */
--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -269,7 +269,8 @@
   if (session.failed) return "25P02";
   if (sql == "BEGIN" || sql == "COMMIT") return this->RunControl(session, sql);
   if (sql == "STATUS") {
-    rows = member.StatusRows();
+    rows = this->options.status ? this->options.status(member)
+                                : member.StatusRows();
     return "";
   }
   if (sql == "GET") {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -36,6 +36,8 @@
   std::chrono::nanoseconds notice_delay{0};
   /** The statements on the table of identified requests. */
   RequestRecordSql record;
+  /** The rows of STATUS; empty for the member's true state. */
+  std::function<ResultSet(const FakeMember&)> status;
 };
 
 /** Members that replicate asynchronously, and the connections of proxies to
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -126,6 +126,9 @@
   proxy.alive = true;
   TrafficHooks hooks;
   hooks.port = this->group.PortFor(proxy.info.zone, &proxy.events);
+  if (this->options.wrap_port) {
+    hooks.port = this->options.wrap_port(std::move(hooks.port));
+  }
   hooks.events.record = [](const Event&) {};
   hooks.send = [this, &proxy](const NodeId& to, const PeerBody& body) {
     this->Send(proxy, to, body);
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -43,6 +43,8 @@
   SeatTimings seat_timings;
   /** How much faster the clock of each next proxy runs. */
   double clock_drift = 0;
+  /** May stand between the proxies and their connections; may be empty. */
+  std::function<MemberPort(MemberPort)> wrap_port;
 };
 
 /** The deployments of the users' brief: three places, one member in each. */
@@ -69,6 +71,11 @@
    * meanwhile is handled afterwards. */
   void PauseProxy(std::size_t proxy, std::chrono::nanoseconds time);
 
+  /** Lets the next views give a proxy no slots, since it stops. */
+  void StartDraining(std::size_t proxy) {
+    this->proxies[proxy]->info.draining = true;
+  }
+
   /** Cuts a proxy off from all other proxies, or heals that. Its connections
    * to members stay. */
   void CutProxy(std::size_t proxy, bool cut);
--- a/bench/model/traffic_chaos.cc
+++ b/bench/model/traffic_chaos.cc
@@ -17,6 +17,11 @@
 
 /** How often a caller sends an unanswered request again. */
 constexpr int kMostSends = 4;
+/** The time until a replica applies what it has received. */
+constexpr milliseconds kShortLag{15};
+constexpr milliseconds kLongLag{150};
+/** The age that a caller accepts where it states one. */
+constexpr milliseconds kAcceptedAge{100};
 /** The time that a caller waits for an answer before it sends again. */
 constexpr milliseconds kCallerPatience{1500};
 /** The time limit that it states. */
@@ -35,7 +40,8 @@
         random(chaos_options.seed),
         fleet(this->queue, MakeFleetOptions(chaos_options)),
         control(this->queue, this->fleet, this->random,
-                ControlFaults{chaos_options.lease_wall}) {
+                ControlFaults{chaos_options.lease_wall,
+                              chaos_options.most_advanced}) {
     if (!this->options.majority_wall) this->fleet.SetGroupSize(1);
   }
 
@@ -44,6 +50,7 @@
     for (std::size_t i = 0; i < this->options.works; ++i) {
       HistoryWork work;
       work.name = "w" + std::to_string(i);
+      work.session = work.name;
       this->history.works.push_back(work);
     }
     for (std::size_t i = 0; i < this->options.works; ++i) {
@@ -52,6 +59,9 @@
     }
     this->queue.RunUntil(this->queue.Now() + this->options.length + kRest);
     this->history.promoted_at = this->control.PromotedAt();
+    if (this->options.seats) {
+      this->history.turned_away = this->fleet.Group().TurnedAway();
+    }
     const FakeMember& primary =
         this->fleet.Group().Member(this->control.Primary());
     for (const FakeEntry& entry : primary.log) {
@@ -66,11 +76,16 @@
     made.proxies_per_zone = 2;
     made.first_lease = steady_clock::time_point::min();
     made.group.service_time = [](const SqlBatch&) { return milliseconds(2); };
+    made.group.apply_lag = [](const MemberId& member) {
+      return member == MemberId("member-1") ? kShortLag : kLongLag;
+    };
+    made.seats = chaos_options.seats;
     if (!chaos_options.identifiers) {
       made.record.claim = "GET";
       made.record.store = "GET";
     }
     made.group.record = made.record;
+    if (chaos_options.adjust) chaos_options.adjust(made);
     return made;
   }
 
@@ -110,6 +125,13 @@
     this->Send(number, request, kMostSends);
   }
 
+  void Submit(std::size_t proxy, StatementRequest request, ReplyHook reply) {
+    if (this->options.on_request) this->options.on_request(request);
+    this->fleet.Submit(proxy, request, std::move(reply));
+  }
+
+  /** Reads any work's key, or from data of some age what was acknowledged
+   * last. */
   void StartRead() {
     const std::string key =
         "w" +
@@ -117,24 +139,41 @@
             this->Pick(static_cast<std::int64_t>(this->options.works))) +
         "/a";
     StatementRequest request = this->Request(RequestKind::kRead);
+    const bool aged = this->Pick(2) == 0;
+    if (aged) request.max_age = kAcceptedAge;
+    this->Read(request, aged && !this->newest.empty() ? this->newest : key);
+  }
+
+  /** Reads what the session itself has written, through any proxy. */
+  void ReadOwn(const HistoryWork& work, const LogPosition& position) {
+    StatementRequest request = this->Request(RequestKind::kRead);
+    request.session = SessionId(work.session);
+    request.session_position = position;
+    if (this->Pick(2) == 0) request.max_age = milliseconds(2 * kRest);
+    this->Read(request, work.keys[0]);
+  }
+
+  void Read(StatementRequest request, const std::string& key) {
     request.statement = {"GET", {SqlValue(key)}};
-    this->fleet.Submit(this->AnyProxy(), request,
-                       [this, key](const Outcome& outcome) {
-                         const auto* answer = std::get_if<Answered>(&outcome);
-                         if (answer == nullptr || answer->served_by_replica)
-                           return;
-                         HistoryRead read{key, std::nullopt};
-                         if (!answer->result.rows.empty())
-                           read.value = answer->result.rows[0][0];
-                         this->history.reads.push_back(read);
-                       });
+    HistoryRead read{key, std::nullopt, request.session.Value()};
+    read.max_age = request.max_age;
+    read.sent_at = this->queue.Now();
+    this->Submit(this->AnyProxy(), request,
+                 [this, read](const Outcome& outcome) mutable {
+                   const auto* answer = std::get_if<Answered>(&outcome);
+                   if (answer == nullptr) return;
+                   read.by_replica = answer->served_by_replica;
+                   if (!answer->result.rows.empty())
+                     read.value = answer->result.rows[0][0];
+                   this->history.reads.push_back(read);
+                 });
   }
 
   /** Sends a request until its fate is known; each sending goes through any
    * proxy, for the first may be dead. */
   void Send(std::size_t number, const StatementRequest& request, int left) {
     auto settled = std::make_shared<bool>(false);
-    this->fleet.Submit(
+    this->Submit(
         this->AnyProxy(), request,
         [this, number, request, left, settled](const Outcome& outcome) {
           if (std::exchange(*settled, true)) return;
@@ -163,6 +202,8 @@
       // one that answered.
       work.term = answer->repeated ? kNoTerm : answer->position.term;
       work.told_at = this->fleet.AnswerMadeAt();
+      this->newest = work.keys[0];
+      this->ReadOwn(work, answer->position);
     } else if (std::holds_alternative<UnknownOutcome>(outcome) || !first) {
       work.told = this->options.truthful ? Told::kUnknown : Told::kNotRun;
     } else {
@@ -174,20 +215,27 @@
     HistoryWork& work = this->history.works[number];
     work.keys = {work.name + "/a", work.name + "/b"};
     const std::size_t proxy = this->AnyProxy();
-    this->fleet.Submit(proxy, this->Request(RequestKind::kBegin),
-                       [this, number](const Outcome& outcome) {
-                         const auto* begun = std::get_if<Answered>(&outcome);
-                         if (begun == nullptr) {
-                           this->history.works[number].told = Told::kNotRun;
-                           return;
-                         }
-                         this->Step(number, begun->transaction, 0);
-                       });
+    this->Submit(proxy, this->Request(RequestKind::kBegin),
+                 [this, number](const Outcome& outcome) {
+                   const auto* begun = std::get_if<Answered>(&outcome);
+                   if (begun == nullptr) {
+                     this->history.works[number].told = Told::kNotRun;
+                     return;
+                   }
+                   this->Step(number, begun->transaction, 0);
+                 });
   }
 
   void Step(std::size_t number, const TransactionId& transaction,
             std::size_t step) {
     HistoryWork& work = this->history.works[number];
+    if (step == work.keys.size() && this->Pick(4) == 0) {
+      StatementRequest rollback = this->Request(RequestKind::kRollback);
+      rollback.transaction = transaction;
+      work.told = Told::kNotRun;
+      this->Submit(this->AnyProxy(), rollback, [](const Outcome&) {});
+      return;
+    }
     if (step == work.keys.size()) {
       StatementRequest commit = this->Request(RequestKind::kCommit);
       commit.transaction = transaction;
@@ -197,15 +245,14 @@
     }
     StatementRequest put = this->Put(work.keys[step]);
     put.transaction = transaction;
-    this->fleet.Submit(
-        this->AnyProxy(), put,
-        [this, number, transaction, step](const Outcome& outcome) {
-          if (!std::holds_alternative<Answered>(outcome)) {
-            this->history.works[number].told = Told::kNotRun;
-            return;
-          }
-          this->Step(number, transaction, step + 1);
-        });
+    this->Submit(this->AnyProxy(), put,
+                 [this, number, transaction, step](const Outcome& outcome) {
+                   if (!std::holds_alternative<Answered>(outcome)) {
+                     this->history.works[number].told = Told::kNotRun;
+                     return;
+                   }
+                   this->Step(number, transaction, step + 1);
+                 });
   }
 
   ChaosOptions options;
@@ -214,6 +261,8 @@
   Fleet fleet;
   ChaosControl control;
   History history;
+  /** The key that was acknowledged last. */
+  std::string newest;
 };
 
 }  // namespace
--- a/bench/model/traffic_chaos.h
+++ b/bench/model/traffic_chaos.h
@@ -7,7 +7,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 
+#include "bench/model/fleet.h"
 #include "bench/model/history_checker.h"
 #include "lacewingferry/decisions/traffic/request_record.h"
 
@@ -28,6 +30,14 @@
   bool truthful = true;
   /** Whether the rows of identifiers are written. */
   bool identifiers = true;
+  /** Whether control promotes the newest of the fenced members. */
+  bool most_advanced = true;
+  /** Whether slots change hands under witnesses and are counted. */
+  bool seats = false;
+  /** Changes the fleet before the start; may be empty. */
+  std::function<void(FleetOptions&)> adjust;
+  /** Changes a request before its proxy sees it; may be empty. */
+  std::function<void(StatementRequest&)> on_request;
 };
 
 /** Runs once and returns what happened. */
--- a/tests/correctness/history_checker_test.cc
+++ b/tests/correctness/history_checker_test.cc
@@ -17,6 +17,10 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+steady_clock::time_point At(int after_ms) {
+  return steady_clock::time_point(milliseconds(after_ms));
+}
+
 /** A history of one work of two keys that was acknowledged in term 1, told at
  * 100 ms. */
 History Whole() {
@@ -26,10 +30,10 @@
   work.keys = {"w/a", "w/b"};
   work.told = Told::kAnswered;
   work.term = 1;
-  work.told_at = steady_clock::time_point(milliseconds(100));
+  work.told_at = At(100);
   history.works.push_back(work);
   history.log.push_back({{"w/a", ValueOf("w/a")}, {"w/b", ValueOf("w/b")}});
-  history.promoted_at[1] = steady_clock::time_point();
+  history.promoted_at[1] = At(0);
   return history;
 }
 
@@ -43,6 +47,10 @@
   CPPUNIT_TEST_SUITE(HistoryCheckerTest);
   CPPUNIT_TEST(AcceptsAWholeHistory);
   CPPUNIT_TEST(FindsEachBrokenPromise);
+  CPPUNIT_TEST(FindsReadsThatMissAWrite);
+  CPPUNIT_TEST(FindsWorkForAMemberThatLeft);
+  CPPUNIT_TEST(FindsWorkCutByAPlannedStop);
+  CPPUNIT_TEST(FindsAConfigurationThatRevertsOrIsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,7 +61,7 @@
     lost.log.clear();
     CPPUNIT_ASSERT(Breaks(lost, Promise::kAcknowledgedSurvives));
     History late = Whole();
-    late.promoted_at[2] = steady_clock::time_point(milliseconds(99));
+    late.promoted_at[2] = At(99);
     CPPUNIT_ASSERT(Breaks(late, Promise::kNoAnswerByReplaced));
     History mixed = Whole();
     mixed.log[0].push_back({"x/a", ValueOf("x/a")});
@@ -74,6 +82,64 @@
     crowded.turned_away = 1;
     CPPUNIT_ASSERT(Breaks(crowded, Promise::kSlots));
   }
+
+  void FindsReadsThatMissAWrite() {
+    History own = Whole();
+    own.works[0].session = "s";
+    HistoryRead read{"w/a", std::nullopt, "s", true, std::nullopt, At(101)};
+    own.reads = {read};
+    CPPUNIT_ASSERT(Breaks(own, Promise::kReadYourWrites));
+    own.reads[0].sent_at = At(100);
+    CPPUNIT_ASSERT(CheckHistory(own).empty());
+    own.reads[0] = read;
+    own.reads[0].session = "another";
+    CPPUNIT_ASSERT(CheckHistory(own).empty());
+    History old = Whole();
+    read.session.clear();
+    read.max_age = milliseconds(50);
+    read.sent_at = At(151);
+    old.reads = {read};
+    CPPUNIT_ASSERT(Breaks(old, Promise::kStatedAge));
+    old.reads[0].sent_at = At(150);
+    CPPUNIT_ASSERT(CheckHistory(old).empty());
+    old.reads[0].by_replica = false;
+    CPPUNIT_ASSERT(Breaks(old, Promise::kStatedAge));
+  }
+
+  void FindsWorkForAMemberThatLeft() {
+    History history = Whole();
+    history.leavings = {{"a", At(0)}};
+    history.uses = {{"b", At(9000)}, {"a", At(3000)}};
+    CPPUNIT_ASSERT(CheckHistory(history).empty());
+    history.uses.push_back({"a", At(3001)});
+    CPPUNIT_ASSERT(Breaks(history, Promise::kNoWorkForLeaving));
+  }
+
+  void FindsWorkCutByAPlannedStop() {
+    for (const Told told : {Told::kNothing, Told::kUnknown}) {
+      History history = Whole();
+      history.works[0].told = told;
+      CPPUNIT_ASSERT(CheckHistory(history).empty());
+      history.planned_stops = 1;
+      CPPUNIT_ASSERT(Breaks(history, Promise::kPlannedStopCutsNothing));
+    }
+  }
+
+  void FindsAConfigurationThatRevertsOrIsMissing() {
+    History history = Whole();
+    history.accepted = {{1, At(0)}, {2, At(1000)}};
+    history.in_force["p"] = {{1, At(500)}, {2, At(9000)}};
+    history.ended_at = At(9000);
+    CPPUNIT_ASSERT(CheckHistory(history).empty());
+    history.in_force["p"] = {{2, At(1500)}, {1, At(1600)}};
+    CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
+    history.in_force["p"] = {{1, At(500)}, {2, At(9001)}};
+    CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
+    history.in_force["p"] = {{1, At(500)}};
+    CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
+    history.ended_at = At(8999);
+    CPPUNIT_ASSERT(CheckHistory(history).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HistoryCheckerTest);
