--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/traffic/member_runs.h
@@ -66,6 +66,8 @@
   bool primary = false;
   std::uint64_t term = 0;
   std::uint32_t group_size = 3;
+  /** The members of which a majority is counted. */
+  std::vector<MemberId> counted_members;
 };
 
 /** Runs one batch at a time on each connection and turns the results into
@@ -126,6 +128,7 @@
   ConnectionPool& Pool() { return this->pool; }
   const ConnectionPool& Pool() const { return this->pool; }
   LoadEstimate& Load() { return this->load; }
+  const LoadEstimate& Load() const { return this->load; }
   /** Whether the primary's log has an entry of its own term. */
   bool TermBegun() const { return this->confirmer.TermBegun(); }
   /** Requests that run or await confirmation. */
