Count the sessions that members refuse as a broken promise of a run

Cause: the demo and the tests with real processes could not see a connection above a member's slots. The stand-in now logs session_refused, the cluster counts the lines, and the verdict has a row that has to be 0.

Ruled out: asking the stand-in by SQL, which takes a slot itself.

--- a/bench/processes/demo.cc
+++ b/bench/processes/demo.cc
@@ -60,8 +60,9 @@
     this->cluster.Start(kStartLimit);
     CreateTables(this->cluster.Plan(), kStartLimit);
     const RunRecord record = this->RunLoad();
-    const RunVerdict verdict =
+    RunVerdict verdict =
         CheckRun(this->cluster.Plan(), record, this->failures, kCheckLimit);
+    verdict.CountRefusedSessions(this->cluster.RefusedSessions());
     WriteVerdict(verdict, this->out);
     if (!verdict.Kept()) {
       this->cluster.KeepFiles();
--- a/bench/processes/local_cluster.cc
+++ b/bench/processes/local_cluster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -176,6 +177,17 @@
   return leader;
 }
 
+std::uint64_t LocalCluster::RefusedSessions() const {
+  std::uint64_t refused = 0;
+  for (const PlannedMember& member : this->plan.members) {
+    std::ifstream log(this->files.LogOf(member.id.Value()));
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("\"session_refused\"") != std::string::npos) ++refused;
+    }
+  }
+  return refused;
+}
+
 void LocalCluster::ApplyFirstNote(milliseconds limit) {
   const bool applied = PollUntil(limit, [&] {
     return this->RunOperatorCommand("apply", this->plan.controls) == 0;
--- a/bench/processes/local_cluster.h
+++ b/bench/processes/local_cluster.h
@@ -4,6 +4,7 @@
 // Defines LocalCluster, the processes of a whole cluster on this machine.
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +55,9 @@
   /** Sets whether logs and data stay behind. */
   void KeepFiles(bool leave = true) { this->files.Keep(leave); }
 
+  /** Sessions that members refused because all their slots were in use. */
+  std::uint64_t RefusedSessions() const;
+
   /** Whether failover works: the control program is there. */
   bool HasControl() const;
 
--- a/bench/processes/run_check.cc
+++ b/bench/processes/run_check.cc
@@ -138,6 +138,13 @@
 
 }  // namespace
 
+void RunVerdict::CountRefusedSessions(std::uint64_t count) {
+  this->refused_sessions = count;
+  if (count == 0) return;
+  this->broken.push_back(std::to_string(count) +
+                         " connections above the slots of members");
+}
+
 RunVerdict CheckRun(const ClusterPlan& plan, const RunRecord& record,
                     const std::vector<PrimaryFailure>& failures,
                     std::chrono::milliseconds limit) {
--- a/bench/processes/run_check.h
+++ b/bench/processes/run_check.h
@@ -43,6 +43,8 @@
   std::uint64_t missed_own_writes = 0;
   std::uint64_t too_old_reads = 0;
   std::uint64_t by_replaced_primary = 0;
+  /** Sessions that members refused because all their slots were in use. */
+  std::uint64_t refused_sessions = 0;
   std::uint64_t requests = 0;
   std::uint64_t lost_answers = 0;
   std::uint64_t reads = 0;
@@ -55,6 +57,9 @@
   /** Each broken promise in words. */
   std::vector<std::string> broken;
 
+  /** Counts the sessions that members refused, each a broken promise. */
+  void CountRefusedSessions(std::uint64_t count);
+
   /** Whether all promises were kept. */
   bool Kept() const { return this->broken.empty(); }
 };
--- a/bench/processes/verdict_table.cc
+++ b/bench/processes/verdict_table.cc
@@ -69,6 +69,8 @@
   WriteRow(out, "reads older than asked", verdict.too_old_reads);
   WriteRow(out, "acknowledged by a replaced primary",
            verdict.by_replaced_primary);
+  WriteRow(out, "connections above the slots of members",
+           verdict.refused_sessions);
   WriteBroken(verdict, out);
   out << (verdict.Kept() ? "verdict: all promises kept\n"
                          : "verdict: promises broken\n");
--- a/standin/postgres_server.cc
+++ b/standin/postgres_server.cc
@@ -1,7 +1,10 @@
 #include "standin/postgres_server.h"
 
+#include <string>
 #include <utility>
 
+#include "standin/log_line.h"
+
 namespace lacewingferry::standin {
 
 using boost::asio::ip::tcp;
@@ -30,6 +33,8 @@
 
 std::shared_ptr<SqlSession> PostgresServer::Open(std::uint32_t number) {
   if (this->slots_used >= this->settings.slots) {
+    LogLine("session_refused",
+            {{"slots", std::to_string(this->settings.slots)}});
     throw SqlError("53300", "sorry, too many clients already");
   }
   auto session = this->hooks.open(number);
--- a/tests/support/process_cluster.cc
+++ b/tests/support/process_cluster.cc
@@ -41,8 +41,7 @@
     : local(StartCluster(deployment)) {}
 
 MemberId ProcessCluster::FailPrimary(int signal) {
-  MemberId primary =
-      this->local->PrimaryOf(this->Database(), kProcessDeadline);
+  MemberId primary = this->local->PrimaryOf(this->Database(), kProcessDeadline);
   this->failures.push_back(
       {this->Database(), primary, std::chrono::steady_clock::now()});
   this->local->Process(primary.Value()).Signal(signal);
@@ -73,7 +72,8 @@
 
 processes::RunVerdict ProcessCluster::FinishLoad() {
   auto verdict = processes::CheckRun(this->Plan(), this->load->Finish(),
-                                           this->failures, kProcessDeadline);
+                                     this->failures, kProcessDeadline);
+  verdict.CountRefusedSessions(this->local->RefusedSessions());
   std::ostringstream table;
   processes::WriteVerdict(verdict, table);
   this->Assert(table.str(), verdict.Kept() && verdict.acknowledged > 0);
