--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -76,9 +76,28 @@
       this->proxies.push_back(std::move(proxy));
     }
   }
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < this->proxies.size(); ++i) all.push_back(i);
+  this->NameProxies(all);
   for (auto& proxy : this->proxies) this->Boot(*proxy);
 }
 
+void Fleet::NameProxies(const std::vector<std::size_t>& numbers) {
+  ++this->configuration.revision;
+  this->configuration.proxies.clear();
+  for (const std::size_t number : numbers) {
+    const ProxyInfo& info = this->proxies[number]->info;
+    FrontProxy named;
+    named.id = info.id;
+    named.zone = info.zone;
+    this->configuration.proxies.emplace(info.id, named);
+  }
+}
+
+void Fleet::TellConfiguration(std::size_t proxy) {
+  this->seats.Configure(this->proxies[proxy]->info.id, this->configuration);
+}
+
 MemberId Fleet::MemberName(std::size_t number) const {
   return MemberId("member-" + std::to_string(number));
 }
@@ -140,12 +159,14 @@
   settings.request_record = this->options.record;
   settings.transactions = this->options.transactions;
   settings.incarnation = ++this->boots * kIncarnationStep;
+  settings.needs_seats = this->options.seats;
   proxy.shard = std::make_unique<TrafficShard>(hooks, settings, 0, 1);
   proxy.events = this->EventsOf(proxy);
   if (this->options.seats) {
     const double drift =
         this->options.clock_drift * static_cast<double>(this->boots % 3);
-    this->seats.Boot(proxy.info, this->WitnessesOf(proxy), this->boots, drift);
+    this->seats.Boot(proxy.info.id, this->boots, drift);
+    this->seats.Configure(proxy.info.id, this->configuration);
   }
   this->Show(proxy, this->MakeView());
 }
@@ -172,18 +193,21 @@
   return nullptr;
 }
 
+void Fleet::Observe(const Proxy& from, const PeerBody& body) {
+  ++this->messages;
+  if (!this->send_observer) return;
+  const auto number =
+      std::find_if(this->proxies.begin(), this->proxies.end(),
+                   [&from](const auto& proxy) { return proxy.get() == &from; });
+  this->send_observer(static_cast<std::size_t>(number - this->proxies.begin()),
+                      body);
+}
+
 void Fleet::Send(Proxy& from, const NodeId& to, const PeerBody& body) {
   Proxy* target = this->Find(to);
   if (target == nullptr || !from.alive) return;
   if (from.cut || target->cut) return;
-  ++this->messages;
-  if (this->send_observer) {
-    const auto number = std::find_if(
-        this->proxies.begin(), this->proxies.end(),
-        [&from](const auto& proxy) { return proxy.get() == &from; });
-    this->send_observer(
-        static_cast<std::size_t>(number - this->proxies.begin()), body);
-  }
+  this->Observe(from, body);
   this->network.Deliver(
       from.info.zone, target->info.zone,
       [this, target, sender = from.info.id, body, sent_at = this->queue.Now()] {
@@ -274,65 +298,31 @@
   this->proxies[proxy]->cut = cut;
 }
 
-std::vector<NodeId> Fleet::WitnessesOf(const Proxy& proxy) const {
-  std::vector<NodeId> witnesses;
-  for (const auto& other : this->proxies) {
-    if (other->info.zone == proxy.info.zone)
-      witnesses.push_back(other->info.id);
-  }
-  return witnesses;
-}
-
 FleetSeatHooks Fleet::SeatHooks() {
   FleetSeatHooks hooks;
   hooks.deliver = [this](const NodeId& from, const NodeId& to,
-                         std::function<void()> action) {
+                         const PeerBody& body, std::function<void()> action) {
     const Proxy* sender = this->Find(from);
     const Proxy* target = this->Find(to);
-    const bool lost = from != to && (sender->cut || target->cut);
-    if (lost) return;
+    if (sender->cut || target->cut) return;
+    this->Observe(*sender, body);
     this->network.Deliver(sender->info.zone, target->info.zone,
                           std::move(action));
   };
-  hooks.connections = [this](const NodeId& proxy, const MemberId& member) {
-    return this->Find(proxy)->shard->Connections(this->database, member);
-  };
-  hooks.limit = [this](const NodeId& id, const MemberId& member,
-                       std::uint32_t most) {
-    Proxy& proxy = *this->Find(id);
-    proxy.shard->LimitConnections(this->queue.Now(), this->database, member,
-                                  most);
-    this->Arm(proxy);
-  };
-  hooks.changed = [this](const NodeId& id) {
-    Proxy& proxy = *this->Find(id);
-    proxy.shard->OnView(this->queue.Now(), this->WithOwnSeats(proxy));
-    this->Arm(proxy);
+  hooks.publish = [this](const NodeId& id, const SeatTablePtr& table,
+                         std::function<void(const SeatReport&)> report) {
+    this->Wake(*this->Find(id), [this, table, report](TrafficShard& shard) {
+      report(shard.OnSeats(this->queue.Now(), table));
+    });
   };
   return hooks;
 }
 
-RoutingViewPtr Fleet::WithOwnSeats(const Proxy& proxy) {
-  auto view = std::make_shared<RoutingView>(*proxy.view);
-  for (RoutedMember& member : view->databases[this->database].members) {
-    for (SlotShare& share : member.owners) {
-      if (share.owner != proxy.info.id) continue;
-      share.slots = this->seats.Target(proxy.info.id, member.info.id);
-    }
-  }
-  return view;
-}
-
 void Fleet::Show(Proxy& proxy, const RoutingViewPtr& view) {
-  proxy.view = view;
-  RoutingViewPtr shown = view;
-  if (this->options.seats) {
-    this->seats.Want(proxy.info.id, view->databases.at(this->database).members);
-    shown = this->WithOwnSeats(proxy);
-  }
-  this->Wake(proxy, [this, shown](TrafficShard& shard) {
-    shard.OnView(this->queue.Now(), shown);
+  this->Wake(proxy, [this, view](TrafficShard& shard) {
+    shard.OnView(this->queue.Now(), view);
   });
+  if (this->options.seats) this->seats.OnView(proxy.info.id, *view);
 }
 
 void Fleet::SetPrimary(std::uint64_t new_term, const MemberId& new_primary) {
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -73,6 +73,11 @@
    * to members stay. */
   void CutProxy(std::size_t proxy, bool cut);
 
+  /** Sets the proxies that the configuration names; each proxy learns of it
+   * when it is told, and a proxy that starts at once. All are named first. */
+  void NameProxies(const std::vector<std::size_t>& numbers);
+  void TellConfiguration(std::size_t proxy);
+
   /** Tells every live proxy the present view; primary and term as given. */
   void Publish(std::uint64_t term, const MemberId& primary);
 
@@ -122,7 +127,6 @@
     std::chrono::steady_clock::time_point armed_for;
     std::chrono::steady_clock::time_point paused_until;
     bool cut = false;
-    RoutingViewPtr view;
   };
 
   /** Lets a proxy do something, unless it dies or starts anew before it
@@ -131,16 +135,15 @@
   MemberEvents EventsOf(Proxy& proxy);
   void Boot(Proxy& proxy);
   void Arm(Proxy& proxy);
+  void Observe(const Proxy& from, const PeerBody& body);
   void Send(Proxy& from, const NodeId& to, const PeerBody& body);
   void Receive(Proxy& proxy, const NodeId& from, const PeerBody& body,
                std::chrono::steady_clock::time_point sent_at);
   Proxy* Find(const NodeId& id);
   RoutingViewPtr MakeView() const;
-  /** Hands a view to a proxy, with its own share as its seats allow. */
+  /** Hands a view to a proxy. */
   void Show(Proxy& proxy, const RoutingViewPtr& view);
-  RoutingViewPtr WithOwnSeats(const Proxy& proxy);
   FleetSeatHooks SeatHooks();
-  std::vector<NodeId> WitnessesOf(const Proxy& proxy) const;
 
   EventQueue& queue;
   FleetOptions options;
@@ -151,6 +154,7 @@
   MemberId primary;
   std::uint32_t group_size;
   std::vector<std::unique_ptr<Proxy>> proxies;
+  ConfigurationInForce configuration;
   FleetSeats seats;
   std::uint64_t messages = 0;
   /** When the message that is being handled was sent. */
--- a/bench/model/fleet_seats.cc
+++ b/bench/model/fleet_seats.cc
@@ -5,25 +5,19 @@
 namespace lacewingferry::model {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 /** How often a proxy looks at its seats. */
 constexpr milliseconds kTick{20};
+/** The way of a report from a traffic thread to the control thread. */
+constexpr microseconds kToControl{100};
 
-/** How many slots an owner should hold of each member. */
-std::vector<SeatWish> WishesOf(const NodeId& proxy,
-                               const std::vector<RoutedMember>& members) {
-  std::vector<SeatWish> wishes;
-  for (const RoutedMember& member : members) {
-    for (std::size_t rank = 0; rank < member.owners.size(); ++rank) {
-      const SlotShare& share = member.owners[rank];
-      if (share.owner != proxy) continue;
-      wishes.push_back(
-          SeatWish{member.info.id, share.slots, member.info.slots, rank > 0});
-    }
-  }
-  return wishes;
+steady_clock::time_point Scaled(steady_clock::time_point time, double factor) {
+  return steady_clock::time_point(
+      std::chrono::duration_cast<steady_clock::duration>(
+          time.time_since_epoch() * factor));
 }
 
 }  // namespace
@@ -33,89 +27,85 @@
     : queue(event_queue), timings(seat_timings), hooks(std::move(seat_hooks)) {}
 
 steady_clock::time_point FleetSeats::NowOf(const Node& node) const {
-  const auto since_start = this->queue.Now().time_since_epoch();
-  return steady_clock::time_point(
-      std::chrono::duration_cast<steady_clock::duration>(since_start *
-                                                         (1.0 + node.drift)));
+  return Scaled(this->queue.Now(), 1.0 + node.drift);
 }
 
-void FleetSeats::Boot(const ProxyInfo& proxy,
-                      const std::vector<NodeId>& witnesses,
-                      std::uint64_t incarnation, double drift) {
-  Node& node = this->nodes[proxy.id];
-  node = Node{};
-  node.incarnation = incarnation;
-  node.drift = drift;
-  node.witness =
-      std::make_unique<SeatWitness>(this->NowOf(node), this->timings);
-  node.holder = std::make_unique<SeatHolder>(
-      witnesses, this->timings,
-      SeatHolderHooks{
-          [this, id = proxy.id](const NodeId& to, const SeatClaim& claim) {
-            this->SendClaim(id, to, claim);
-          },
-          [this, id = proxy.id](const MemberId& member) {
-            return this->hooks.connections(id, member);
-          }},
-      incarnation);
-  this->Tick(proxy.id, incarnation);
+/** The fleet's traffic runs by the queue's clock. */
+SeatTablePtr FleetSeats::InFleetTime(const Node& node,
+                                     const SeatTable& table) const {
+  auto scaled = std::make_shared<SeatTable>(table);
+  for (auto& entry : scaled->ends) {
+    for (auto& end : entry.second) end = Scaled(end, 1.0 / (1.0 + node.drift));
+  }
+  return scaled;
 }
 
-void FleetSeats::SendClaim(const NodeId& from, const NodeId& to,
-                           const SeatClaim& claim) {
-  this->hooks.deliver(from, to, [this, from, to, claim] {
-    const auto witness = this->nodes.find(to);
-    if (witness == this->nodes.end()) return;
-    const SeatGrant grant = witness->second.witness->OnClaim(
-        this->NowOf(witness->second), from, claim);
-    this->hooks.deliver(to, from, [this, from, to, grant] {
-      const auto holder = this->nodes.find(from);
-      if (holder == this->nodes.end()) return;
-      Node& node = holder->second;
-      node.holder->OnGrant(this->NowOf(node), to, grant);
-      this->Apply(from, node);
+ProxySeatsHooks FleetSeats::HooksFor(const NodeId& proxy,
+                                     std::uint64_t incarnation) {
+  ProxySeatsHooks parts;
+  parts.send = [this, proxy](const NodeId& to, const PeerBody& body) {
+    this->hooks.deliver(proxy, to, body, [this, proxy, to, body] {
+      const auto found = this->nodes.find(to);
+      if (found == this->nodes.end()) return;
+      Node& node = found->second;
+      node.seats->OnMessage(this->NowOf(node), proxy, body);
     });
-  });
+  };
+  parts.publish = [this, proxy, incarnation](const SeatTablePtr& table) {
+    this->hooks.publish(proxy, this->InFleetTime(this->nodes.at(proxy), *table),
+                        [this, proxy, incarnation](const SeatReport& report) {
+                          this->queue.After(
+                              kToControl, [this, proxy, incarnation, report] {
+                                this->OnReport(proxy, incarnation, report);
+                              });
+                        });
+  };
+  return parts;
 }
 
-void FleetSeats::Tick(const NodeId& proxy, std::uint64_t incarnation) {
+void FleetSeats::OnReport(const NodeId& proxy, std::uint64_t incarnation,
+                          const SeatReport& report) {
   const auto found = this->nodes.find(proxy);
   if (found == this->nodes.end()) return;
-  if (found->second.incarnation != incarnation) return;
-  this->Apply(proxy, found->second);
-  found->second.holder->OnTick(this->NowOf(found->second));
-  this->queue.After(
-      kTick, [this, proxy, incarnation] { this->Tick(proxy, incarnation); });
+  if (found->second.incarnation == incarnation) {
+    found->second.seats->OnReport(report);
+  }
 }
 
-void FleetSeats::Apply(const NodeId& proxy, Node& node) {
-  const auto now = this->NowOf(node);
-  bool changed = false;
-  for (const MemberId& member : node.members) {
-    const std::uint32_t target = node.holder->Target(now, member);
-    changed = changed || node.targets[member] != target;
-    node.targets[member] = target;
-  }
-  if (changed) this->hooks.changed(proxy);
-  for (const MemberId& member : node.members) {
-    this->hooks.limit(proxy, member, node.holder->Allowed(now, member));
-  }
+void FleetSeats::Boot(const NodeId& proxy, std::uint64_t incarnation,
+                      double drift) {
+  Node& node = this->nodes[proxy];
+  node = Node{incarnation, drift, nullptr};
+  ProxySeatsSettings settings;
+  settings.self = proxy;
+  settings.incarnation = incarnation;
+  settings.timings = this->timings;
+  node.seats = std::make_unique<ProxySeats>(this->NowOf(node), settings,
+                                            this->HooksFor(proxy, incarnation));
+  this->Tick(proxy, incarnation);
 }
 
-void FleetSeats::Want(const NodeId& proxy,
-                      const std::vector<RoutedMember>& members) {
+void FleetSeats::Configure(const NodeId& proxy,
+                           const ConfigurationInForce& configuration) {
   const auto found = this->nodes.find(proxy);
   if (found == this->nodes.end()) return;
-  found->second.members.clear();
-  for (const RoutedMember& member : members) {
-    found->second.members.push_back(member.info.id);
-  }
-  found->second.holder->Want(WishesOf(proxy, members));
+  found->second.seats->OnConfiguration(this->NowOf(found->second),
+                                       configuration);
+}
+
+void FleetSeats::Tick(const NodeId& proxy, std::uint64_t incarnation) {
+  const auto found = this->nodes.find(proxy);
+  if (found == this->nodes.end()) return;
+  if (found->second.incarnation != incarnation) return;
+  found->second.seats->OnTick(this->NowOf(found->second));
+  this->queue.After(
+      kTick, [this, proxy, incarnation] { this->Tick(proxy, incarnation); });
 }
 
-std::uint32_t FleetSeats::Target(const NodeId& proxy, const MemberId& member) {
+void FleetSeats::OnView(const NodeId& proxy, const RoutingView& view) {
   const auto found = this->nodes.find(proxy);
-  return found == this->nodes.end() ? 0 : found->second.targets[member];
+  if (found == this->nodes.end()) return;
+  found->second.seats->OnView(this->NowOf(found->second), view);
 }
 
 }  // namespace lacewingferry::model
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -32,10 +32,36 @@
       incarnation(run_incarnation),
       hooks(std::move(control_hooks)),
       membership(this->MembershipParts(), this->MembershipEffects()),
-      configuration([this](const ConfigurationHolder::ConfigurationPtr&) {
+      configuration([this](const ConfigurationHolder::ConfigurationPtr& taken) {
+        this->seats.OnConfiguration(this->hooks.now(), *taken);
         this->Publish(this->hooks.now());
       }),
-      failover(this->FailoverParts(), this->FailoverTimes()) {}
+      failover(this->FailoverParts(), this->FailoverTimes()),
+      seats(this->hooks.now(), this->SeatParts(), this->SeatEffects()) {}
+
+ProxySeatsSettings ProxyControl::SeatParts() const {
+  ProxySeatsSettings parts;
+  parts.self = this->settings.node;
+  parts.incarnation = this->incarnation;
+  parts.threads = this->settings.traffic_threads;
+  return parts;
+}
+
+ProxySeatsHooks ProxyControl::SeatEffects() {
+  return ProxySeatsHooks{
+      [this](const NodeId& to, const PeerBody& body) {
+        this->SendToProxy(to, body);
+      },
+      [this](const SeatTablePtr& table) { this->hooks.publish_seats(table); }};
+}
+
+void ProxyControl::SendToProxy(const NodeId& to, const PeerBody& body) {
+  const auto& proxies = this->configuration.Current()->proxies;
+  const auto found = proxies.find(to);
+  const std::string& url =
+      found == proxies.end() ? this->heard_from[to] : found->second.peer_url;
+  if (!url.empty()) this->hooks.send(url, body);
+}
 
 MembershipSettings ProxyControl::MembershipParts() const {
   MembershipSettings membership_parts;
@@ -175,6 +201,10 @@
 void ProxyControl::Dispatch(const PeerMessage& message) {
   const auto now = this->hooks.now();
   if (this->membership.OnMessage(now, message)) return;
+  if (std::holds_alternative<SeatClaim>(message.body)) {
+    this->heard_from[message.from] = message.from_url;
+  }
+  if (this->seats.OnMessage(now, message.from, message.body)) return;
   if (const auto* offer = std::get_if<ConfigurationOffer>(&message.body)) {
     this->configuration.OfferWhole(offer->configuration);
     this->SendToControl(
@@ -208,6 +238,7 @@
   this->failover.Overlay(*view);
   this->RecordNewPrimaries(*view);
   this->hooks.publish(view);
+  this->seats.OnView(now, *view);
   this->failover.OnView(now, *view);
 }
 
@@ -239,13 +270,15 @@
   this->membership.OnTick(now);
   if (now >= this->next_report) this->ReportConfiguration(now);
   this->failover.OnTick(now);
+  this->seats.OnTick(now);
   if (now >= this->next_publish) this->Publish(now);
 }
 
 steady_clock::time_point ProxyControl::NextWakeup() const {
   const auto due = this->failover.NextWakeup();
-  const auto next = std::min(
-      {this->membership.NextWakeup(), this->next_report, this->next_publish});
+  const auto next =
+      std::min({this->membership.NextWakeup(), this->seats.NextWakeup(),
+                this->next_report, this->next_publish});
   return due ? std::min(*due, next) : next;
 }
 
--- a/src/lacewingferry/app/proxy_control.h
+++ b/src/lacewingferry/app/proxy_control.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/decisions/configuration/configuration_holder.h"
 #include "lacewingferry/decisions/failover/proxy_failover.h"
 #include "lacewingferry/decisions/membership/membership_node.h"
+#include "lacewingferry/decisions/ownership/proxy_seats.h"
 #include "lacewingferry/decisions/traffic/control_calls.h"
 #include "lacewingferry/decisions/traffic/member_sign.h"
 #include "lacewingferry/ports/event_port.h"
@@ -27,6 +28,9 @@
   std::function<void(const std::string& peer_url, const PeerBody&)> send;
   /** Gives the traffic threads a newer view. */
   std::function<void(const RoutingViewPtr&)> publish;
+  /** Gives the traffic threads the slots that they may use, after all views
+   * before. Each answers with a report to OnSeatReport. */
+  std::function<void(const SeatTablePtr&)> publish_seats;
   /** Runs a statement on a connection of a member; the reply comes back on
    * the control thread. */
   std::function<void(const DatabaseId&, const MemberId&, const SqlStatement&,
@@ -54,7 +58,8 @@
  *   announcements and heartbeats   MembershipNode
  *   terms, primaries and leases    ProxyFailover
  *   release notes                  ConfigurationHolder
- *   Publish                        all three make the view
+ *   slots                          ProxySeats
+ *   Publish                        all but the slots make the view
  *
  * Belongs to the control thread.
  */
@@ -75,6 +80,9 @@
   void OnSign(std::chrono::steady_clock::time_point now, const MemberId& member,
               MemberSign sign);
 
+  /** Takes a traffic thread's answer to a table of seats. */
+  void OnSeatReport(const SeatReport& report) { this->seats.OnReport(report); }
+
   /** Tells peers and control that this proxy takes no new work. */
   void StartDraining();
 
@@ -96,6 +104,9 @@
                   const ProxyFailoverHooks::CommandHook& on_result);
   void Probe(const MemberInfo& member,
              const PrimaryObserverHooks::SightHook& on_sight);
+  ProxySeatsSettings SeatParts() const;
+  ProxySeatsHooks SeatEffects();
+  void SendToProxy(const NodeId& to, const PeerBody& body);
   MembershipSettings MembershipParts() const;
   MembershipHooks MembershipEffects();
   void OnRecord(const MembershipRecord& record);
@@ -109,6 +120,9 @@
   MembershipNode membership;
   ConfigurationHolder configuration;
   ProxyFailover failover;
+  ProxySeats seats;
+  /** Where proxies that claimed seats take answers. */
+  std::map<NodeId, std::string> heard_from;
   std::map<MemberId, MemberSign> last_signs;
   std::map<DatabaseId, std::uint64_t> routed_terms;
   /** When the view is to be built anew; never while nothing changed. */
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -132,6 +132,7 @@
   traffic.zone = this->settings.zone;
   traffic.status_sql = this->settings.dialect.status;
   traffic.incarnation = this->incarnation;
+  traffic.needs_seats = true;
   const TrafficThreadHooks hooks{
       [this](const std::string& url, const PeerBody& body) {
         this->SendPeer(url, body);
@@ -256,6 +257,14 @@
     for (auto& thread : this->threads) thread->Publish(view);
     if (!view->databases.empty()) this->started = true;
   };
+  hooks.publish_seats = [this](const SeatTablePtr& table) {
+    for (auto& thread : this->threads) {
+      thread->PublishSeats(table, [this](const SeatReport& report) {
+        this->RunOnControl(
+            [this, report] { this->state->OnSeatReport(report); });
+      });
+    }
+  };
   hooks.run_statement = [this](const DatabaseId& database,
                                const MemberId& member,
                                const SqlStatement& statement,
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -112,6 +112,14 @@
   });
 }
 
+void TrafficThread::PublishSeats(
+    const SeatTablePtr& table, std::function<void(const SeatReport&)> report) {
+  this->Post([this, table,
+              report = std::move(report)](steady_clock::time_point now) {
+    report(this->shard.OnSeats(now, table));
+  });
+}
+
 void TrafficThread::Submit(StatementRequest request, ReplyHook reply) {
   this->Post([this, request = std::move(request),
               reply = std::move(reply)](steady_clock::time_point now) mutable {
--- a/src/lacewingferry/app/traffic_thread.h
+++ b/src/lacewingferry/app/traffic_thread.h
@@ -45,6 +45,10 @@
   void Stop();
 
   void Publish(const RoutingViewPtr& view);
+  /** Sets the slots that may be used; report gets the connections that exist
+   * then, on this thread. */
+  void PublishSeats(const SeatTablePtr& table,
+                    std::function<void(const SeatReport&)> report);
   void Submit(StatementRequest request, ReplyHook reply);
   void OnForward(const NodeId& from, const ForwardRequest& forward);
   void OnForwardReply(const NodeId& from, const ForwardReply& reply);
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
 #include "lacewingferry/core/messages/position_messages.h"
+#include "lacewingferry/core/messages/seat_messages.h"
 
 namespace lacewingferry {
 
@@ -31,7 +32,8 @@
                  ConfigurationReport, MembershipDelta, MembershipAck,
                  MemberHeard, MemberInquiry, NodeHeartbeat, NodeProbe,
                  MembershipDigest, MembershipBuckets, MembershipVersions,
-                 MembershipPull, PositionProbe, PositionSample>;
+                 MembershipPull, PositionProbe, PositionSample, SeatClaim,
+                 SeatGrant>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/core/messages/seat_messages.h
+++ b/src/lacewingferry/core/messages/seat_messages.h
@@ -49,36 +49,58 @@
   }
 };
 
-/** A proxy's wishes, and the seats that it renews or gives back. */
+/** A proxy's wishes, and the seats that it renews or gives back, all of
+ * members of one availability zone. */
 struct SeatClaim {
+  AvailabilityZone zone;
   std::uint64_t incarnation = 0;
   /** Rises with each claim of one run of the proxy. */
   std::uint64_t sequence = 0;
+  /** The number of the list of renewed seats; 0 if none is renewed. */
+  std::uint64_t list = 0;
+  /** The list, or nothing where the witness has shown that it knows it. */
   std::vector<Seat> renewed;
   std::vector<Seat> released;
   std::vector<SeatWish> wishes;
+  /** Tells the newest witnesses that the proxy knows from others, and whether
+   * it asks earlier ones as well. */
+  std::uint64_t witnesses = 0;
+  bool joint = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
+    visit("zone", self.zone);
     visit("incarnation", self.incarnation);
     visit("sequence", self.sequence);
+    visit("list", self.list);
     visit("renewed", self.renewed);
     visit("released", self.released);
     visit("wishes", self.wishes);
+    visit("witnesses", self.witnesses);
+    visit("joint", self.joint);
   }
 };
 
 /** A witness's answer to a claim. */
 struct SeatGrant {
+  AvailabilityZone zone;
   std::uint64_t incarnation = 0;
   /** The sequence of the claim. */
   std::uint64_t sequence = 0;
+  /** The list that the witness knows; 0 if none. */
+  std::uint64_t list = 0;
+  /** Whether the whole list is granted. */
+  bool all = false;
+  /** What is granted besides. */
   std::vector<Seat> seats;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
+    visit("zone", self.zone);
     visit("incarnation", self.incarnation);
     visit("sequence", self.sequence);
+    visit("list", self.list);
+    visit("all", self.all);
     visit("seats", self.seats);
   }
 };
--- a/src/lacewingferry/decisions/ownership/seat_holder.cc
+++ b/src/lacewingferry/decisions/ownership/seat_holder.cc
@@ -4,18 +4,31 @@
 #include <set>
 #include <utility>
 
+#include "lacewingferry/decisions/ownership/witness_choice.h"
+
 namespace lacewingferry {
 
 using std::chrono::steady_clock;
 
-SeatHolder::SeatHolder(std::vector<NodeId> seat_witnesses,
+SeatHolder::SeatHolder(AvailabilityZone of_zone,
+                       std::vector<NodeId> seat_witnesses,
                        SeatTimings seat_timings, SeatHolderHooks holder_hooks,
                        std::uint64_t run)
-    : witnesses(std::move(seat_witnesses)),
+    : zone(std::move(of_zone)),
+      witnesses{WitnessSet{std::move(seat_witnesses),
+                           steady_clock::time_point::max()}},
       timings(seat_timings),
       hooks(std::move(holder_hooks)),
       incarnation(run) {}
 
+void SeatHolder::SetWitnesses(steady_clock::time_point now,
+                              std::vector<NodeId> newer) {
+  if (this->witnesses.back().nodes == newer) return;
+  this->witnesses.back().until = now + this->timings.overlap;
+  this->witnesses.push_back(
+      WitnessSet{std::move(newer), steady_clock::time_point::max()});
+}
+
 void SeatHolder::Want(std::vector<SeatWish> wishes) {
   this->wanted = std::move(wishes);
 }
@@ -85,77 +98,108 @@
   }
 }
 
-void SeatHolder::OnTick(steady_clock::time_point now) {
-  if (now < this->next_claim) return;
-  this->next_claim = now + this->timings.renewal;
+bool SeatHolder::OnTick(steady_clock::time_point now) {
+  if (now < this->next_claim) return false;
+  while (this->witnesses.front().until <= now) {
+    this->witnesses.erase(this->witnesses.begin());
+  }
   SeatClaim claim;
+  claim.zone = this->zone;
   claim.incarnation = this->incarnation;
   claim.sequence = ++this->sequence;
   this->DropSurplus(now, claim);
   this->AddWishes(claim);
   for (const auto& entry : this->seats) claim.renewed.push_back(entry.first);
+  const bool unsettled = !claim.wishes.empty() || !this->surplus_since.empty();
+  this->next_claim =
+      now + (unsettled ? this->timings.unsettled : this->timings.renewal);
   while (!this->sent.empty() &&
-         this->sent.begin()->second + this->timings.grant <= now) {
+         this->sent.begin()->second.at + this->timings.grant <= now) {
     this->sent.erase(this->sent.begin());
   }
-  this->sent[claim.sequence] = now;
-  for (const NodeId& witness : this->witnesses) {
-    this->hooks.send(witness, claim);
+  if (claim.renewed != this->renewed) {
+    this->renewed = claim.renewed;
+    this->list = claim.renewed.empty() ? 0 : claim.sequence;
+  }
+  claim.list = this->list;
+  claim.witnesses = WitnessFingerprint(this->witnesses.back().nodes);
+  claim.joint = this->witnesses.size() > 1;
+  this->sent[claim.sequence] = Sent{now, claim.renewed};
+  this->SendClaim(std::move(claim));
+  return true;
+}
+
+void SeatHolder::SendClaim(SeatClaim claim) {
+  const bool nothing =
+      claim.renewed.empty() && claim.released.empty() && claim.wishes.empty();
+  if (nothing) return;
+  SeatClaim short_claim = claim;
+  short_claim.renewed.clear();
+  std::set<NodeId> asked;
+  for (const WitnessSet& set : this->witnesses) {
+    asked.insert(set.nodes.begin(), set.nodes.end());
+  }
+  for (const NodeId& witness : asked) {
+    const bool known = this->known_lists[witness] == claim.list;
+    this->hooks.send(witness, known ? short_claim : claim);
   }
 }
 
 void SeatHolder::OnGrant(steady_clock::time_point now, const NodeId& from,
                          const SeatGrant& grant) {
   if (grant.incarnation != this->incarnation) return;
-  const auto sent_at = this->sent.find(grant.sequence);
-  if (sent_at == this->sent.end()) return;
-  if (sent_at->second + this->timings.grant <= now) return;
-  for (const Seat& seat : grant.seats) {
-    const auto dropped = this->dropped_at.find(seat);
-    if (dropped != this->dropped_at.end() &&
-        grant.sequence <= dropped->second) {
-      continue;
+  const auto claim = this->sent.find(grant.sequence);
+  if (claim == this->sent.end()) return;
+  if (claim->second.at + this->timings.grant <= now) return;
+  this->known_lists[from] = grant.list;
+  if (grant.all) {
+    for (const Seat& seat : claim->second.renewed) {
+      this->TakeSeat(now, from, seat, grant, claim->second.at);
     }
-    const auto added = this->seats.emplace(seat, Held{});
-    Held& held = added.first->second;
-    if (added.second) held.first_granted = now;
-    auto& granted = held.granted[from];
-    granted = std::max(granted, sent_at->second);
-    this->UpdateUntil(held);
+  }
+  for (const Seat& seat : grant.seats) {
+    this->TakeSeat(now, from, seat, grant, claim->second.at);
   }
 }
 
-void SeatHolder::UpdateUntil(Held& held) const {
-  const std::size_t majority = this->witnesses.size() / 2 + 1;
-  if (held.granted.size() < majority) return;
-  std::vector<steady_clock::time_point> asked;
-  for (const auto& entry : held.granted) asked.push_back(entry.second);
-  std::sort(asked.rbegin(), asked.rend());
-  held.until = asked[majority - 1] + this->timings.grant - this->timings.margin;
-}
-
-std::uint32_t SeatHolder::Allowed(steady_clock::time_point now,
-                                  const MemberId& member) const {
-  std::uint32_t allowed = 0;
-  for (const auto& [seat, held] : this->seats) {
-    if (seat.member == member && now < held.until) ++allowed;
+void SeatHolder::TakeSeat(steady_clock::time_point now, const NodeId& from,
+                          const Seat& seat, const SeatGrant& grant,
+                          steady_clock::time_point asked) {
+  const auto dropped = this->dropped_at.find(seat);
+  if (dropped != this->dropped_at.end() && grant.sequence <= dropped->second) {
+    return;
   }
-  return allowed;
+  const auto added = this->seats.emplace(seat, Held{});
+  Held& held = added.first->second;
+  if (added.second) held.first_granted = now;
+  auto& granted = held.granted[from];
+  granted = std::max(granted, asked);
+  this->UpdateUntil(held);
 }
 
-std::uint32_t SeatHolder::Target(steady_clock::time_point now,
-                                 const MemberId& member) const {
-  return std::min(this->Allowed(now, member), this->WantedOf(member));
+void SeatHolder::UpdateUntil(Held& held) const {
+  auto asked_by_all = steady_clock::time_point::max();
+  for (const WitnessSet& set : this->witnesses) {
+    std::vector<steady_clock::time_point> asked;
+    for (const NodeId& node : set.nodes) {
+      const auto granted = held.granted.find(node);
+      if (granted != held.granted.end()) asked.push_back(granted->second);
+    }
+    const std::size_t majority = set.nodes.size() / 2 + 1;
+    if (asked.size() < majority) return;
+    std::sort(asked.rbegin(), asked.rend());
+    asked_by_all = std::min(asked_by_all, asked[majority - 1]);
+  }
+  const auto until = asked_by_all + this->timings.grant - this->timings.margin;
+  held.until = std::max(held.until, until);
 }
 
-steady_clock::time_point SeatHolder::NextWakeup(
-    steady_clock::time_point now) const {
-  steady_clock::time_point next = this->next_claim;
-  for (const auto& entry : this->seats) {
-    const auto until = entry.second.until;
-    if (until > now) next = std::min(next, until);
+void SeatHolder::AddEnds(
+    steady_clock::time_point now,
+    std::map<MemberId, std::vector<steady_clock::time_point>>& ends) const {
+  for (const auto& [seat, held] : this->seats) {
+    if (now < held.until) ends[seat.member].push_back(held.until);
   }
-  return next;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/ownership/seat_holder.h
+++ b/src/lacewingferry/decisions/ownership/seat_holder.h
@@ -27,17 +27,25 @@
 };
 
 /**
- * Holds a seat while a majority of the witnesses granted it, counted from when
- * the claim was sent and by this proxy's own clock. Two proxies can't hold one
- * seat at a time, for their majorities share a witness.
+ * Holds the seats of the members of one availability zone. Holds a seat while a
+ * majority of the witnesses granted it, counted from when the claim was sent
+ * and by this proxy's own clock. Two proxies can't hold one seat at a time, for
+ * their majorities share a witness. For a time after the witnesses changed a
+ * majority of the earlier ones is needed as well, as some proxies still ask
+ * those.
  *
  * A seat that is no longer wanted is renewed until the connection that uses it
  * is closed and the member has had the time to notice.
  */
 class SeatHolder {
  public:
-  SeatHolder(std::vector<NodeId> witnesses, SeatTimings timings,
-             SeatHolderHooks hooks, std::uint64_t incarnation);
+  SeatHolder(AvailabilityZone zone, std::vector<NodeId> witnesses,
+             SeatTimings timings, SeatHolderHooks hooks,
+             std::uint64_t incarnation);
+
+  /** Takes the witnesses of a newer configuration. */
+  void SetWitnesses(std::chrono::steady_clock::time_point now,
+                    std::vector<NodeId> witnesses);
 
   /** Sets how many seats in all of which members this proxy should hold. It
    * keeps those that it has. */
@@ -47,22 +55,21 @@
   void OnGrant(std::chrono::steady_clock::time_point now, const NodeId& from,
                const SeatGrant& grant);
 
-  /** Sends the claims that are due. */
-  void OnTick(std::chrono::steady_clock::time_point now);
-
-  /** How many connections to a member may exist now. Those above it have to
-   * be closed at once. */
-  std::uint32_t Allowed(std::chrono::steady_clock::time_point now,
-                        const MemberId& member) const;
+  /** Sends the claims that are due. Returns whether any were; seats may then
+   * have been given back. */
+  bool OnTick(std::chrono::steady_clock::time_point now);
 
-  /** How many connections to a member this proxy should keep: what is allowed
-   * of what it wants. Those above it are closed as they fall idle. */
-  std::uint32_t Target(std::chrono::steady_clock::time_point now,
-                       const MemberId& member) const;
+  /** Adds until when each seat that is held now may be used. A connection
+   * above them has to be closed at once. */
+  void AddEnds(
+      std::chrono::steady_clock::time_point now,
+      std::map<MemberId, std::vector<std::chrono::steady_clock::time_point>>&
+          ends) const;
 
-  /** When something is due next: a claim, or the end of a grant. */
-  std::chrono::steady_clock::time_point NextWakeup(
-      std::chrono::steady_clock::time_point now) const;
+  /** When OnTick is due next. */
+  std::chrono::steady_clock::time_point NextClaim() const {
+    return this->next_claim;
+  }
 
  private:
   struct Held {
@@ -73,7 +80,22 @@
     std::chrono::steady_clock::time_point first_granted;
   };
 
+  /** Witnesses and until when a majority of them is needed. */
+  struct WitnessSet {
+    std::vector<NodeId> nodes;
+    std::chrono::steady_clock::time_point until;
+  };
+  struct Sent {
+    std::chrono::steady_clock::time_point at;
+    /** The list that the claim renewed. */
+    std::vector<Seat> renewed;
+  };
+
   std::uint32_t WantedOf(const MemberId& member) const;
+  void SendClaim(SeatClaim claim);
+  void TakeSeat(std::chrono::steady_clock::time_point now, const NodeId& from,
+                const Seat& seat, const SeatGrant& grant,
+                std::chrono::steady_clock::time_point asked);
   void DropSurplus(std::chrono::steady_clock::time_point now, SeatClaim& claim);
   void DropSurplusOf(std::chrono::steady_clock::time_point now,
                      const MemberId& member, SeatClaim& claim);
@@ -81,7 +103,9 @@
   void Drop(const Seat& seat, SeatClaim& claim);
   void UpdateUntil(Held& held) const;
 
-  std::vector<NodeId> witnesses;
+  AvailabilityZone zone;
+  /** The newest last. */
+  std::vector<WitnessSet> witnesses;
   SeatTimings timings;
   SeatHolderHooks hooks;
   std::uint64_t incarnation;
@@ -92,8 +116,13 @@
   std::map<Seat, std::uint64_t> dropped_at;
   /** Since when this proxy has held more seats than it wants or uses. */
   std::map<MemberId, std::chrono::steady_clock::time_point> surplus_since;
-  /** When each claim that may still be answered was sent. */
-  std::map<std::uint64_t, std::chrono::steady_clock::time_point> sent;
+  /** The claims that may still be answered. */
+  std::map<std::uint64_t, Sent> sent;
+  /** The seats that the last claim renewed, the claim since which they are the
+   * same, and the list that each witness has shown to know. */
+  std::vector<Seat> renewed;
+  std::uint64_t list = 0;
+  std::map<NodeId, std::uint64_t> known_lists;
   std::chrono::steady_clock::time_point next_claim;
 };
 
--- a/src/lacewingferry/decisions/ownership/seat_witness.h
+++ b/src/lacewingferry/decisions/ownership/seat_witness.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/messages/seat_messages.h"
@@ -38,10 +39,15 @@
   struct LastClaim {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    /** The list that the proxy renews and its number; 0 if none is known. */
+    std::uint64_t list = 0;
+    std::vector<Seat> renewed;
   };
 
   bool GiveOne(std::chrono::steady_clock::time_point now, const NodeId& to,
                std::uint64_t incarnation, const Seat& seat);
+  void Renew(std::chrono::steady_clock::time_point now, const NodeId& from,
+             const LastClaim& claim, SeatGrant& grant);
   void Release(const NodeId& from, const SeatClaim& claim);
   void GiveWish(std::chrono::steady_clock::time_point now, const NodeId& to,
                 const SeatWish& wish, SeatGrant& grant);
--- a/src/lacewingferry/decisions/traffic/connection_pool.cc
+++ b/src/lacewingferry/decisions/traffic/connection_pool.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kLongestPause{3200};
 /** Doublings from the first to the longest pause. */
 constexpr std::uint32_t kMostDoublings = 6;
+/** The time in which a member notices a closed connection; its slot stays
+ * empty for as long. */
+constexpr milliseconds kNoticeTime{50};
 /** A batch or an attempt to connect that takes longer is a sign of trouble. */
 constexpr milliseconds kSilenceThreshold{250};
 
@@ -37,17 +40,29 @@
     for (const ConnectionId id : closed) this->Close(id);
     this->failures = 0;
     this->open_at = {};
+    this->just_closed = 0;
+    this->closing.clear();
   }
-  for (auto idle = this->FindIdle(); idle && this->Size() > this->limit;
+  for (auto idle = this->FindIdle(); idle && this->Size() > this->Limit();
        idle = this->FindIdle()) {
     this->Close(*idle);
   }
   return closed;
 }
 
+void ConnectionPool::AwaitClosed(steady_clock::time_point now) {
+  while (!this->closing.empty() && this->closing.front() <= now) {
+    this->closing.pop_front();
+  }
+  this->closing.insert(this->closing.end(), this->just_closed,
+                       now + kNoticeTime);
+  this->just_closed = 0;
+}
+
 void ConnectionPool::OpenMissing(steady_clock::time_point now) {
+  this->AwaitClosed(now);
   if (now < this->open_at) return;
-  while (this->Size() < this->limit) {
+  while (this->Size() + this->closing.size() < this->Limit()) {
     const bool opening = this->FindIn(State::kOpening).has_value();
     if (this->failures > 0 && opening) return;
     const ConnectionId id = this->hooks.next_connection();
@@ -82,7 +97,7 @@
 }
 
 void ConnectionPool::GiveBack(ConnectionId id) {
-  if (this->Size() > this->limit) {
+  if (this->Size() > this->Limit()) {
     this->Close(id);
   } else {
     this->entries.at(id).state = State::kIdle;
@@ -91,6 +106,7 @@
 
 void ConnectionPool::Close(ConnectionId id) {
   this->entries.erase(id);
+  ++this->just_closed;
   this->hooks.port.close(id);
 }
 
@@ -150,8 +166,10 @@
     if (!next || time < *next) next = time;
   };
   const bool opening = this->FindIn(State::kOpening).has_value();
-  if (this->Size() < this->limit && (this->failures == 0 || !opening)) {
-    consider(this->open_at);
+  if (this->Size() < this->Limit() && (this->failures == 0 || !opening)) {
+    const bool full = this->Size() + this->closing.size() >= this->Limit();
+    consider(full ? std::max(this->open_at, this->closing.front())
+                  : this->open_at);
   }
   for (const auto& [id, entry] : this->entries) {
     if (Outstanding(entry) && !entry.reported_silent) {
--- a/src/lacewingferry/decisions/traffic/connection_pool.h
+++ b/src/lacewingferry/decisions/traffic/connection_pool.h
@@ -3,9 +3,13 @@
 
 // Defines ConnectionPool, this proxy's own connections to one member.
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -42,6 +46,10 @@
   std::vector<ConnectionId> Configure(const MemberInfo& info,
                                       std::uint32_t limit);
 
+  /** Takes how many connections may exist besides the configured limit; the
+   * caller closes those above it. */
+  void SetCeiling(std::size_t most) { this->ceiling = most; }
+
   /** Opens what is missing and due. */
   void OpenMissing(std::chrono::steady_clock::time_point now);
 
@@ -84,7 +92,10 @@
 
   bool Owns(ConnectionId id) const { return this->entries.count(id) > 0; }
   std::size_t Size() const { return this->entries.size(); }
-  std::uint32_t Limit() const { return this->limit; }
+  /** The most connections that may exist now. */
+  std::size_t Limit() const {
+    return std::min<std::size_t>(this->limit, this->ceiling);
+  }
   const MemberInfo& Info() const { return this->info; }
 
  private:
@@ -96,6 +107,9 @@
     bool reported_silent = false;
   };
 
+  /** Takes the place of closed connections from the limit until the member has
+   * noticed. */
+  void AwaitClosed(std::chrono::steady_clock::time_point now);
   static bool Outstanding(const Entry& entry);
   std::optional<ConnectionId> FindIn(State state) const;
   std::chrono::milliseconds NextPause(ConnectionFailure failure);
@@ -105,7 +119,12 @@
   std::minstd_rand random;
   MemberInfo info;
   std::uint32_t limit = 0;
+  std::size_t ceiling = std::numeric_limits<std::size_t>::max();
   std::map<ConnectionId, Entry> entries;
+  /** Connections that were closed since the last look, and until when those
+   * before count. */
+  std::size_t just_closed = 0;
+  std::deque<std::chrono::steady_clock::time_point> closing;
   std::uint32_t failures = 0;
   std::chrono::steady_clock::time_point open_at;
 };
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -353,11 +353,10 @@
   this->owned.RunControlStatement(present, member, std::move(call));
 }
 
-void DatabaseTraffic::LimitConnections(steady_clock::time_point present,
-                                       const MemberId& member,
-                                       std::size_t most) {
+void DatabaseTraffic::OnSeats(steady_clock::time_point present,
+                              const SeatTablePtr& table) {
   this->now = present;
-  this->owned.LimitConnections(member, most);
+  this->owned.OnSeats(present, table);
 }
 
 std::size_t DatabaseTraffic::Connections(const MemberId& member) const {
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -75,9 +75,14 @@
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            const MemberId& member, ControlCall call);
 
-  /** Closes connections to a member at once until no more than most exist. */
-  void LimitConnections(std::chrono::steady_clock::time_point now,
-                        const MemberId& member, std::size_t most);
+  /** Takes the slots that this proxy holds. */
+  void OnSeats(std::chrono::steady_clock::time_point now,
+               const SeatTablePtr& table);
+
+  /** Adds the connections to each member, also those being opened. */
+  void AddConnections(std::map<MemberId, std::size_t>& counts) const {
+    this->owned.AddConnections(counts);
+  }
 
   /** Connections to one member, also those being opened. */
   std::size_t Connections(const MemberId& member) const;
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/traffic/member_executor.cc
@@ -47,6 +47,12 @@
   this->Dispatch(now);
 }
 
+void MemberExecutor::LimitConnections(steady_clock::time_point now,
+                                      std::size_t most) {
+  this->runs.LimitConnections(most);
+  this->Dispatch(now);
+}
+
 void MemberExecutor::RefuseQueued(const char* detail) {
   // None of these was sent, so another member may take them at once.
   for (const Job& job : this->queue.TakeAll()) {
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/traffic/member_executor.h
@@ -37,9 +37,10 @@
   void Configure(std::chrono::steady_clock::time_point now,
                  const ExecutorRole& role);
 
-  /** Closes connections at once until no more than most exist, when this
-   * proxy has lost its claim to the slots. */
-  void LimitConnections(std::size_t most) { this->runs.LimitConnections(most); }
+  /** Takes how many slots this proxy holds. Closes connections above that at
+   * once and opens what is missing of the share. */
+  void LimitConnections(std::chrono::steady_clock::time_point now,
+                        std::size_t most);
 
   /** Takes that the member is gone: refuses what waits and closes idle
    * connections. */
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/traffic/member_runs.cc
@@ -349,6 +349,7 @@
 }
 
 void MemberRuns::LimitConnections(std::size_t most) {
+  this->pool.SetCeiling(most);
   while (this->pool.Size() > most) {
     const auto idle = this->pool.FindIdle();
     this->CloseInDoubt(idle ? *idle : this->pool.Newest());
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -1,6 +1,8 @@
 #include "lacewingferry/decisions/traffic/owned_members.h"
 
+#include <algorithm>
 #include <functional>
+#include <limits>
 #include <set>
 #include <utility>
 #include <vector>
@@ -124,6 +126,7 @@
   if (found == this->owned.end()) {
     if (share == 0) return;
     found = this->owned.emplace(id, this->MakeOwned(id)).first;
+    found->second.executor->LimitConnections(this->now, this->SeatsOf(id));
   }
   if (share == 0 || leads) found->second.gate->Withdraw(this->now);
   found->second.executor->Configure(
@@ -285,11 +288,24 @@
 
 void OwnedMembers::OnTick(steady_clock::time_point present) {
   this->now = present;
+  this->LimitToSeats();
   for (auto& entry : this->owned) entry.second.executor->OnTick(present);
   this->sampler.OnTick(present);
   this->Settle(present);
 }
 
+std::optional<steady_clock::time_point> OwnedMembers::NextSeatEnd(
+    const MemberId& member) const {
+  std::optional<steady_clock::time_point> next;
+  if (this->seats == nullptr) return next;
+  const auto found = this->seats->ends.find(member);
+  if (found == this->seats->ends.end()) return next;
+  for (const steady_clock::time_point end : found->second) {
+    if (end > this->now && (!next || end < *next)) next = end;
+  }
+  return next;
+}
+
 std::optional<steady_clock::time_point> OwnedMembers::NextWakeup() const {
   std::optional<steady_clock::time_point> next = this->sampler.NextWakeup();
   const auto consider = [&next](std::optional<steady_clock::time_point> time) {
@@ -298,13 +314,42 @@
   for (const auto& entry : this->owned) {
     consider(entry.second.executor->NextWakeup());
     consider(entry.second.gate->NextWakeup());
+    consider(this->NextSeatEnd(entry.first));
   }
   return next;
 }
 
-void OwnedMembers::LimitConnections(const MemberId& member, std::size_t most) {
-  Owned* found = this->Find(member);
-  if (found != nullptr) found->executor->LimitConnections(most);
+std::size_t OwnedMembers::SeatsOf(const MemberId& member) const {
+  constexpr auto kUnlimited = std::numeric_limits<std::size_t>::max();
+  if (this->seats == nullptr)
+    return this->settings.needs_seats ? 0 : kUnlimited;
+  if (!this->seats->witnessed) return kUnlimited;
+  const auto found = this->seats->ends.find(member);
+  if (found == this->seats->ends.end()) return 0;
+  return static_cast<std::size_t>(std::count_if(
+      found->second.begin(), found->second.end(),
+      [this](steady_clock::time_point end) { return end > this->now; }));
+}
+
+void OwnedMembers::LimitToSeats() {
+  if (this->seats == nullptr) return;
+  for (auto& [member, entry] : this->owned) {
+    entry.executor->LimitConnections(this->now, this->SeatsOf(member));
+  }
+}
+
+void OwnedMembers::OnSeats(steady_clock::time_point present,
+                           const SeatTablePtr& table) {
+  this->now = present;
+  this->seats = table;
+  this->LimitToSeats();
+}
+
+void OwnedMembers::AddConnections(
+    std::map<MemberId, std::size_t>& counts) const {
+  for (const auto& [member, entry] : this->owned) {
+    counts[member] += entry.executor->Connections();
+  }
 }
 
 std::size_t OwnedMembers::Connections(const MemberId& member) const {
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -5,6 +5,7 @@
 // connections.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,6 +13,7 @@
 #include <optional>
 
 #include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/core/seat_table.h"
 #include "lacewingferry/decisions/traffic/answer_gate.h"
 #include "lacewingferry/decisions/traffic/control_calls.h"
 #include "lacewingferry/decisions/traffic/member_executor.h"
@@ -65,8 +67,12 @@
     return of_term >= this->term && this->answer_gate.Open(present, of_term);
   }
 
-  /** Closes connections to a member until no more than most exist. */
-  void LimitConnections(const MemberId& member, std::size_t most);
+  /** Takes the slots that this proxy holds. */
+  void OnSeats(std::chrono::steady_clock::time_point now,
+               const SeatTablePtr& table);
+
+  /** Adds the connections to each member, also those being opened. */
+  void AddConnections(std::map<MemberId, std::size_t>& counts) const;
 
   /** The events of the connections. */
   void OnOpened(std::chrono::steady_clock::time_point now, ConnectionId id);
@@ -90,6 +96,10 @@
     std::unique_ptr<ReplicaGate> gate;
   };
 
+  std::size_t SeatsOf(const MemberId& member) const;
+  std::optional<std::chrono::steady_clock::time_point> NextSeatEnd(
+      const MemberId& member) const;
+  void LimitToSeats();
   Owned MakeOwned(const MemberId& member);
   PositionSamplerHooks SamplerHooks();
   void ConfigureMember(const RoutedMember& member);
@@ -110,6 +120,8 @@
   AnswerGate answer_gate;
   PositionSampler sampler;
   std::map<MemberId, Owned> owned;
+  /** None before the first table. */
+  SeatTablePtr seats;
   MemberId primary;
   std::uint64_t term = 0;
   std::uint32_t group_size = 0;
--- a/src/lacewingferry/decisions/traffic/traffic_hooks.h
+++ b/src/lacewingferry/decisions/traffic/traffic_hooks.h
@@ -40,6 +40,8 @@
   std::uint64_t incarnation = 0;
   RequestRecordSql request_record{};
   TransactionLimits transactions{};
+  /** Whether no connection is opened before a SeatTable allows it. */
+  bool needs_seats = false;
   /** The end of the lease before control has granted one. */
   std::chrono::steady_clock::time_point first_lease =
       std::chrono::steady_clock::time_point::max();
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -47,6 +47,7 @@
         std::make_unique<DatabaseTraffic>(
             entry.first, this->HooksFor(entry.first), this->settings));
     added.first->second->OnLease(now, this->lease_until);
+    if (this->seats != nullptr) added.first->second->OnSeats(now, this->seats);
   }
   for (auto& entry : this->databases) {
     entry.second->OnView(now, view);
@@ -223,13 +224,20 @@
   this->Reschedule(database, *traffic);
 }
 
-void TrafficShard::LimitConnections(steady_clock::time_point now,
-                                    const DatabaseId& database,
-                                    const MemberId& member, std::size_t most) {
-  DatabaseTraffic* traffic = this->Find(database);
-  if (traffic == nullptr) return;
-  traffic->LimitConnections(now, member, most);
-  this->Reschedule(database, *traffic);
+SeatReport TrafficShard::OnSeats(steady_clock::time_point now,
+                                 const SeatTablePtr& table) {
+  this->present = now;
+  this->seats = table;
+  SeatReport report;
+  report.table = table->number;
+  for (auto& entry : this->databases) {
+    const std::size_t before = report.connections.size();
+    entry.second->OnSeats(now, table);
+    entry.second->AddConnections(report.connections);
+    const bool owns = report.connections.size() > before;
+    if (owns) this->Reschedule(entry.first, *entry.second);
+  }
+  return report;
 }
 
 std::size_t TrafficShard::Connections(const DatabaseId& database,
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -63,11 +63,10 @@
   void ReleaseTerm(std::chrono::steady_clock::time_point now,
                    const DatabaseId& database, std::uint64_t term);
 
-  /** Closes connections to a member at once until no more than most exist,
-   * when this proxy has lost its claim to the slots. */
-  void LimitConnections(std::chrono::steady_clock::time_point now,
-                        const DatabaseId& database, const MemberId& member,
-                        std::size_t most);
+  /** Takes the slots that this proxy holds: closes connections above them at
+   * once, and again when one ends. Returns the connections that exist then. */
+  SeatReport OnSeats(std::chrono::steady_clock::time_point now,
+                     const SeatTablePtr& table);
 
   /** Connections to one member, also those being opened. */
   std::size_t Connections(const DatabaseId& database,
@@ -110,6 +109,8 @@
   /** The present of the event that is being handled. */
   std::chrono::steady_clock::time_point present;
   std::unordered_map<DatabaseId, Entry> databases;
+  /** None before the first. */
+  SeatTablePtr seats;
   std::chrono::steady_clock::time_point lease_until;
   std::unordered_map<ConnectionId, DatabaseId> connections;
   std::unordered_map<DatabaseId, std::chrono::steady_clock::time_point> due_at;
