--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -126,6 +126,11 @@
                        const PrimaryObserverHooks::SightHook& on_sight) {
     this->Probe(member, on_sight);
   };
+  parts.probe_server = [this](steady_clock::time_point,
+                              const MemberInfo& member,
+                              const PrimaryObserverHooks::SightHook& on_sight) {
+    this->ProbeMemberServer(member, on_sight);
+  };
   parts.on_lease = [this](steady_clock::time_point, const DatabaseStamp& stamp,
                           steady_clock::time_point until) {
     this->hooks.lease(stamp.database, until);
@@ -175,6 +180,19 @@
       });
 }
 
+void ProxyControl::ProbeMemberServer(
+    const MemberInfo& member, const PrimaryObserverHooks::SightHook& on_sight) {
+  this->hooks.probe_server(
+      member.endpoint, kProbeTimeout,
+      [this, on_sight](ServerProbeResult result) {
+        if (result == ServerProbeResult::kAnswered) {
+          on_sight(this->hooks.now(), MemberSight::kAnswers);
+        } else if (result == ServerProbeResult::kRefused) {
+          on_sight(this->hooks.now(), MemberSight::kRefuses);
+        }
+      });
+}
+
 std::string ProxyControl::Announce(const MemberAnnouncement& announcement) {
   try {
     this->membership.OnAnnouncement(this->hooks.now(), announcement);
@@ -200,6 +218,7 @@
 
 void ProxyControl::Dispatch(const PeerMessage& message) {
   const auto now = this->hooks.now();
+  this->membership.OnContact(now, message.from, message.from_url);
   if (this->membership.OnMessage(now, message)) return;
   if (std::holds_alternative<SeatClaim>(message.body)) {
     this->heard_from[message.from] = message.from_url;
--- a/src/lacewingferry/decisions/traffic/job_run.cc
+++ b/src/lacewingferry/decisions/traffic/job_run.cc
@@ -108,8 +108,12 @@
       return this->OnClaimed(result);
     case FlightKind::kFind:
       return this->OnFound(result);
-    case FlightKind::kCreateTable:
-      return this->Continue(FirstFlight(this->job.request));
+    case FlightKind::kCreateTable: {
+      const auto rows = StatusAt(result, this->flight.status_before);
+      RunStep step = this->Continue(FirstFlight(this->job.request));
+      step.status = rows;
+      return step;
+    }
     case FlightKind::kVoid:
       return this->OnVoided(result);
     case FlightKind::kBegin:
@@ -177,6 +181,7 @@
   evidence.primary = this->context.primary;
   evidence.view_term = this->context.term;
   evidence.group_size = this->context.group_size;
+  evidence.counted = this->context.counted;
   evidence.session_position = this->job.request.session_position;
   evidence.max_age = this->job.request.max_age;
   if (!this->context.primary) {
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -43,7 +43,7 @@
 
   /** Takes a question for the primary's position, and an answer to one. */
   void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
-               std::uint64_t sequence);
+               const ProbedDatabase& question);
   void OnSample(std::chrono::steady_clock::time_point now,
                 const SampledPosition& sample);
 
@@ -107,6 +107,8 @@
                 std::chrono::steady_clock::time_point asked_at,
                 const MemberStatus& status);
   ReplyHook WithAgeAtReceipt(const Job& job) const;
+  ReplyHook WithMemberTime(std::chrono::steady_clock::time_point began,
+                           ReplyHook reply) const;
   bool AskPrimary(std::chrono::steady_clock::time_point now);
   void Settle(std::chrono::steady_clock::time_point now);
   std::optional<std::chrono::nanoseconds> AgeOf(
@@ -125,6 +127,7 @@
   MemberId primary;
   std::uint64_t term = 0;
   std::uint32_t group_size = 0;
+  std::vector<MemberId> counted_members;
   std::uint64_t next_transaction;
   /** The present of the event that is being handled. */
   std::chrono::steady_clock::time_point now;
