--- a/tests/support/process_cluster.cc
+++ b/tests/support/process_cluster.cc
@@ -73,6 +73,7 @@
 processes::RunVerdict ProcessCluster::FinishLoad() {
   auto verdict = processes::CheckRun(this->Plan(), this->load->Finish(),
                                      this->failures, kProcessDeadline);
+  verdict.CountRefusedSessions(this->local->RefusedSessions());
   std::ostringstream table;
   processes::WriteVerdict(verdict, table);
   this->Assert(table.str(), verdict.Kept() && verdict.acknowledged > 0);
