Admit the first member after an adoption without the primary's word

A database is adopted with a majority of its members, and the rest are admitted as they are heard. Since admissions ask the primary for the end of its log, a primary that fell between the two was never replaced: the one replica that counted is no proof that it is lost. ProcessesPauseTest met this once under load (adopted with two members, primary stopped 0.2 s later, not replaced in 30 s).

The proof is about what earlier members acknowledged, and before the adoption there were none; one change is safe by itself. So the first admission needs no proof. Ruled out: adopting only whole databases, which a dead member at the start would hold up.

EarlyFallTest, in virtual time, stops the primary while control knows of two members of three; without this change it fails (2 members for ever).

--- a/src/lacewingferry/decisions/failover/member_changes.cc
+++ b/src/lacewingferry/decisions/failover/member_changes.cc
@@ -12,6 +12,9 @@
 
 using std::chrono::steady_clock;
 
+/** The revision of the members that a database was adopted with. */
+constexpr std::uint64_t kAdopted = 1;
+
 DatabaseStamp StampOf(const DatabaseTerm& entry) {
   return DatabaseStamp{entry.database, entry.term, entry.members_revision};
 }
@@ -122,12 +125,19 @@
   proof.entry = entry;
   proof.change = *change;
   proof.limit = now + settings.member_proof_limit;
+  // Nobody acknowledged by members before those of the adoption, and a primary
+  // that fell this early can be replaced only with the members still missing.
+  if (entry.members_revision == kAdopted && change->lost.Empty()) {
+    this->Propose(now, proof);
+    return;
+  }
   // A member that answers is not lost, whatever its announcements do.
   if (!change->lost.Empty()) this->Ask(now, proof, change->lost);
   this->AskMissing(now, proof);
 }
 
 void MemberChanges::AskMissing(steady_clock::time_point now, Proof& proof) {
+  if (proof.proposed) return;
   if (!proof.end) {
     this->Ask(now, proof, proof.entry.primary);
     return;
@@ -190,7 +200,10 @@
   const auto holding = static_cast<std::uint32_t>(std::count_if(
       proof.holders.begin(), proof.holders.end(),
       [&proof](const MemberId& id) { return proof.entry.HasMember(id); }));
-  if (holding < proof.entry.Majority()) return;
+  if (holding >= proof.entry.Majority()) this->Propose(now, proof);
+}
+
+void MemberChanges::Propose(steady_clock::time_point now, Proof& proof) {
   proof.proposed = true;
   proof.limit = now + this->context.settings.proposal_retry;
   this->context.hooks.propose(now, CommandFor(proof.entry, proof.change));
--- a/src/lacewingferry/decisions/failover/member_changes.h
+++ b/src/lacewingferry/decisions/failover/member_changes.h
@@ -85,6 +85,7 @@
   void OnReport(std::chrono::steady_clock::time_point now, std::uint64_t number,
                 const MemberCommandResult& report);
   void ProposeIfProven(std::chrono::steady_clock::time_point now, Proof& proof);
+  void Propose(std::chrono::steady_clock::time_point now, Proof& proof);
   std::vector<HeardMember> Heard(std::chrono::steady_clock::time_point now,
                                  const DatabaseTerm& entry) const;
 
