Let the HTTP fuzz test wait for its own writes

Cause: a build of the fuzz suites with the address and undefined sanitizers found a use after free in HttpFuzzTest: when the server closed first, the test went on while its write was under way, and the write read a buffer that was gone. It now waits for both ways. Nothing in the server was at fault.

--- a/tests/error/http_fuzz_test.cc
+++ b/tests/error/http_fuzz_test.cc
@@ -42,17 +42,19 @@
     socket.connect(
         {boost::asio::ip::make_address("127.0.0.1"), this->server->Port()});
     std::string received;
+    bool sent = false;
     bool closed = false;
-    boost::asio::async_write(socket, boost::asio::buffer(bytes),
-                             [&socket](boost::system::error_code, std::size_t) {
-                               boost::system::error_code ignored;
-                               socket.shutdown(tcp::socket::shutdown_send,
-                                               ignored);
-                             });
+    boost::asio::async_write(
+        socket, boost::asio::buffer(bytes),
+        [&socket, &sent](boost::system::error_code, std::size_t) {
+          boost::system::error_code ignored;
+          socket.shutdown(tcp::socket::shutdown_send, ignored);
+          sent = true;
+        });
     boost::asio::async_read(
         socket, boost::asio::dynamic_buffer(received),
         [&closed](boost::system::error_code, std::size_t) { closed = true; });
-    while (!closed) this->io.run_one();
+    while (!sent || !closed) this->io.run_one();
     return received;
   }
 
