Keep the measuring programs' figures and print them beside new ones

Ruled out: the drawing in the repository, as 349 KB for 1,200 gaps.

Seen to fail: BenchFiguresTest found that the comparison read a JSON value that was gone (every figure was "new").

--- a/bench/model/read_report.h
+++ b/bench/model/read_report.h
@@ -1,8 +1,7 @@
 #ifndef BENCH_MODEL_READ_REPORT_H_
 #define BENCH_MODEL_READ_REPORT_H_
 
-// Defines ReadReport, the figures of several measured runs as a table or as
-// JSON.
+// Defines ReadReport, the figures of several measured runs.
 
 #include <chrono>
 #include <cstdint>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "bench/model/read_scenario.h"
+#include "bench/report/figures.h"
 
 namespace lacewingferry::model {
 
@@ -21,7 +21,7 @@
 
   /** One line a run; times in milliseconds. */
   std::string Table() const;
-  std::string Json() const;
+  std::vector<report::FigureRow> Figures() const;
 
   /** Whether every run reached its share without a violation. */
   bool Passed() const { return this->passed; }
--- a/bench/reads_bench_main.cc
+++ b/bench/reads_bench_main.cc
@@ -7,6 +7,8 @@
 
 #include "bench/model/read_report.h"
 #include "bench/model/read_scenario.h"
+#include "bench/report/bench_options.h"
+#include "bench/report/figures.h"
 #include "lacewingferry/adapters/msgpack/peer_codec.h"
 
 int main(int argc, char** argv) {
@@ -20,8 +22,8 @@
         "runs", "Seeds for each scenario",
         cxxopts::value<std::uint64_t>()->default_value("3"))(
         "scenario", "Runs only the scenario of this name",
-        cxxopts::value<std::string>()->default_value(""))(
-        "json", "Write JSON instead of a table");
+        cxxopts::value<std::string>()->default_value(""));
+    lacewingferry::report::AddFigureOptions(options);
     const auto given = options.parse(argc, argv);
     const auto first = given["seed"].as<std::uint64_t>();
     const auto only = given["scenario"].as<std::string>();
@@ -38,7 +40,10 @@
                 }));
       }
     }
-    std::cout << (given.count("json") > 0 ? report.Json() : report.Table());
+    std::cout << report.Table();
+    lacewingferry::report::ReportFigures(
+        "reads_bench", report.Figures(),
+        lacewingferry::report::FigureFilesOf(given));
     return report.Passed() ? EXIT_SUCCESS : EXIT_FAILURE;
   } catch (const std::exception& error) {
     std::cerr << "reads_bench: " << error.what() << "\n";
