Compare a slow replica with its own best while its peer is unknown

Cause: a peer that was never asked counted as answering in no time, so a proxy whose callers send statements of 80 ms would have left the replica of its own zone. Found by ReplicaGuardsTest::ReplicasThatAreAllSlowStay, which failed.

Ruled out: waiting for the peer's first answer. A proxy that sends all reads to its own zone never gets one.

Now the best that the replica itself has shown stands for an unknown peer.

--- a/src/lacewingferry/decisions/traffic/replica_guards.cc
+++ b/src/lacewingferry/decisions/traffic/replica_guards.cc
@@ -36,14 +36,7 @@
     const RoutedMember& member) const {
   const std::uint64_t own_seed =
       this->seed ^ std::hash<MemberId>()(member.info.id);
-  return Guard{member.info.id,
-               false,
-               CircuitBreaker(own_seed),
-               {},
-               nanoseconds(0),
-               0,
-               {},
-               false};
+  return Guard{member.info.id, CircuitBreaker(own_seed)};
 }
 
 void ReplicaGuards::Rebuild(steady_clock::time_point now,
@@ -71,7 +64,10 @@
   std::optional<nanoseconds> best;
   for (const Guard& other : this->guards) {
     if (&other == &guard || !other.replica || other.breaker.Open()) continue;
-    if (!best || other.usual < *best) best = other.usual;
+    // Of a peer that was not asked yet the best is hoped for.
+    const nanoseconds usual =
+        other.usual.count() == 0 ? guard.fastest : other.usual;
+    if (!best || usual < *best) best = usual;
   }
   return best;
 }
@@ -101,9 +97,9 @@
   const bool starting =
       guard.breaker.Open() ? !guard.slow : guard.slow_start.Running(now);
   const bool slow = !starting && this->TooSlow(guard, time);
-  guard.usual += guard.usual.count() == 0
-                     ? time
-                     : (time - guard.usual) / kObservationShare;
+  const bool first = guard.usual.count() == 0;
+  guard.usual += first ? time : (time - guard.usual) / kObservationShare;
+  guard.fastest = first ? time : std::min(guard.fastest, time);
   if (slow) {
     if (guard.breaker.OnBad(now)) {
       guard.slow = true;
--- a/src/lacewingferry/decisions/traffic/replica_guards.h
+++ b/src/lacewingferry/decisions/traffic/replica_guards.h
@@ -72,20 +72,22 @@
  private:
   struct Guard {
     MemberId member;
-    bool replica = false;
     CircuitBreaker breaker;
-    SlowStart slow_start;
-    /** The usual time of an answer; zero before the first. */
+    bool replica = false;
+    SlowStart slow_start{};
+    /** The usual and the least time of an answer; zero before the first. */
     std::chrono::nanoseconds usual{0};
+    std::chrono::nanoseconds fastest{0};
     std::size_t outstanding = 0;
     /** Since when something is outstanding and nothing came. */
-    std::chrono::steady_clock::time_point silent_since;
+    std::chrono::steady_clock::time_point silent_since{};
     /** Whether the breaker is open for slowness, not for failures. */
     bool slow = false;
   };
 
   Guard MakeGuard(const RoutedMember& member) const;
-  /** The least usual time of the other closed replicas; none without one. */
+  /** The least time to expect of the other closed replicas; none without
+   * one. */
   std::optional<std::chrono::nanoseconds> BestPeer(const Guard& guard) const;
   bool TooSlow(const Guard& guard, std::chrono::nanoseconds time) const;
   bool OnAnswer(std::chrono::steady_clock::time_point now, Guard& guard,
