Let requests without a primary go round in growing pauses

Cause: a request that no member could serve was routed again every 10 ms, each time with a message to the owner and its refusal.

Now the pause doubles from 10 to 400 ms, is randomized, and a new term lets all come within 50 ms. Retries of what was sent to a member are one for ten requests; they were one for five.

Ruled out: pausing until a view comes. A lease that is only late brings none.

Runs: RetryStormTest, FailoverGapTest 3 of 3, SessionFailoverTest, TrafficChaosTest 5 of 5, FaultPointTest.

--- a/bench/model/member_troubles.cc
+++ b/bench/model/member_troubles.cc
@@ -19,6 +19,9 @@
 constexpr double kWarmingStatements = 150;
 constexpr seconds kColdAfter{5};
 constexpr milliseconds kHalfFlap{500};
+constexpr seconds kReleasedAfter{1};
+constexpr seconds kReplacedAfter{3};
+constexpr std::uint64_t kNewTerm = 2;
 
 /** A replica in another zone than the first primary. */
 MemberId Victim() { return MemberId("member-1"); }
@@ -68,8 +71,33 @@
   };
 }
 
+void ReplacePrimary(Fleet& fleet) {
+  FakeGroup& group = fleet.Group();
+  group.Fence(fleet.MemberName(1), kNewTerm);
+  group.Fence(fleet.MemberName(2), kNewTerm);
+  group.Promote(fleet.MemberName(1), kNewTerm);
+  group.Follow(fleet.MemberName(2), kNewTerm, fleet.MemberName(1));
+  fleet.Publish(kNewTerm, fleet.MemberName(1));
+}
+
+void LosePrimary(SlowMemberOptions& options) {
+  // Commit times are judged for a single primary only.
+  options.workload.judge_ages = false;
+  options.trouble = [](EventQueue& queue, Fleet& fleet) {
+    fleet.Group().Kill(fleet.MemberName(0));
+    queue.After(kReleasedAfter, [&queue, &fleet] {
+      for (std::size_t i = 0; i < fleet.ProxyCount(); ++i) {
+        fleet.Shard(i).ReleaseTerm(queue.Now(), fleet.Database(), 1);
+      }
+    });
+    queue.After(kReplacedAfter, [&fleet] { ReplacePrimary(fleet); });
+  };
+}
+
 }  // namespace
 
+MemberTrouble PrimaryFalls() { return {"primary falls", LosePrimary}; }
+
 std::vector<MemberTrouble> MemberTroubles() {
   return {{"slow", MakeSlow},
           {"dead", MakeDead},
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "lacewingferry/decisions/traffic/breaker_events.h"
 #include "lacewingferry/decisions/traffic/transaction_name.h"
@@ -13,9 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/** The pause before a request that no member could serve is routed anew. */
-constexpr milliseconds kRouteAgainPause{10};
-
 /** The clock of an owner may run slow by one part in this many. */
 constexpr int kClockDriftParts = 1000;
 
@@ -47,7 +43,8 @@
       settings(std::move(traffic_settings)),
       choice(std::hash<NodeId>()(this->settings.node),
              BreakerEvents(this->hooks.events, this->id)),
-      owned(this->id, this->hooks, this->settings) {
+      owned(this->id, this->hooks, this->settings),
+      delayed(std::hash<NodeId>()(this->settings.node)) {
   this->forwards.StartAt(this->settings.incarnation);
 }
 
@@ -60,6 +57,10 @@
   const auto found = this->view->databases.find(this->id);
   const bool known = found != this->view->databases.end();
   this->database = known ? &found->second : nullptr;
+  const std::uint64_t term = known ? this->database->term : 0;
+  if (std::exchange(this->routed_term, term) != term) {
+    this->delayed.Hasten(present);
+  }
   this->choice.Rebuild(present, this->database, this->settings.zone,
                        this->settings.node);
   this->owned.Configure(present, this->database);
@@ -121,6 +122,7 @@
   }
   if (routed->view_number != this->view_number) {
     routed->view_number = this->view_number;
+    routed->rounds = 0;
     routed->tried.Clear();
   }
   const auto decision =
@@ -140,14 +142,19 @@
 
 void DatabaseTraffic::RouteLater(const RoutedPtr& routed) {
   routed->tried.Clear();
-  const auto again = this->now + kRouteAgainPause;
+  const auto again = this->now + this->delayed.PauseAfter(routed->rounds++);
   if (again >= routed->job.deadline) {
     this->Tell(routed, routed->last_refusal.value_or(NotRun{
                            RefusalCode::kNoPrimary,
                            "no member could serve the request in time"}));
     return;
   }
-  this->delayed.emplace(again, routed);
+  this->RouteAt(again, routed);
+}
+
+void DatabaseTraffic::RouteAt(steady_clock::time_point at,
+                              const RoutedPtr& routed) {
+  this->delayed.Add(at, [this, routed] { this->Route(routed); });
 }
 
 Job DatabaseTraffic::MakeAttempt(const RoutedPtr& routed) {
@@ -317,7 +324,7 @@
   routed->tried.Add(routed->place);
   // Routed by the next tick: the refusal may come from within the executor
   // that this request would enter again.
-  this->delayed.emplace(this->now, routed);
+  this->RouteAt(this->now, routed);
 }
 
 void DatabaseTraffic::OnProbe(steady_clock::time_point present,
@@ -392,13 +399,7 @@
   for (const ForwardResend& again : this->forwards.Resends(present)) {
     this->hooks.send(again.owner, again.message);
   }
-  std::vector<RoutedPtr> due;
-  const auto end = this->delayed.upper_bound(present);
-  for (auto it = this->delayed.begin(); it != end; ++it) {
-    due.push_back(it->second);
-  }
-  this->delayed.erase(this->delayed.begin(), end);
-  for (const RoutedPtr& routed : due) this->Route(routed);
+  for (const auto& route : this->delayed.TakeDue(present)) route();
 }
 
 std::optional<steady_clock::time_point> DatabaseTraffic::NextWakeup() const {
@@ -406,13 +407,13 @@
   const auto consider = [&next](std::optional<steady_clock::time_point> time) {
     if (time && (!next || *time < *next)) next = time;
   };
-  if (!this->delayed.empty()) consider(this->delayed.begin()->first);
+  consider(this->delayed.Next());
   consider(this->owned.NextWakeup());
   return next;
 }
 
 std::size_t DatabaseTraffic::Unfinished() const {
-  return this->forwards.Size() + this->delayed.size() +
+  return this->forwards.Size() + this->delayed.Size() +
          this->owned.Unfinished();
 }
 
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 
@@ -20,6 +19,7 @@
 #include "lacewingferry/decisions/traffic/member_choice.h"
 #include "lacewingferry/decisions/traffic/owned_members.h"
 #include "lacewingferry/decisions/traffic/retry_budget.h"
+#include "lacewingferry/decisions/traffic/retry_schedule.h"
 #include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
 namespace lacewingferry {
@@ -111,6 +111,8 @@
     /** The members that could not serve it, by their places in the view. */
     MemberSet tried;
     std::uint64_t view_number = 0;
+    /** How often all members were tried in vain since the last view. */
+    std::uint32_t rounds = 0;
     std::size_t place = 0;
     std::chrono::steady_clock::time_point sent_at;
     AttemptHistory history;
@@ -132,6 +134,8 @@
   std::optional<NotRun> StateAge(const Routed& routed, Answered& answer) const;
   void OnOwnerSilent(const ForwardedJob& forwarded);
   void RouteLater(const RoutedPtr& routed);
+  void RouteAt(std::chrono::steady_clock::time_point at,
+               const RoutedPtr& routed);
   void FailForwardsToLostProxies();
 
   DatabaseId id;
@@ -140,13 +144,14 @@
   RoutingViewPtr view;
   const DatabaseView* database = nullptr;
   std::uint64_t view_number = 0;
+  std::uint64_t routed_term = 0;
   std::chrono::steady_clock::time_point now;
   RetryBudget retries;
   MemberChoice choice;
   OwnedMembers owned;
   ForwardTable forwards;
   ForwardInbox inbox;
-  std::multimap<std::chrono::steady_clock::time_point, RoutedPtr> delayed;
+  RetrySchedule delayed;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/retry_budget.h
+++ b/src/lacewingferry/decisions/traffic/retry_budget.h
@@ -19,7 +19,7 @@
 
  private:
   /** Requests that earn one retry. */
-  static constexpr std::uint32_t kRequestsPerRetry = 5;
+  static constexpr std::uint32_t kRequestsPerRetry = 10;
   /** The reserve, in parts of a retry. */
   static constexpr std::uint32_t kMostParts = 20 * kRequestsPerRetry;
 
