--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -14,10 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds kAnnouncementInterval{500};
 constexpr milliseconds kWriteTimeout{1500};
 const char kStatus[] = "STATUS";
-const char kDatabase[] = "database-1";
 
 }  // namespace
 
@@ -33,14 +31,8 @@
   std::uniform_real_distribution<double> drift(-this->options.clock_drift,
                                                this->options.clock_drift);
   for (std::size_t i = 0; i < zones.size(); ++i) {
-    MemberInfo info;
-    info.id = MemberId("member-" + std::to_string(i));
-    info.database = DatabaseId(kDatabase);
-    info.group = GroupId("group");
-    info.zone = zones[i];
-    info.slots = this->options.places.slots;
-    this->members.push_back(info);
-    this->group.AddMember(info);
+    this->members.push_back(this->NewMember(i));
+    this->group.AddMember(this->members.back());
     for (std::uint32_t j = 0; j < this->options.places.proxies_per_zone; ++j) {
       auto proxy = std::make_unique<Proxy>();
       proxy->info.id = NodeId(zones[i].Value() + "/" + std::to_string(j));
@@ -172,6 +164,7 @@
                                PrimaryObserverHooks::SightHook on_sight) {
     this->Probe(proxy, member, std::move(on_sight));
   };
+  hooks.probe_server = hooks.probe;
   hooks.on_lease = [&proxy](steady_clock::time_point now,
                             const DatabaseStamp& stamp,
                             steady_clock::time_point until) {
@@ -345,22 +338,6 @@
       [&](const std::string& key) { return state.count(key) == 0; }));
 }
 
-void FailoverFleet::AnnounceMembers() {
-  for (const MemberInfo& info : this->members) {
-    const FakeMember& member = this->group.Member(info.id);
-    if (!member.alive || this->group.Stalled(info.id)) continue;
-    const MemberAnnouncement announcement =
-        AnnouncementOf(member, this->next_announcement++);
-    for (std::size_t i = 0; i < FailoverControl::kReplicas; ++i) {
-      this->network.Deliver(info.zone, this->options.places.zones[i],
-                            [this, i, announcement] {
-                              this->control->Announce(i, announcement);
-                            });
-    }
-  }
-  this->queue.After(kAnnouncementInterval, [this] { this->AnnounceMembers(); });
-}
-
 void FailoverFleet::Arm(Proxy& proxy) {
   if (!proxy.alive) return;
   auto next = proxy.shard->NextWakeup();
--- a/bench/model/failover_fleet.h
+++ b/bench/model/failover_fleet.h
@@ -71,6 +71,14 @@
     this->group.Stall(this->members[zone].id, this->queue.Now() + duration);
   }
 
+  /** Lets a new server follow the primary from a zone, which nobody was told
+   * of. */
+  MemberInfo AddStranger(std::size_t zone);
+
+  /** Lets the server of a zone announce itself no more, and one under a new
+   * name, empty, in its place. */
+  void ReplaceMember(std::size_t zone);
+
   FakeGroup& Group() { return this->group; }
   FailoverControl& Control() { return *this->control; }
   Network& Net() { return this->network; }
@@ -100,6 +108,8 @@
   std::uint64_t ControlMessages() const { return this->control_messages; }
 
  private:
+  static constexpr char kDatabase[] = "database-1";
+
   struct Proxy {
     ProxyInfo info;
     double clock_rate = 1;
@@ -110,6 +120,8 @@
     std::optional<std::chrono::steady_clock::time_point> armed_for;
   };
 
+  MemberInfo NewMember(std::size_t zone);
+  void FollowPrimary(const MemberId& member);
   void StartControl();
   void StartProxy(Proxy& proxy, std::uint64_t incarnation);
   TrafficHooks TrafficHooksOf(Proxy& proxy);
@@ -150,6 +162,7 @@
   std::uint64_t control_messages = 0;
   std::uint64_t next_key = 1;
   std::uint64_t next_announcement = 1;
+  std::size_t next_member = 0;
 };
 
 }  // namespace lacewingferry::model
