--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/decisions/traffic/member_time.h"
 #include "lacewingferry/decisions/traffic/transaction_name.h"
 
 namespace lacewingferry {
@@ -80,7 +81,8 @@
   MemberExecutor* executor = made.executor.get();
   made.gate = std::make_unique<ReplicaGate>(ReplicaGateHooks{
       [this, executor](steady_clock::time_point at, Job job) {
-        job.reply = this->WithMemberTime(at, std::move(job.reply));
+        job.reply = WithMemberTime(
+            at, [this] { return this->now; }, std::move(job.reply));
         executor->Submit(at, std::move(job));
       },
       [executor](steady_clock::time_point at) { executor->AskStatus(at); },
@@ -190,20 +192,6 @@
   };
 }
 
-ReplyHook OwnedMembers::WithMemberTime(steady_clock::time_point began,
-                                       ReplyHook reply) const {
-  return [this, began, reply = std::move(reply)](const Outcome& outcome) {
-    const auto* answer = std::get_if<Answered>(&outcome);
-    if (answer == nullptr) {
-      reply(outcome);
-      return;
-    }
-    Answered told = *answer;
-    told.member_time = this->now - began;
-    reply(told);
-  };
-}
-
 /** A status of the primary is a sample only while the lease on its term holds:
  * a replaced primary goes on telling a position that is no longer the newest.
  */
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -107,8 +107,6 @@
                 std::chrono::steady_clock::time_point asked_at,
                 const MemberStatus& status);
   ReplyHook WithAgeAtReceipt(const Job& job) const;
-  ReplyHook WithMemberTime(std::chrono::steady_clock::time_point began,
-                           ReplyHook reply) const;
   bool AskPrimary(std::chrono::steady_clock::time_point now);
   void Settle(std::chrono::steady_clock::time_point now);
   std::optional<std::chrono::nanoseconds> AgeOf(
