Prove ages at the receiving proxy; read at the primary what a token left out

Reads of 300 ms were run at a replica and came back too old, for the receiving proxy has to add the way to the owner, which it can't tell from the way back.

Now a proxy that has samples of its own names the lowest position that is young enough, the answer tells what was applied, and the lesser of both bounds counts (AgeProof). Proxies in the primary's zone ask for samples. Two questions in a stated age replace 8 and 32, for the answers tell of the time between.

A read of a stated age outside a session went to a replica already, and a named session without a token has to go to the primary: it may have written anywhere. But a token that doesn't name the database, with no session's name beside it, let any replica serve the session, also when the database had dropped out of the token. sessionless_read_test fails with that check taken out. own_age_proof_test: 4 of 100 reads by replicas when no position is named, at least 90 with it.

--- a/src/lacewingferry/app/caller_api.cc
+++ b/src/lacewingferry/app/caller_api.cc
@@ -81,6 +81,8 @@
   }
   const DatabaseId database = parsed.request.database;
   parsed.request.session_position = FindPosition(token, database);
+  parsed.request.position_unknown =
+      !parsed.token.empty() && !parsed.request.session_position;
   this->hooks.submit(std::move(parsed.request), [respond, token, database,
                                                  token_secret = this->secret](
                                                     const Outcome& outcome) {
--- a/src/lacewingferry/core/outcome.h
+++ b/src/lacewingferry/core/outcome.h
@@ -55,6 +55,8 @@
   LogPosition position;
   MemberId served_by;
   bool served_by_replica = false;
+  /** What a replica had applied before the statement ran. */
+  LogPosition applied;
   /** An upper bound of the data's age; none for the primary's own data. */
   std::optional<std::chrono::milliseconds> age_bound;
   /** Whether the answer is that of an earlier run of the same identifier. */
@@ -68,6 +70,7 @@
     visit("position", self.position);
     visit("served_by", self.served_by);
     visit("served_by_replica", self.served_by_replica);
+    visit("applied", self.applied);
     visit("age_bound", self.age_bound);
     visit("repeated", self.repeated);
     visit("transaction", self.transaction);
--- a/src/lacewingferry/core/statement.h
+++ b/src/lacewingferry/core/statement.h
@@ -69,6 +69,12 @@
   std::optional<LogPosition> session_position;
   /** How old the data of a read may be; none asks for the session's view. */
   std::optional<std::chrono::milliseconds> max_age;
+  /** Whether the caller brought a token that doesn't name the database, so
+   * that nothing is known of what the session saw. */
+  bool position_unknown = false;
+  /** A replica's data that includes this position is young enough, as the
+   * proxy that received the read has proven; none if it proves nothing. */
+  std::optional<LogPosition> fresh_position;
   /** The open transaction that the request belongs to; empty for none. */
   TransactionId transaction;
   /** The time that the caller still waits, counted from receipt. */
@@ -85,6 +91,8 @@
     visit("repeatable", self.repeatable);
     visit("session_position", self.session_position);
     visit("max_age", self.max_age);
+    visit("position_unknown", self.position_unknown);
+    visit("fresh_position", self.fresh_position);
     visit("transaction", self.transaction);
     visit("timeout", self.timeout);
   }
--- a/src/lacewingferry/decisions/session/read_judgement.cc
+++ b/src/lacewingferry/decisions/session/read_judgement.cc
@@ -21,6 +21,13 @@
          evidence.before.applied < *evidence.session_position;
 }
 
+bool YoungEnough(const ReadEvidence& evidence) {
+  if (!evidence.max_age) return true;
+  if (evidence.age && *evidence.age <= *evidence.max_age) return true;
+  return evidence.fresh_position &&
+         evidence.before.applied >= *evidence.fresh_position;
+}
+
 LogPosition WithSession(const ReadEvidence& evidence, LogPosition position) {
   return std::max(position, evidence.session_position.value_or(LogPosition{}));
 }
@@ -68,8 +75,7 @@
     return Refuse(RefusalCode::kNoReplicaFreshEnough,
                   "the member has not yet applied the session's writes");
   }
-  if (evidence.max_age &&
-      (!evidence.age || *evidence.age > *evidence.max_age)) {
+  if (!YoungEnough(evidence)) {
     return Refuse(RefusalCode::kNoReplicaFreshEnough,
                   "the member's data is not proven to be of the stated age");
   }
--- a/src/lacewingferry/decisions/session/read_judgement.h
+++ b/src/lacewingferry/decisions/session/read_judgement.h
@@ -33,6 +33,9 @@
   std::optional<std::chrono::nanoseconds> age;
   /** How old the data may be; none for a read without a stated age. */
   std::optional<std::chrono::milliseconds> max_age;
+  /** Data that includes this position is young enough; none if that is not
+   * known. */
+  std::optional<LogPosition> fresh_position;
 };
 
 /** The fate of a read's rows. */
--- /dev/null
+++ b/src/lacewingferry/decisions/traffic/age_proof.cc
@@ -0,0 +1,52 @@
+#include "lacewingferry/decisions/traffic/age_proof.h"
+
+#include <algorithm>
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::steady_clock;
+
+/** The time that a read may take at its owner. */
+constexpr milliseconds kTimeAtOwner{10};
+/** The clock of an owner may run slow by one part in this many. */
+constexpr int kClockDriftParts = 1000;
+
+}  // namespace
+
+std::optional<LogPosition> AgeProof::LowestPosition(
+    steady_clock::time_point now, milliseconds max_age,
+    nanoseconds return_time) const {
+  const auto sample = this->samples.EarliestSince(now + 2 * return_time +
+                                                  kTimeAtOwner - max_age);
+  if (!sample) return std::nullopt;
+  return sample->position;
+}
+
+/**
+ * The owner tells the age as of its receipt of the request, which may be below
+ * zero: data that was complete after that. The receipt lies after the sending,
+ * so the age here and now is the owner's figure and the time since then.
+ */
+std::optional<milliseconds> AgeProof::Bound(steady_clock::time_point now,
+                                            steady_clock::time_point sent_at,
+                                            const Answered& answer) const {
+  std::optional<milliseconds> age;
+  if (answer.age_bound) {
+    const milliseconds drift =
+        std::chrono::abs(*answer.age_bound) / kClockDriftParts;
+    age = *answer.age_bound + drift +
+          std::chrono::ceil<milliseconds>(now - sent_at);
+  }
+  const auto complete = this->samples.CompleteUntil(answer.applied);
+  if (complete) {
+    const auto own = std::chrono::ceil<milliseconds>(now - *complete);
+    age = std::min(own, age.value_or(own));
+  }
+  if (age) age = std::max(*age, milliseconds(0));
+  return age;
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/decisions/traffic/age_proof.h"
 #include "lacewingferry/decisions/traffic/transaction_name.h"
 
 namespace lacewingferry {
@@ -15,9 +16,6 @@
 /** The pause before a request that no member could serve is routed anew. */
 constexpr milliseconds kRouteAgainPause{10};
 
-/** The clock of an owner may run slow by one part in this many. */
-constexpr int kClockDriftParts = 1000;
-
 /** The time that an owner has for a request, so that its answer is back
  * before the caller's deadline. */
 milliseconds TimeForOwner(steady_clock::duration left) {
@@ -162,6 +160,14 @@
   this->owned.Run(this->now, member, this->MakeAttempt(routed));
 }
 
+std::optional<LogPosition> DatabaseTraffic::FreshPosition(
+    milliseconds max_age, std::chrono::nanoseconds return_time) {
+  // Elsewhere a sample's way is as long as the way to the owner.
+  if (this->routes.PrimaryIsNear()) this->owned.WantSample(this->now, max_age);
+  return AgeProof(this->owned.Samples())
+      .LowestPosition(this->now, max_age, return_time);
+}
+
 void DatabaseTraffic::Forward(const RoutedPtr& routed, const NodeId& owner,
                               const MemberId& member,
                               std::chrono::nanoseconds return_time) {
@@ -170,6 +176,8 @@
   forward.request = routed->job.request;
   forward.request.timeout = TimeForOwner(routed->job.deadline - this->now);
   if (forward.request.max_age) {
+    forward.request.fresh_position =
+        this->FreshPosition(*forward.request.max_age, return_time);
     // The data grows older on the way back.
     *forward.request.max_age -=
         std::chrono::duration_cast<milliseconds>(return_time);
@@ -270,22 +278,14 @@
   if (age) this->routes.ObserveAge(this->now, routed.place, *age);
 }
 
-/**
- * The owner tells the age as of its receipt of the request, which may be below
- * zero: data that was complete after that. The receipt lies after the sending,
- * so the age here and now is the owner's figure and the time since then.
- */
 std::optional<NotRun> DatabaseTraffic::StateAge(const Routed& routed,
                                                 Answered& answer) const {
-  if (!answer.served_by_replica || !answer.age_bound) return std::nullopt;
-  const milliseconds drift =
-      std::chrono::abs(*answer.age_bound) / kClockDriftParts;
-  const milliseconds age =
-      *answer.age_bound + drift +
-      std::chrono::ceil<milliseconds>(this->now - routed.sent_at);
-  answer.age_bound = std::max(age, milliseconds(0));
+  if (!answer.served_by_replica) return std::nullopt;
+  const auto age =
+      AgeProof(this->owned.Samples()).Bound(this->now, routed.sent_at, answer);
+  answer.age_bound = age;
   const auto& max_age = routed.job.request.max_age;
-  if (!max_age || age <= *max_age) return std::nullopt;
+  if (!max_age || (age && *age <= *max_age)) return std::nullopt;
   return NotRun{RefusalCode::kNoReplicaFreshEnough,
                 "the answer came after the stated age had passed"};
 }
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -122,6 +122,8 @@
   void Route(const RoutedPtr& routed);
   void RouteInTransaction(const RoutedPtr& routed);
   void RunHere(const RoutedPtr& routed, const MemberId& member);
+  std::optional<LogPosition> FreshPosition(
+      std::chrono::milliseconds max_age, std::chrono::nanoseconds return_time);
   void Forward(const RoutedPtr& routed, const NodeId& owner,
                const MemberId& member, std::chrono::nanoseconds return_time);
   void Tell(const RoutedPtr& routed, const Outcome& outcome);
--- a/src/lacewingferry/decisions/traffic/job_run.cc
+++ b/src/lacewingferry/decisions/traffic/job_run.cc
@@ -183,6 +183,7 @@
   evidence.group_size = this->context.group_size;
   evidence.session_position = this->job.request.session_position;
   evidence.max_age = this->job.request.max_age;
+  evidence.fresh_position = this->job.request.fresh_position;
   if (!this->context.primary) {
     evidence.age = this->context.age_of(evidence.before.applied);
   }
@@ -196,6 +197,7 @@
   answer.result = ResultAt(result, this->flight.statement);
   answer.served_by_replica = !this->context.primary;
   answer.position = verdict.position;
+  if (!this->context.primary) answer.applied = evidence.before.applied;
   if (evidence.age) {
     answer.age_bound =
         std::chrono::ceil<std::chrono::milliseconds>(*evidence.age);
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -81,9 +81,8 @@
         executor->Submit(at, std::move(job));
       },
       [executor](steady_clock::time_point at) { executor->AskStatus(at); },
-      [this](steady_clock::time_point at, std::chrono::milliseconds max_age,
-             std::optional<std::chrono::nanoseconds> known_age) {
-        this->sampler.Want(at, max_age, known_age);
+      [this](steady_clock::time_point at, std::chrono::milliseconds max_age) {
+        this->sampler.Want(at, max_age);
       },
       [this](const LogPosition& position) {
         return this->sampler.Samples().CompleteUntil(position);
@@ -212,6 +211,14 @@
   this->sampler.OnProbe(present, from, question);
 }
 
+void OwnedMembers::WantSample(steady_clock::time_point present,
+                              std::chrono::milliseconds max_age) {
+  this->now = present;
+  // An owner of the primary samples it with each answer.
+  if (this->Find(this->primary) != nullptr) return;
+  this->sampler.Want(present, max_age);
+}
+
 void OwnedMembers::OnSample(steady_clock::time_point present,
                             const SampledPosition& sample) {
   this->sampler.OnSample(sample);
@@ -220,7 +227,9 @@
 
 void OwnedMembers::OnPrimaryAnswer(steady_clock::time_point sent_at,
                                    const LogPosition& position) {
-  if (!this->owned.empty()) this->sampler.OnPrimaryAnswer(sent_at, position);
+  // A proxy without a connection keeps samples only while it has use for them.
+  if (this->owned.empty() && !this->sampler.NextWakeup()) return;
+  this->sampler.OnPrimaryAnswer(sent_at, position);
 }
 
 void OwnedMembers::OnLease(steady_clock::time_point present,
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -42,6 +42,12 @@
   /** Takes a question for the primary's position, and an answer to one. */
   void OnProbe(std::chrono::steady_clock::time_point now, const NodeId& from,
                const ProbedDatabase& question);
+  /** Wants samples for the reads of a stated age that this proxy received and
+   * sends elsewhere. */
+  void WantSample(std::chrono::steady_clock::time_point now,
+                  std::chrono::milliseconds max_age);
+  /** What this proxy knows of where the primary stood. */
+  const PrimarySamples& Samples() const { return this->sampler.Samples(); }
   void OnSample(std::chrono::steady_clock::time_point now,
                 const SampledPosition& sample);
 
--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -9,11 +9,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/** While reads of an age come, it is split into this many samples. */
-constexpr int kSamplesPerAge = 8;
-/** The same for data that is about as old as the reads allow, where a sparse
- * sample decides wrongly. */
-constexpr int kSamplesIfClose = 32;
+/** While reads of an age come, so many questions are asked in its time. Each
+ * answer tells of the time between. */
+constexpr int kSamplesPerAge = 2;
 /** After the last such read the samples are as far apart as this. */
 constexpr int kIdleSamplesPerAge = 16;
 constexpr milliseconds kShortestInterval{20};
@@ -29,7 +27,7 @@
 constexpr std::size_t kMostAskers = 64;
 /** The earlier samples that an answer tells of at the most. */
 constexpr int kMostEarlier = 64;
-constexpr milliseconds kFinestHistory{10};
+constexpr milliseconds kFinestHistory{5};
 /** The clock of an owner may run slow by one part in this many. */
 constexpr int kClockDriftParts = 1000;
 /** Makes up for what the division above cuts off. */
@@ -48,17 +46,13 @@
   this->primary_owners = std::move(owners);
 }
 
-void PositionSampler::Want(steady_clock::time_point now, milliseconds max_age,
-                           std::optional<std::chrono::nanoseconds> known_age) {
+void PositionSampler::Want(steady_clock::time_point now, milliseconds max_age) {
   if (max_age >= this->longest_age || now >= this->wanted_until) {
     this->longest_age = std::min(max_age, kLongestInterest);
     this->wanted_until = now + this->longest_age;
   }
-  const bool close =
-      known_age && std::chrono::abs(*known_age - max_age) < max_age / 4;
-  const int parts = close ? kSamplesIfClose : kSamplesPerAge;
   const milliseconds interval =
-      std::clamp(max_age / parts, kShortestInterval, kLongestInterval);
+      std::clamp(max_age / kSamplesPerAge, kShortestInterval, kLongestInterval);
   if (this->last_asked && now - *this->last_asked < interval) return;
   this->Ask(now);
 }
--- a/src/lacewingferry/decisions/traffic/position_sampler.h
+++ b/src/lacewingferry/decisions/traffic/position_sampler.h
@@ -41,14 +41,12 @@
   /** Takes the proxies that own connections to the primary. */
   void SetPrimaryOwners(std::vector<NodeId> owners);
 
-  /** Takes that a read of a stated age came for data whose age is known to be
-   * known_age at the most. Asks for a sample if the last question is a small
-   * part of the stated age ago, smaller if the two ages are close, and goes on
-   * to ask now and then for as long as the stated age, so that a lagging
-   * replica can be judged later. */
+  /** Takes that a read of a stated age came. Asks for a sample if the last
+   * question is a part of the stated age ago, and goes on to ask now and then
+   * for as long as the stated age, so that a lagging replica can be judged
+   * later. */
   void Want(std::chrono::steady_clock::time_point now,
-            std::chrono::milliseconds max_age,
-            std::optional<std::chrono::nanoseconds> known_age);
+            std::chrono::milliseconds max_age);
 
   /** Asks if it is time. */
   void OnTick(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/traffic/read_routing.cc
@@ -35,7 +35,8 @@
   if (request.kind != RequestKind::kRead) return false;
   if (!request.transaction.Empty()) return false;
   if (request.session_position) return true;
-  return request.session.Empty() && request.max_age.has_value();
+  return request.session.Empty() && !request.position_unknown &&
+         request.max_age.has_value();
 }
 
 }  // namespace
@@ -126,6 +127,10 @@
                        route.fastest / 2};
 }
 
+bool RouteTable::PrimaryIsNear() const {
+  return this->primary && this->routes[*this->primary].own_zone;
+}
+
 void RouteTable::Observe(std::size_t place, nanoseconds answer_time) {
   Route& route = this->routes[place];
   route.expected += (answer_time - route.expected) / kObservationShare;
--- a/src/lacewingferry/decisions/traffic/read_routing.h
+++ b/src/lacewingferry/decisions/traffic/read_routing.h
@@ -62,6 +62,9 @@
                                       const StatementRequest& request,
                                       const MemberSet& tried);
 
+  /** Whether the primary is in this proxy's zone. */
+  bool PrimaryIsNear() const;
+
   /** Takes how long an answer or a refusal of a member took. */
   void Observe(std::size_t place, std::chrono::nanoseconds answer_time);
 
--- a/src/lacewingferry/decisions/traffic/replica_gate.cc
+++ b/src/lacewingferry/decisions/traffic/replica_gate.cc
@@ -14,6 +14,8 @@
 /** The time from the gate's decision until the read has run; a stated age is
  * judged as of then. */
 constexpr milliseconds kRunAllowance{3};
+/** The proof of the proxy that received a read allows for this wait. */
+constexpr milliseconds kFreshFor{10};
 /** The estimate of the apply rate may be wrong by this factor before a read
  * is sent away. */
 constexpr int kEstimateAllowance = 2;
@@ -39,6 +41,10 @@
     return false;
   }
   if (!request.max_age) return true;
+  const bool fresh = request.fresh_position &&
+                     *this->applied >= *request.fresh_position &&
+                     now - job.received <= kFreshFor;
+  if (fresh) return true;
   const auto age = this->KnownAge(now);
   return age && *age + kRunAllowance <= *request.max_age;
 }
@@ -64,7 +70,7 @@
 
 void ReplicaGate::Submit(steady_clock::time_point now, Job job) {
   if (job.request.max_age) {
-    this->hooks.want_sample(now, *job.request.max_age, this->KnownAge(now));
+    this->hooks.want_sample(now, *job.request.max_age);
   }
   if (this->Satisfies(now, job)) {
     this->hooks.run(now, std::move(job));
--- a/src/lacewingferry/decisions/traffic/replica_gate.h
+++ b/src/lacewingferry/decisions/traffic/replica_gate.h
@@ -24,8 +24,7 @@
   /** Wants samples of the primary's position for a read of a stated age; see
    * PositionSampler. */
   std::function<void(std::chrono::steady_clock::time_point now,
-                     std::chrono::milliseconds max_age,
-                     std::optional<std::chrono::nanoseconds> known_age)>
+                     std::chrono::milliseconds max_age)>
       want_sample;
   /** The time up to which data that includes a position is complete. */
   std::function<std::optional<std::chrono::steady_clock::time_point>(
--- a/tests/correctness/position_history_test.cc
+++ b/tests/correctness/position_history_test.cc
@@ -33,7 +33,7 @@
 
   /** Asks at one time, and the question and the answer take this long. */
   void Exchange(int ms, int there, int back, std::uint64_t at) {
-    this->asker.Want(At(ms), milliseconds(8000), std::nullopt);
+    this->asker.Want(At(ms), milliseconds(8000));
     this->owner.OnProbe(At(ms + there) + this->offset, NodeId("gl-a-proxy-1"),
                         this->question);
     this->Observe(ms + there, at);
