Measure a simple baseline beside the share of reads by replicas

The table of reads_bench now has the most that the promises allow and what replicas served, both of all reads, and a baseline for each run: reads with a token at the primary, others at the nearest replica unproven, a pool for each proxy, writes acknowledged at their commit.

--- a/bench/model/read_report.cc
+++ b/bench/model/read_report.cc
@@ -25,12 +25,34 @@
   return std::chrono::duration<double, std::milli>(time).count();
 }
 
+/** A part of all reads. */
+double OfReads(const ReadWorkloadResult& result, std::uint64_t part) {
+  if (result.reads == 0) return 0;
+  return static_cast<double>(part) / static_cast<double>(result.reads);
+}
+
 }  // namespace
 
 void ReadReport::Add(const ReadScenario& scenario, std::uint64_t seed,
                      const ReadScenarioOutcome& outcome) {
+  this->AddLine(scenario.name, scenario, seed, outcome);
+  if (this->lines.back().violations > 0) this->passed = false;
+  if (outcome.result.ReplicaShare() < scenario.least_share) {
+    this->passed = false;
+  }
+}
+
+void ReadReport::AddBaseline(const ReadScenario& scenario, std::uint64_t seed,
+                             const ReadScenarioOutcome& outcome) {
+  this->AddLine("  baseline", scenario, seed, outcome);
+  this->lines.back().least_share = 0;
+}
+
+void ReadReport::AddLine(const std::string& name, const ReadScenario& scenario,
+                         std::uint64_t seed,
+                         const ReadScenarioOutcome& outcome) {
   Line line;
-  line.name = scenario.name;
+  line.name = name;
   line.seed = seed;
   line.least_share = scenario.least_share;
   line.result = outcome.result;
@@ -39,10 +61,6 @@
   line.write_p99 = Quantile(outcome.result.write_times, 0.99);
   line.violations = outcome.result.Violations();
   line.control_bytes = outcome.control_bytes_a_second;
-  if (line.violations > 0) this->passed = false;
-  if (outcome.result.ReplicaShare() < scenario.least_share) {
-    this->passed = false;
-  }
   this->lines.push_back(std::move(line));
 }
 
@@ -50,21 +68,24 @@
   std::ostringstream out;
   out << std::left << std::setw(34) << "scenario" << std::right << std::setw(5)
       << "seed" << std::setw(9) << "reads" << std::setw(9) << "lawful"
-      << std::setw(9) << "replica" << std::setw(8) << "share" << std::setw(7)
-      << "bound" << std::setw(8) << "refused" << std::setw(9) << "wrong"
-      << std::setw(9) << "read p50" << std::setw(9) << "p99" << std::setw(10)
-      << "write p99" << std::setw(9) << "probe B/s"
+      << std::setw(9) << "replica" << std::setw(8) << "most" << std::setw(8)
+      << "of all" << std::setw(8) << "share" << std::setw(7) << "bound"
+      << std::setw(8) << "refused" << std::setw(9) << "wrong" << std::setw(9)
+      << "read p50" << std::setw(9) << "p99" << std::setw(10) << "write p99"
+      << std::setw(9) << "probe B/s"
       << "\n";
   out << std::fixed;
   for (const Line& line : this->lines) {
     out << std::left << std::setw(34) << line.name << std::right << std::setw(5)
         << line.seed << std::setw(9) << line.result.reads << std::setw(9)
         << line.result.lawful << std::setw(9) << line.result.by_replica
-        << std::setprecision(4) << std::setw(8) << line.result.ReplicaShare()
-        << std::setprecision(2) << std::setw(7) << line.least_share
-        << std::setw(8) << line.result.refused << std::setw(9)
-        << line.violations << std::setprecision(1) << std::setw(9)
-        << InMilliseconds(line.read_median) << std::setw(9)
+        << std::setprecision(4) << std::setw(8)
+        << OfReads(line.result, line.result.lawful) << std::setw(8)
+        << OfReads(line.result, line.result.by_replica) << std::setw(8)
+        << line.result.ReplicaShare() << std::setprecision(2) << std::setw(7)
+        << line.least_share << std::setw(8) << line.result.refused
+        << std::setw(9) << line.violations << std::setprecision(1)
+        << std::setw(9) << InMilliseconds(line.read_median) << std::setw(9)
         << InMilliseconds(line.read_p99) << std::setw(10)
         << InMilliseconds(line.write_p99) << std::setw(9) << line.control_bytes
         << "\n";
@@ -83,6 +104,8 @@
         << ", \"by_replica\": " << line.result.by_replica
         << ", \"share\": " << line.result.ReplicaShare()
         << ", \"least_share\": " << line.least_share
+        << ", \"most_of_all\": " << OfReads(line.result, line.result.lawful)
+        << ", \"of_all\": " << OfReads(line.result, line.result.by_replica)
         << ", \"refused\": " << line.result.refused
         << ", \"violations\": " << line.violations
         << ", \"read_p50_ms\": " << InMilliseconds(line.read_median)
--- a/bench/model/read_report.h
+++ b/bench/model/read_report.h
@@ -19,6 +19,10 @@
   void Add(const ReadScenario& scenario, std::uint64_t seed,
            const ReadScenarioOutcome& outcome);
 
+  /** Adds a run of the baseline, which has no bound to keep. */
+  void AddBaseline(const ReadScenario& scenario, std::uint64_t seed,
+                   const ReadScenarioOutcome& outcome);
+
   /** One line a run; times in milliseconds. */
   std::string Table() const;
   std::string Json() const;
@@ -27,6 +31,9 @@
   bool Passed() const { return this->passed; }
 
  private:
+  void AddLine(const std::string& name, const ReadScenario& scenario,
+               std::uint64_t seed, const ReadScenarioOutcome& outcome);
+
   struct Line {
     std::string name;
     std::uint64_t seed = 0;
--- a/bench/model/read_scenario.cc
+++ b/bench/model/read_scenario.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "bench/model/baseline_fleet.h"
 #include "bench/model/lag_process.h"
 
 namespace lacewingferry::model {
@@ -37,6 +38,62 @@
   return scenario;
 }
 
+/** What one run needs beside its proxies. */
+class Stage {
+ public:
+  Stage(const ReadScenario& read_scenario, std::uint64_t run_seed)
+      : scenario(read_scenario), seed(run_seed) {}
+
+  EventQueue& Queue() { return this->queue; }
+
+  /** The options of the proxies, whose members lag as the scenario says. */
+  FleetOptions Options() {
+    FleetOptions options = this->scenario.fleet;
+    options.group.service_time = [](const SqlBatch&) { return kServiceTime; };
+    options.group.apply_lag = [this](const MemberId& member) {
+      const auto known = this->lags.try_emplace(
+          member, this->seed * 100 + this->lags.size(), this->scenario.most_lag,
+          this->scenario.lag_step,
+          this->scenario.duration + kWarmUp + milliseconds(20000));
+      return known.first->second.At(this->queue.Now().time_since_epoch());
+    };
+    options.group.on_commit = [this](const MemberId&, const FakeEntry& entry) {
+      this->workload->OnCommit(entry);
+    };
+    return options;
+  }
+
+  /** Runs the callers to their end. */
+  ReadWorkloadResult Run(FakeGroup& group, Network& network,
+                         decltype(ReadWorkloadHooks::submit) submit) {
+    ReadWorkloadHooks hooks;
+    hooks.submit = std::move(submit);
+    hooks.members = [&group]() -> const std::map<MemberId, FakeMember>& {
+      return group.Members();
+    };
+    hooks.latency = [this, &network](const FakeMember& member,
+                                     std::size_t proxy) {
+      const FleetOptions& fleet = this->scenario.fleet;
+      const std::size_t zone = proxy / fleet.proxies_per_zone;
+      return network.Latency(member.info.zone, fleet.zones[zone]);
+    };
+    this->workload = std::make_unique<ReadWorkload>(
+        this->queue, hooks, this->scenario.workload, this->seed);
+    this->queue.RunUntil(this->queue.Now() + kWarmUp);
+    const auto end = this->queue.Now() + this->scenario.duration;
+    this->workload->Start(end);
+    this->queue.RunUntil(end + milliseconds(15000));
+    return this->workload->Result();
+  }
+
+ private:
+  const ReadScenario& scenario;
+  std::uint64_t seed;
+  EventQueue queue;
+  std::map<MemberId, LagProcess> lags;
+  std::unique_ptr<ReadWorkload> workload;
+};
+
 }  // namespace
 
 std::vector<ReadScenario> ReadScenarios() {
@@ -50,22 +107,8 @@
 ReadScenarioOutcome RunReadScenario(const ReadScenario& scenario,
                                     std::uint64_t seed,
                                     const MessageSize& message_size) {
-  EventQueue queue;
-  std::map<MemberId, LagProcess> lags;
-  std::unique_ptr<ReadWorkload> workload;
-  FleetOptions options = scenario.fleet;
-  options.group.service_time = [](const SqlBatch&) { return kServiceTime; };
-  options.group.apply_lag = [&](const MemberId& member) {
-    const auto known = lags.try_emplace(
-        member, seed * 100 + lags.size(), scenario.most_lag, scenario.lag_step,
-        scenario.duration + kWarmUp + milliseconds(20000));
-    return known.first->second.At(queue.Now().time_since_epoch());
-  };
-  options.group.on_commit = [&workload](const MemberId&,
-                                        const FakeEntry& entry) {
-    workload->OnCommit(entry);
-  };
-  Fleet fleet(queue, options);
+  Stage stage(scenario, seed);
+  Fleet fleet(stage.Queue(), stage.Options());
   std::map<std::size_t, std::size_t> sent_bytes;
   fleet.SetSendObserver([&](std::size_t proxy, const PeerBody& body) {
     const bool position = std::holds_alternative<PositionProbe>(body) ||
@@ -74,26 +117,14 @@
     sent_bytes[proxy] +=
         message_size(PeerMessage{NodeId("kisumu-a-proxy-1"), "", body});
   });
-  ReadWorkloadHooks hooks;
-  hooks.submit = [&fleet](std::size_t proxy, StatementRequest request,
-                          ReplyHook reply) {
-    request.database = fleet.Database();
-    fleet.Submit(proxy, request, std::move(reply));
-  };
-  hooks.members = [&fleet]() -> const std::map<MemberId, FakeMember>& {
-    return fleet.Group().Members();
-  };
-  hooks.latency = [&fleet](const FakeMember& member, std::size_t proxy) {
-    const std::size_t zone = proxy / fleet.Options().proxies_per_zone;
-    return fleet.Net().Latency(member.info.zone, fleet.Options().zones[zone]);
-  };
-  workload =
-      std::make_unique<ReadWorkload>(queue, hooks, scenario.workload, seed);
-  queue.RunUntil(queue.Now() + kWarmUp);
-  const auto end = queue.Now() + scenario.duration;
-  workload->Start(end);
-  queue.RunUntil(end + milliseconds(15000));
-  ReadScenarioOutcome outcome{workload->Result(), fleet.Messages()};
+  ReadScenarioOutcome outcome;
+  outcome.result = stage.Run(
+      fleet.Group(), fleet.Net(),
+      [&fleet](std::size_t proxy, StatementRequest request, ReplyHook reply) {
+        request.database = fleet.Database();
+        fleet.Submit(proxy, request, std::move(reply));
+      });
+  outcome.peer_messages = fleet.Messages();
   const std::chrono::duration<double> measured = scenario.duration;
   for (const auto& entry : sent_bytes) {
     outcome.control_bytes_a_second =
@@ -103,4 +134,18 @@
   return outcome;
 }
 
+ReadScenarioOutcome RunBaselineScenario(const ReadScenario& scenario,
+                                        std::uint64_t seed) {
+  Stage stage(scenario, seed);
+  BaselineFleet fleet(stage.Queue(), stage.Options());
+  ReadScenarioOutcome outcome;
+  outcome.result =
+      stage.Run(fleet.Group(), fleet.Net(),
+                [&fleet](std::size_t proxy, const StatementRequest& request,
+                         ReplyHook reply) {
+                  fleet.Submit(proxy, request, std::move(reply));
+                });
+  return outcome;
+}
+
 }  // namespace lacewingferry::model
--- a/bench/model/read_scenario.h
+++ b/bench/model/read_scenario.h
@@ -49,6 +49,10 @@
                                     std::uint64_t seed,
                                     const MessageSize& message_size);
 
+/** The same for the proxies of BaselineFleet, which send each other nothing. */
+ReadScenarioOutcome RunBaselineScenario(const ReadScenario& scenario,
+                                        std::uint64_t seed);
+
 }  // namespace lacewingferry::model
 
 #endif  // BENCH_MODEL_READ_SCENARIO_H_
--- a/bench/reads_bench_main.cc
+++ b/bench/reads_bench_main.cc
@@ -36,6 +36,9 @@
                 scenario, seed, [](const auto& message) {
                   return lacewingferry::EncodePeerMessage(message).size();
                 }));
+        report.AddBaseline(
+            scenario, seed,
+            lacewingferry::model::RunBaselineScenario(scenario, seed));
       }
     }
     std::cout << (given.count("json") > 0 ? report.Json() : report.Table());
