Allow for a clock drift of one part in a hundred in proofs of age

Cause: a lease allows for 1%, a proof of age for 0.1%; both speak of the same clocks. The parts of the proof that this branch added now allow for 1%.

--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -28,8 +28,9 @@
 /** The earlier samples that an answer tells of at the most. */
 constexpr int kMostEarlier = 64;
 constexpr milliseconds kFinestHistory{5};
-/** The clock of an owner may run slow by one part in this many. */
-constexpr int kClockDriftParts = 1000;
+/** The clock of an owner may run slow by one part in this many, as for a
+ * lease. */
+constexpr int kClockDriftParts = 100;
 /** Makes up for what the division above cuts off. */
 constexpr milliseconds kRounding{1};
 
