--- a/bench/reads_bench_main.cc
+++ b/bench/reads_bench_main.cc
@@ -38,6 +38,9 @@
                 scenario, seed, [](const auto& message) {
                   return lacewingferry::EncodePeerMessage(message).size();
                 }));
+        report.AddBaseline(
+            scenario, seed,
+            lacewingferry::model::RunBaselineScenario(scenario, seed));
       }
     }
     std::cout << report.Table();
--- a/src/lacewingferry/decisions/traffic/member_choice.h
+++ b/src/lacewingferry/decisions/traffic/member_choice.h
@@ -40,6 +40,9 @@
                                       const StatementRequest& request,
                                       const MemberSet& tried);
 
+  /** See RouteTable. */
+  bool PrimaryIsNear() const { return this->routes.PrimaryIsNear(); }
+
   /** Takes the outcome of what was sent since the last Rebuild. */
   void OnOutcome(std::chrono::steady_clock::time_point now,
                  const EndedAttempt& attempt, const Outcome& outcome);
