--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -16,6 +16,8 @@
 #include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/app/control_replica.h"
 #include "lacewingferry/app/operator_api.h"
+#include "lacewingferry/app/rejected_message.h"
+#include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/in_force_tracker.h"
 #include "lacewingferry/decisions/consensus/found_control_log.h"
@@ -181,9 +183,7 @@
     });
   };
   hooks.rejected = [this](const std::string& reason) {
-    this->parts.events.record(Event{EventCode::kPeerMessageRejected,
-                                    EventLevel::kWarning,
-                                    {{"reason", reason}}});
+    this->parts.events.record(MakeRejectedMessage(NodeId(), reason));
   };
   this->peers =
       std::make_unique<PeerSocket>(this->settings.peer_url, std::move(hooks));
@@ -228,10 +228,7 @@
                        this->membership.OnMessage(now, message);
     if (!taken) this->OnProxyMessage(message);
   } catch (const UserError& error) {
-    this->parts.events.record(
-        Event{EventCode::kPeerMessageRejected,
-              EventLevel::kWarning,
-              {{"from", message.from.Value()}, {"reason", error.what()}}});
+    this->parts.events.record(MakeRejectedMessage(message.from, error.what()));
   }
   this->Advance();
 }
@@ -411,7 +408,7 @@
     this->http->Start();
     this->Advance();
   });
-  this->control.run();
+  RunIoContext(this->control, this->parts.events);
   if (this->disk_failure) throw StorageError(*this->disk_failure);
 }
 
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/configured_view.h"
 #include "lacewingferry/decisions/failover/member_command_sql.h"
@@ -96,10 +97,11 @@
   this->next_publish =
       std::min(this->next_publish, this->hooks.now() + kPublishDelay);
   const auto* member = std::get_if<MemberAnnouncement>(&record.subject);
-  if (member == nullptr || !record.gone) return;
-  this->hooks.events.record(Event{EventCode::kMemberLost,
-                                  EventLevel::kWarning,
-                                  {{"member", member->info.id.Value()}}});
+  if (member == nullptr) return;
+  this->hooks.events.record(
+      Event{record.gone ? EventCode::kMemberLost : EventCode::kMemberAnnounced,
+            record.gone ? EventLevel::kWarning : EventLevel::kInfo,
+            {{"member", member->info.id.Value()}}});
 }
 
 ProxyFailoverSettings ProxyControl::FailoverTimes() const {
@@ -209,10 +211,7 @@
   try {
     this->Dispatch(message);
   } catch (const UserError& error) {
-    this->hooks.events.record(
-        Event{EventCode::kPeerMessageRejected,
-              EventLevel::kWarning,
-              {{"from", message.from.Value()}, {"reason", error.what()}}});
+    this->hooks.events.record(MakeRejectedMessage(message.from, error.what()));
   }
 }
 
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -17,6 +17,8 @@
 #include "lacewingferry/adapters/nng/peer_socket.h"
 #include "lacewingferry/app/caller_api.h"
 #include "lacewingferry/app/proxy_control.h"
+#include "lacewingferry/app/rejected_message.h"
+#include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/traffic_thread.h"
 
 namespace lacewingferry {
@@ -56,6 +58,7 @@
   void MakeHttpServer();
   CallerApiHooks ApiHooksFor(boost::asio::io_context& io);
   TrafficThread& ThreadOf(const DatabaseId& database);
+  void RecordUnknown(const DatabaseId& database, const UnknownOutcome& unknown);
   void OnPeerMessage(PeerMessage message);
   ProxyControlHooks ControlHooks();
   void RunStatement(const DatabaseId& database, const MemberId& member,
@@ -111,9 +114,7 @@
                       },
                       [this](const std::string& reason) {
                         this->events.record(
-                            Event{EventCode::kPeerMessageRejected,
-                                  EventLevel::kWarning,
-                                  {{"reason", reason}}});
+                            MakeRejectedMessage(NodeId(), reason));
                       }});
   this->peer_port = this->peers->Port();
   this->state = std::make_unique<ProxyControl>(
@@ -184,8 +185,12 @@
     }
     TrafficThread& thread = this->ThreadOf(request.database);
     ReplyHook back = [this, &io, reply = std::move(reply), kind = request.kind,
+                      database = request.database,
                       received = this->clock.now()](const Outcome& outcome) {
       this->metrics.Record(kind, outcome, this->clock.now() - received);
+      if (const auto* unknown = std::get_if<UnknownOutcome>(&outcome)) {
+        this->RecordUnknown(database, *unknown);
+      }
       boost::asio::dispatch(io, [reply, outcome] { reply(outcome); });
     };
     thread.Submit(std::move(request), std::move(back));
@@ -202,6 +207,14 @@
   return hooks;
 }
 
+void ProxyProgram::Impl::RecordUnknown(const DatabaseId& database,
+                                       const UnknownOutcome& unknown) {
+  this->events.record(
+      Event{EventCode::kRequestUnknown,
+            EventLevel::kWarning,
+            {{"database", database.Value()}, {"reason", unknown.detail}}});
+}
+
 TrafficThread& ProxyProgram::Impl::ThreadOf(const DatabaseId& database) {
   return *this->threads[TrafficShard::IndexOf(database, this->threads.size())];
 }
@@ -327,7 +340,7 @@
   boost::asio::post(this->threads.front()->Io(),
                     [server = this->http] { server->Start(); });
   this->RunOnControl([this] { this->state->OnTick(); });
-  this->control.run();
+  RunIoContext(this->control, this->events);
 }
 
 void ProxyProgram::Impl::BeginStop() {
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "lacewingferry/adapters/json/stored_answer_json.h"
+#include "lacewingferry/app/run_io_context.h"
 
 namespace lacewingferry {
 namespace {
@@ -50,7 +51,8 @@
 TrafficThread::~TrafficThread() { this->Stop(); }
 
 void TrafficThread::Start() {
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread =
+      std::thread([this] { RunIoContext(this->io, this->hooks.events); });
 }
 
 void TrafficThread::Stop() {
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -36,8 +36,6 @@
       return "member_lost";
     case EventCode::kAnnouncementRejected:
       return "announcement_rejected";
-    case EventCode::kViewPublished:
-      return "view_published";
     case EventCode::kConnectionOpened:
       return "connection_opened";
     case EventCode::kConnectionLost:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -21,7 +21,6 @@
   kMemberAnnounced = 2001,
   kMemberLost = 2002,
   kAnnouncementRejected = 2003,
-  kViewPublished = 2101,
   kConnectionOpened = 3001,
   kConnectionLost = 3002,
   kRequestRefused = 3101,
--- a/tests/correctness/seeded_fault_test.cc
+++ b/tests/correctness/seeded_fault_test.cc
@@ -29,6 +29,8 @@
 
 /** Seeds within which a fault must be caught. */
 constexpr std::uint64_t kMostSeeds = 100;
+/** Requests of a run in which one has to be under way at each promotion. */
+constexpr std::size_t kDenseWorks = 300;
 
 /** The promises that the run of a seed breaks, with the fault or without. */
 using FaultyRun =
@@ -52,11 +54,11 @@
 /** Callers before proxies while everything breaks. */
 SeededFault InChaos(const std::string& name, Promise promise,
                     const std::function<void(ChaosOptions&)>& seed_fault,
-                    bool seats = false) {
+                    const std::function<void(ChaosOptions&)>& set_up = {}) {
   return {name, promise, [=](std::uint64_t seed, bool faulty) {
             ChaosOptions options;
             options.seed = seed;
-            options.seats = seats;
+            if (set_up) set_up(options);
             if (faulty) seed_fault(options);
             return BrokenIn(RunTrafficChaos(options));
           }};
@@ -214,8 +216,10 @@
   return {
       InChaos("skip the wait for the majority", Promise::kAcknowledgedSurvives,
               [](ChaosOptions& o) { o.majority_wall = false; }),
-      InChaos("promote while leases run", Promise::kNoAnswerByReplaced,
-              [](ChaosOptions& o) { o.lease_wall = false; }),
+      InChaos(
+          "promote while leases run", Promise::kNoAnswerByReplaced,
+          [](ChaosOptions& o) { o.lease_wall = false; },
+          [](ChaosOptions& o) { o.works = kDenseWorks; }),
       InChaos("promote the least advanced", Promise::kAcknowledgedSurvives,
               [](ChaosOptions& o) { o.most_advanced = false; }),
       InChaos("retry after sending", Promise::kAtMostOnce, RetryAfterSending),
@@ -237,7 +241,7 @@
           [](ChaosOptions& o) {
             o.adjust = [](model::FleetOptions& fleet) { fleet.seats = false; };
           },
-          true),
+          [](ChaosOptions& o) { o.seats = true; }),
   };
 }
 
