--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -13,9 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/** The pause before a request that no member could serve is routed anew. */
-constexpr milliseconds kRouteAgainPause{10};
-
 /** The time that an owner has for a request, so that its answer is back
  * before the caller's deadline. */
 milliseconds TimeForOwner(steady_clock::duration left) {
