--- a/bench/failover_bench_main.cc
+++ b/bench/failover_bench_main.cc
@@ -21,6 +21,7 @@
 #include "bench/report/gap_svg.h"
 #include "lacewingferry/adapters/msgpack/log_codec.h"
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/core/fractional_milliseconds.h"
 
 namespace lacewingferry::model {
 namespace {
@@ -60,18 +61,14 @@
   };
 }
 
-double Milliseconds(microseconds value) {
-  return static_cast<double>(value.count()) / 1000.0;
-}
-
-/** A quantile of one part of the gaps, in milliseconds; 0 without any. */
+/** A quantile of one part of the gaps; 0 without any. */
 template <typename Part>
-double Quantile(const Row& row, double fraction, Part part) {
-  std::vector<double> values;
+FractionalMilliseconds Quantile(const Row& row, double fraction, Part part) {
+  std::vector<FractionalMilliseconds> values;
   for (const FailoverTrialResult& result : row.results) {
-    if (result.gap) values.push_back(Milliseconds(part(result)));
+    if (result.gap) values.push_back(part(result));
   }
-  if (values.empty()) return 0;
+  if (values.empty()) return FractionalMilliseconds(0);
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
   return values[static_cast<std::size_t>(fraction * last)];
@@ -113,13 +110,15 @@
   const Sums sums = SumOf(row);
   std::cout << std::fixed << std::setprecision(0) << std::left << std::setw(11)
             << row.deployment << std::setw(9) << row.policy << std::setw(17)
-            << row.scenario << " | " << Quantile(row, 0.5, Gap) << " "
-            << Quantile(row, 0.99, Gap) << " " << Quantile(row, 1, Gap) << " | "
-            << Quantile(row, 0.5, Detection) << " " << Quantile(row, 0.5, Lease)
-            << " " << Quantile(row, 0.5, Promotion) << " "
-            << Quantile(row, 0.5, Rerouting) << " | " << sums.terms << " "
-            << sums.without_gap << " " << sums.lost << " " << sums.replaced
-            << " " << sums.astray << std::endl;
+            << row.scenario << " | " << Quantile(row, 0.5, Gap).count() << " "
+            << Quantile(row, 0.99, Gap).count() << " "
+            << Quantile(row, 1, Gap).count() << " | "
+            << Quantile(row, 0.5, Detection).count() << " "
+            << Quantile(row, 0.5, Lease).count() << " "
+            << Quantile(row, 0.5, Promotion).count() << " "
+            << Quantile(row, 0.5, Rerouting).count() << " | " << sums.terms
+            << " " << sums.without_gap << " " << sums.lost << " "
+            << sums.replaced << " " << sums.astray << std::endl;
 }
 
 report::FigureRow FiguresOf(const Row& row) {
@@ -127,13 +126,13 @@
   const auto count = [](std::size_t n) { return static_cast<double>(n); };
   return {row.deployment + " " + row.policy + " " + row.scenario,
           {{"trials", count(row.results.size())},
-           {"gap_median_ms", Quantile(row, 0.5, Gap)},
-           {"gap_p99_ms", Quantile(row, 0.99, Gap)},
-           {"gap_worst_ms", Quantile(row, 1, Gap)},
-           {"detection_median_ms", Quantile(row, 0.5, Detection)},
-           {"lease_and_fence_median_ms", Quantile(row, 0.5, Lease)},
-           {"promotion_median_ms", Quantile(row, 0.5, Promotion)},
-           {"rerouting_median_ms", Quantile(row, 0.5, Rerouting)},
+           {"gap_median_ms", Quantile(row, 0.5, Gap).count()},
+           {"gap_p99_ms", Quantile(row, 0.99, Gap).count()},
+           {"gap_worst_ms", Quantile(row, 1, Gap).count()},
+           {"detection_median_ms", Quantile(row, 0.5, Detection).count()},
+           {"lease_and_fence_median_ms", Quantile(row, 0.5, Lease).count()},
+           {"promotion_median_ms", Quantile(row, 0.5, Promotion).count()},
+           {"rerouting_median_ms", Quantile(row, 0.5, Rerouting).count()},
            {"terms", count(sums.terms)},
            {"without_answer", count(sums.without_gap)},
            {"lost_writes", count(sums.lost)},
@@ -145,9 +144,8 @@
   report::GapPanel panel{row.deployment + ", " + row.scenario, {}};
   for (const FailoverTrialResult& result : row.results) {
     if (!result.gap) continue;
-    panel.gaps.push_back(
-        {Milliseconds(result.detection), Milliseconds(result.lease_and_fence),
-         Milliseconds(result.promotion), Milliseconds(result.rerouting)});
+    panel.gaps.push_back({result.detection, result.lease_and_fence,
+                          result.promotion, result.rerouting});
   }
   return panel;
 }
--- a/bench/model/configuration_run.cc
+++ b/bench/model/configuration_run.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bench/model/event_queue.h"
+#include "bench/model/random_length.h"
 #include "lacewingferry/decisions/configuration/configuration_holder.h"
 
 namespace lacewingferry::model {
@@ -16,10 +17,10 @@
 
 /** How often a proxy reports the revision that it holds. */
 constexpr milliseconds kReportInterval{500};
-constexpr int kLongestDelayMs = 900;
+constexpr milliseconds kLongestDelay{900};
 /** The part of the messages that get lost. */
 constexpr double kLoss = 0.2;
-constexpr int kLongestPauseMs = 1500;
+constexpr milliseconds kLongestPause{1500};
 
 /** One run: control's newest configuration, and the holders of the proxies. */
 class ConfigurationRun {
@@ -55,14 +56,9 @@
         });
   }
 
-  milliseconds Within(int most_ms) {
-    return milliseconds(
-        std::uniform_int_distribution<int>(0, most_ms)(this->random));
-  }
-
   /** Delivers a message, unless it is lost; a later one may overtake it. */
   void Deliver(std::function<void()> action) {
-    const milliseconds delay = this->Within(kLongestDelayMs);
+    const milliseconds delay = RandomLength(kLongestDelay, this->random);
     if (std::bernoulli_distribution(kLoss)(this->random)) return;
     this->queue.After(delay, std::move(action));
   }
@@ -73,7 +69,7 @@
         {this->newest.revision, this->queue.Now()});
     for (std::size_t i = 0; i < this->options.proxies; ++i) this->Offer(i);
     if (this->newest.revision == this->options.revisions) return;
-    this->queue.After(this->Within(kLongestPauseMs),
+    this->queue.After(RandomLength(kLongestPause, this->random),
                       [this] { this->Accept(); });
   }
 
--- a/bench/model/planned_run.cc
+++ b/bench/model/planned_run.cc
@@ -7,6 +7,7 @@
 
 #include "bench/model/event_queue.h"
 #include "bench/model/fleet.h"
+#include "bench/model/random_length.h"
 
 namespace lacewingferry::model {
 namespace {
@@ -16,7 +17,7 @@
 /** Connections are open after this. */
 constexpr milliseconds kWarmUp{500};
 /** The replica leaves and the proxy stops within this. */
-constexpr std::int64_t kLatestChangeMs = 4000;
+constexpr milliseconds kLatestChange{4000};
 /** The age that reads accept. */
 constexpr milliseconds kAcceptedAge{1000};
 constexpr milliseconds kTimeout{1500};
@@ -45,11 +46,13 @@
     this->queue.RunUntil(this->queue.Now() + kWarmUp);
     this->history.works.resize(this->options.works);
     for (std::size_t i = 0; i < this->options.works; ++i) {
-      this->queue.After(this->Within(this->options.length.count()),
+      this->queue.After(RandomLength(this->options.length, this->random),
                         [this, i] { this->StartWork(i); });
     }
-    this->queue.After(this->Within(kLatestChangeMs), [this] { this->Leave(); });
-    this->queue.After(this->Within(kLatestChangeMs), [this] { this->Stop(); });
+    this->queue.After(RandomLength(kLatestChange, this->random),
+                      [this] { this->Leave(); });
+    this->queue.After(RandomLength(kLatestChange, this->random),
+                      [this] { this->Stop(); });
     this->queue.RunUntil(this->queue.Now() + this->options.length + kRest);
     const FakeMember& primary = this->fleet.Group().Member(this->Primary());
     for (const FakeEntry& entry : primary.log) {
@@ -87,11 +90,6 @@
     return noting;
   }
 
-  milliseconds Within(std::int64_t most_ms) {
-    return milliseconds(
-        std::uniform_int_distribution<std::int64_t>(0, most_ms)(this->random));
-  }
-
   MemberId Primary() const { return this->fleet.MemberName(0); }
 
   void Leave() {
--- a/bench/model/read_report.cc
+++ b/bench/model/read_report.cc
@@ -6,6 +6,8 @@
 #include <iomanip>
 #include <sstream>
 
+#include "lacewingferry/core/fractional_milliseconds.h"
+
 namespace lacewingferry::model {
 namespace {
 
@@ -21,10 +23,6 @@
   return times[place];
 }
 
-double InMilliseconds(nanoseconds time) {
-  return std::chrono::duration<double, std::milli>(time).count();
-}
-
 /** A part of all reads. */
 double OfReads(const ReadWorkloadResult& result, std::uint64_t part) {
   if (result.reads == 0) return 0;
@@ -85,10 +83,10 @@
         << line.result.ReplicaShare() << std::setprecision(2) << std::setw(7)
         << line.least_share << std::setw(8) << line.result.refused
         << std::setw(9) << line.violations << std::setprecision(1)
-        << std::setw(9) << InMilliseconds(line.read_median) << std::setw(9)
-        << InMilliseconds(line.read_p99) << std::setw(10)
-        << InMilliseconds(line.write_p99) << std::setw(9) << line.control_bytes
-        << "\n";
+        << std::setw(9) << FractionalMilliseconds(line.read_median).count()
+        << std::setw(9) << FractionalMilliseconds(line.read_p99).count()
+        << std::setw(10) << FractionalMilliseconds(line.write_p99).count()
+        << std::setw(9) << line.control_bytes << "\n";
   }
   return out.str();
 }
@@ -97,22 +95,23 @@
   const auto count = [](std::uint64_t n) { return static_cast<double>(n); };
   std::vector<report::FigureRow> rows;
   for (const Line& line : this->lines) {
-    rows.push_back({line.name + ", seed " + std::to_string(line.seed),
-                    {{"reads", count(line.result.reads)},
-                     {"lawful", count(line.result.lawful)},
-                     {"by_replica", count(line.result.by_replica)},
-                     {"share_percent", 100 * line.result.ReplicaShare()},
-                     {"least_share_percent", 100 * line.least_share},
-                     {"most_of_all_percent",
-                      100 * OfReads(line.result, line.result.lawful)},
-                     {"of_all_percent",
-                      100 * OfReads(line.result, line.result.by_replica)},
-                     {"refused", count(line.result.refused)},
-                     {"violations", count(line.violations)},
-                     {"read_p50_ms", InMilliseconds(line.read_median)},
-                     {"read_p99_ms", InMilliseconds(line.read_p99)},
-                     {"write_p99_ms", InMilliseconds(line.write_p99)},
-                     {"probe_bytes_per_s", line.control_bytes}}});
+    rows.push_back(
+        {line.name + ", seed " + std::to_string(line.seed),
+         {{"reads", count(line.result.reads)},
+          {"lawful", count(line.result.lawful)},
+          {"by_replica", count(line.result.by_replica)},
+          {"share_percent", 100 * line.result.ReplicaShare()},
+          {"least_share_percent", 100 * line.least_share},
+          {"most_of_all_percent",
+           100 * OfReads(line.result, line.result.lawful)},
+          {"of_all_percent",
+           100 * OfReads(line.result, line.result.by_replica)},
+          {"refused", count(line.result.refused)},
+          {"violations", count(line.violations)},
+          {"read_p50_ms", FractionalMilliseconds(line.read_median).count()},
+          {"read_p99_ms", FractionalMilliseconds(line.read_p99).count()},
+          {"write_p99_ms", FractionalMilliseconds(line.write_p99).count()},
+          {"probe_bytes_per_s", line.control_bytes}}});
   }
   return rows;
 }
--- a/bench/model/traffic_chaos.h
+++ b/bench/model/traffic_chaos.h
@@ -15,6 +15,9 @@
 
 namespace lacewingferry::model {
 
+/** Requests of a run in which one has to be under way at each promotion. */
+constexpr std::size_t kDenseWorks = 300;
+
 /** What a run does; the seed decides the rest. */
 struct ChaosOptions {
   std::uint64_t seed = 1;
--- a/bench/report/gap_svg.cc
+++ b/bench/report/gap_svg.cc
@@ -20,8 +20,8 @@
 constexpr std::array<const char*, kGapParts.size()> kColours{
     "#4477aa", "#ccbb44", "#228833", "#ee6677"};
 
-double LengthOf(const GapParts& gap) {
-  return std::accumulate(gap.begin(), gap.end(), 0.0);
+FractionalMilliseconds LengthOf(const GapParts& gap) {
+  return std::accumulate(gap.begin(), gap.end(), FractionalMilliseconds(0));
 }
 
 void DrawLegend(std::ostream& out) {
@@ -36,7 +36,8 @@
 }
 
 /** The parts of each gap one above the other, the shortest gap at the left. */
-void DrawBars(std::ostream& out, const GapPanel& panel, double longest) {
+void DrawBars(std::ostream& out, const GapPanel& panel,
+              FractionalMilliseconds longest) {
   const double width = kPlotWidth / static_cast<double>(panel.gaps.size());
   for (std::size_t i = 0; i < panel.gaps.size(); ++i) {
     double top = kPlotHeight;
@@ -50,21 +51,22 @@
   }
 }
 
-void DrawPanel(std::ostream& out, const GapPanel& panel, double longest) {
+void DrawPanel(std::ostream& out, const GapPanel& panel,
+               FractionalMilliseconds longest) {
   out << "<text x=\"0\" y=\"-" << kTitleGap << "\">" << panel.title
       << "</text>\n";
   DrawBars(out, panel, longest);
   out << "<path d=\"M0 0V" << kPlotHeight << "H" << kPlotWidth
       << "\" fill=\"none\" stroke=\"#333\"/>\n<text x=\"" << kPlotWidth
       << "\" y=\"" << kPlotHeight + 2 * kTitleGap << "\" text-anchor=\"end\">"
-      << panel.gaps.size() << " trials, worst " << LengthOf(panel.gaps.back())
-      << " ms</text>\n";
+      << panel.gaps.size() << " trials, worst "
+      << LengthOf(panel.gaps.back()).count() << " ms</text>\n";
 }
 
 }  // namespace
 
 std::string DrawGaps(std::vector<GapPanel> panels) {
-  double longest = 1;
+  FractionalMilliseconds longest(1);
   for (GapPanel& panel : panels) {
     std::sort(panel.gaps.begin(), panel.gaps.end(),
               [](const GapParts& a, const GapParts& b) {
--- a/bench/report/gap_svg.h
+++ b/bench/report/gap_svg.h
@@ -7,14 +7,16 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/fractional_milliseconds.h"
+
 namespace lacewingferry::report {
 
 /** The parts of a failover's gap, in their order. */
 constexpr std::array<const char*, 4> kGapParts{"detection", "lease and fence",
                                                "promotion", "re-routing"};
 
-/** The parts of one gap, in milliseconds. */
-using GapParts = std::array<double, kGapParts.size()>;
+/** The parts of one gap. */
+using GapParts = std::array<FractionalMilliseconds, kGapParts.size()>;
 
 /** The failovers of one kind. */
 struct GapPanel {
--- a/src/lacewingferry/adapters/libpq/server_probe.cc
+++ b/src/lacewingferry/adapters/libpq/server_probe.cc
@@ -28,7 +28,7 @@
     this->timer.expires_after(timeout);
     this->timer.async_wait(
         [self = this->shared_from_this()](const error_code& error) {
-          if (!error) self->Finish(ServerProbeResult::kTimedOut);
+          if (!error) self->Finish(MemberSight::kSilent);
         });
     error_code invalid;
     const auto address = boost::asio::ip::make_address(server.host, invalid);
@@ -38,7 +38,7 @@
         tcp::endpoint(address, server.port),
         [self = this->shared_from_this()](const error_code& error) {
           if (error == boost::asio::error::connection_refused) {
-            self->Finish(ServerProbeResult::kRefused);
+            self->Finish(MemberSight::kRefuses);
           } else if (!error) {
             self->SendRequest();
           }
@@ -58,17 +58,16 @@
     boost::asio::async_read(this->socket, boost::asio::buffer(this->answer),
                             [self = this->shared_from_this()](
                                 const error_code& error, std::size_t) {
-                              if (!error)
-                                self->Finish(ServerProbeResult::kAnswered);
+                              if (!error) self->Finish(MemberSight::kAnswers);
                             });
   }
 
-  void Finish(ServerProbeResult result) {
+  void Finish(MemberSight sight) {
     if (!this->on_result) return;
     this->timer.cancel();
     error_code ignored;
     this->socket.close(ignored);
-    std::exchange(this->on_result, nullptr)(result);
+    std::exchange(this->on_result, nullptr)(sight);
   }
 
   tcp::socket socket;
--- a/src/lacewingferry/adapters/libpq/server_probe.h
+++ b/src/lacewingferry/adapters/libpq/server_probe.h
@@ -6,24 +6,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
-#include <cstdint>
 #include <functional>
 
+#include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/routing_view.h"
 
 namespace lacewingferry {
 
-/** What a probe of a server found. */
-enum class ServerProbeResult : std::uint8_t {
-  /** The server process answered. */
-  kAnswered,
-  /** Its machine refused the connection. */
-  kRefused,
-  /** No answer came within the timeout. */
-  kTimedOut,
-};
-
-using ServerProbeHook = std::function<void(ServerProbeResult)>;
+/** Gets kAnswers, kRefuses, or kSilent after the timeout. */
+using ServerProbeHook = std::function<void(MemberSight)>;
 
 /**
  * Connects, asks for encryption and disconnects after the first byte of the
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -184,15 +184,13 @@
 
 void ProxyControl::ProbeMemberServer(
     const MemberInfo& member, const PrimaryObserverHooks::SightHook& on_sight) {
-  this->hooks.probe_server(
-      member.endpoint, kProbeTimeout,
-      [this, on_sight](ServerProbeResult result) {
-        if (result == ServerProbeResult::kAnswered) {
-          on_sight(this->hooks.now(), MemberSight::kAnswers);
-        } else if (result == ServerProbeResult::kRefused) {
-          on_sight(this->hooks.now(), MemberSight::kRefuses);
-        }
-      });
+  this->hooks.probe_server(member.endpoint, kProbeTimeout,
+                           [this, on_sight](MemberSight sight) {
+                             // Silence is for the observer to decide, by its
+                             // own timeout.
+                             if (sight != MemberSight::kSilent)
+                               on_sight(this->hooks.now(), sight);
+                           });
 }
 
 std::string ProxyControl::Announce(const MemberAnnouncement& announcement) {
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -20,6 +20,7 @@
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/traffic_thread.h"
+#include "lacewingferry/app/wait_until.h"
 
 namespace lacewingferry {
 namespace {
@@ -246,7 +247,7 @@
 }
 
 void ProxyProgram::Impl::ArmControlTimer() {
-  this->control_timer.expires_at(this->state->NextWakeup());
+  WaitUntil(this->control_timer, this->clock.now(), this->state->NextWakeup());
   this->control_timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     this->state->OnTick();
@@ -288,12 +289,11 @@
   hooks.probe_server = [this](const Endpoint& server,
                               std::chrono::milliseconds timeout,
                               ServerProbeHook on_result) {
-    ProbeServer(
-        this->control, server, timeout,
-        [this, on_result = std::move(on_result)](ServerProbeResult result) {
-          on_result(result);
-          this->ArmControlTimer();
-        });
+    ProbeServer(this->control, server, timeout,
+                [this, on_result = std::move(on_result)](MemberSight sight) {
+                  on_result(sight);
+                  this->ArmControlTimer();
+                });
   };
   hooks.lease = [this](const DatabaseId& database,
                        std::chrono::steady_clock::time_point until) {
--- a/src/lacewingferry/app/timeline_json.cc
+++ b/src/lacewingferry/app/timeline_json.cc
@@ -5,16 +5,15 @@
 
 #include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/core/fractional_milliseconds.h"
 #include "lacewingferry/core/time_text.h"
 
 namespace lacewingferry {
 namespace {
 
 using Json = nlohmann::ordered_json;
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
 Json PhaseToJson(const std::optional<std::chrono::microseconds>& length) {
-  return length ? Json(Milliseconds(*length).count()) : Json(nullptr);
+  return length ? Json(FractionalMilliseconds(*length).count()) : Json(nullptr);
 }
 
 }  // namespace
--- a/src/lacewingferry/app/timeline_svg.cc
+++ b/src/lacewingferry/app/timeline_svg.cc
@@ -6,13 +6,13 @@
 #include <optional>
 #include <sstream>
 
+#include "lacewingferry/core/fractional_milliseconds.h"
 #include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
 namespace lacewingferry {
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
 using std::chrono::microseconds;
 
 /** Lengths in the units of the drawing. */
@@ -102,9 +102,10 @@
 
   double Across(HybridTime time) const {
     const double span =
-        std::max(1.0, Milliseconds(this->last - this->first).count());
+        std::max(1.0, FractionalMilliseconds(this->last - this->first).count());
     return kLabelWidth +
-           kPlotWidth * Milliseconds(time - this->first).count() / span;
+           kPlotWidth * FractionalMilliseconds(time - this->first).count() /
+               span;
   }
 
   static double Down(std::size_t row) {
@@ -117,7 +118,8 @@
   }
 
   void DrawSpan() {
-    const double length = Milliseconds(this->last - this->first).count();
+    const double length =
+        FractionalMilliseconds(this->last - this->first).count();
     this->out << R"(<text x="4" y=")" << kMargin / 2 << R"(">)"
               << FormatTime(this->first) << " and " << length
               << " ms from there</text>\n";
@@ -182,7 +184,8 @@
               << Down(row) - kBarHeight / 2 << R"(" width=")"
               << this->Across(end) - this->Across(start) << R"(" height=")"
               << kBarHeight << R"(" fill=")" << color << R"("><title>)" << name
-              << " " << Milliseconds(*length).count() << " ms</title></rect>\n";
+              << " " << FractionalMilliseconds(*length).count()
+              << " ms</title></rect>\n";
     return end;
   }
 
--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -6,14 +6,13 @@
 
 #include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/app/timeline_json.h"
+#include "lacewingferry/core/fractional_milliseconds.h"
 #include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
 namespace lacewingferry {
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
 constexpr int kNodeWidth = 14;
 constexpr int kNameWidth = 22;
 
@@ -22,8 +21,8 @@
     return "unknown";
   }
   std::ostringstream out;
-  out << std::fixed << std::setprecision(1) << Milliseconds(*length).count()
-      << " ms";
+  out << std::fixed << std::setprecision(1)
+      << FractionalMilliseconds(*length).count() << " ms";
   return out.str();
 }
 
--- a/src/lacewingferry/decisions/lease/lease_timing.h
+++ b/src/lacewingferry/decisions/lease/lease_timing.h
@@ -6,6 +6,8 @@
 
 #include <chrono>
 
+#include "lacewingferry/core/clock_drift.h"
+
 namespace lacewingferry {
 
 /**
@@ -20,7 +22,7 @@
   std::chrono::milliseconds renewal_interval{200};
   /** What a holder takes off a grant for the drift between two clocks: one
    * part in drift_divisor and a fixed allowance. */
-  int drift_divisor = 100;
+  int drift_divisor = kClockDriftParts;
   std::chrono::milliseconds drift_allowance{5};
 
   /** How long a holder may use a grant, from the sending of its request. */
@@ -29,6 +31,16 @@
   }
 };
 
+/** The timing for proxies of sessions. One lease outlasts a change of the leader
+ * of control; a failover doesn't wait for it, since leases are recalled from
+ * the holders that can be reached. */
+inline LeaseTiming MakeSessionLeaseTiming() {
+  LeaseTiming timing;
+  timing.duration = std::chrono::milliseconds(2500);
+  timing.renewal_interval = std::chrono::milliseconds(500);
+  return timing;
+}
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_LEASE_LEASE_TIMING_H_
--- a/src/lacewingferry/decisions/ownership/proxy_seats.cc
+++ b/src/lacewingferry/decisions/ownership/proxy_seats.cc
@@ -60,6 +60,10 @@
   this->Publish(now);
 }
 
+bool ProxySeats::Overlapping(steady_clock::time_point now) const {
+  return now < this->proxies_changed + this->settings.timings.overlap;
+}
+
 SeatHolder& ProxySeats::HolderOf(const AvailabilityZone& zone) {
   auto& holder = this->holders[zone];
   if (holder == nullptr) {
@@ -72,9 +76,7 @@
     };
     auto known = ChooseWitnesses(zone, this->configuration);
     const auto earlier = ChooseWitnesses(zone, this->previous);
-    const auto overlap_end =
-        this->proxies_changed + this->settings.timings.overlap;
-    const bool joint = !earlier.empty() && this->present < overlap_end;
+    const bool joint = !earlier.empty() && this->Overlapping(this->present);
     holder = std::make_unique<SeatHolder>(
         zone, joint ? earlier : known, this->settings.timings, std::move(parts),
         this->settings.incarnation);
@@ -143,9 +145,8 @@
   const auto earlier = ChooseWitnesses(claim.zone, this->previous);
   const bool asks_newest = claim.witnesses == WitnessFingerprint(newest);
   if (earlier.empty() || earlier == newest) return asks_newest;
-  const bool overlap =
-      now < this->proxies_changed + this->settings.timings.overlap;
-  return overlap ? claim.witnesses == WitnessFingerprint(earlier) : asks_newest;
+  if (!this->Overlapping(now)) return asks_newest;
+  return claim.witnesses == WitnessFingerprint(earlier);
 }
 
 void ProxySeats::OnClaim(steady_clock::time_point now, const NodeId& from,
--- a/src/lacewingferry/decisions/ownership/proxy_seats.h
+++ b/src/lacewingferry/decisions/ownership/proxy_seats.h
@@ -85,6 +85,8 @@
   using Wishes = std::map<AvailabilityZone, std::vector<SeatWish>>;
 
   bool Witnessed(TimePoint now) const;
+  /** Whether the witnesses changed so lately that earlier ones still count. */
+  bool Overlapping(std::chrono::steady_clock::time_point now) const;
   bool AsksTheRightWitnesses(TimePoint now, const SeatClaim& claim) const;
   bool SetWishes(const RoutingView& view);
   SeatHolder& HolderOf(const AvailabilityZone& zone);
--- a/src/lacewingferry/decisions/traffic/age_proof.cc
+++ b/src/lacewingferry/decisions/traffic/age_proof.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lacewingferry/core/clock_drift.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -11,9 +13,6 @@
 
 /** The time that a read may take at its owner. */
 constexpr milliseconds kTimeAtOwner{10};
-/** The clock of an owner may run slow by one part in this many, as for a
- * lease. */
-constexpr int kClockDriftParts = 100;
 
 }  // namespace
 
--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/traffic/position_sampler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "lacewingferry/core/clock_drift.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -28,9 +30,6 @@
 /** The earlier samples that an answer tells of at the most. */
 constexpr int kMostEarlier = 64;
 constexpr milliseconds kFinestHistory{5};
-/** The clock of an owner may run slow by one part in this many, as for a
- * lease. */
-constexpr int kClockDriftParts = 100;
 /** Makes up for what the division above cuts off. */
 constexpr milliseconds kRounding{1};
 
@@ -134,11 +133,11 @@
   const milliseconds lacking =
       std::clamp(asker.lacking, milliseconds(0), kLongestInterest);
   answer.spacing = std::max(kFinestHistory, lacking / kMostEarlier);
+  const auto oldest = this->samples.EarliestSince({});
   LogPosition above = position;
   for (milliseconds earlier = answer.spacing;
        earlier < lacking + answer.spacing; earlier += answer.spacing) {
     const auto held = this->samples.EarliestSince(asker.arrived_at - earlier);
-    const auto oldest = this->samples.EarliestSince({});
     if (!held) break;
     const bool empty = held->position == LogPosition{};
     if (held->position.term != above.term && !empty) break;
--- a/tests/correctness/bench_figures_test.cc
+++ b/tests/correctness/bench_figures_test.cc
@@ -9,6 +9,8 @@
 namespace lacewingferry {
 namespace {
 
+using namespace std::chrono_literals;
+
 using report::CompareFigures;
 using report::FigureRow;
 using report::FormatFigures;
@@ -42,7 +44,8 @@
 
   void DrawsEveryPart() {
     const std::string drawn = report::DrawGaps(
-        {{"zone cut", {{400, 50, 30, 20}, {200, 10, 5, 5}}}, {"stalls", {}}});
+        {{"zone cut", {{400ms, 50ms, 30ms, 20ms}, {200ms, 10ms, 5ms, 5ms}}},
+         {"stalls", {}}});
     std::size_t bars = 0;
     for (std::size_t at = drawn.find("<rect x"); at != std::string::npos;
          at = drawn.find("<rect x", at + 1)) {
--- a/tests/correctness/seeded_fault_test.cc
+++ b/tests/correctness/seeded_fault_test.cc
@@ -29,8 +29,6 @@
 
 /** Seeds within which a fault must be caught. */
 constexpr std::uint64_t kMostSeeds = 100;
-/** Requests of a run in which one has to be under way at each promotion. */
-constexpr std::size_t kDenseWorks = 300;
 
 /** The promises that the run of a seed breaks, with the fault or without. */
 using FaultyRun =
@@ -219,7 +217,7 @@
       InChaos(
           "promote while leases run", Promise::kNoAnswerByReplaced,
           [](ChaosOptions& o) { o.lease_wall = false; },
-          [](ChaosOptions& o) { o.works = kDenseWorks; }),
+          [](ChaosOptions& o) { o.works = model::kDenseWorks; }),
       InChaos("promote the least advanced", Promise::kAcknowledgedSurvives,
               [](ChaosOptions& o) { o.most_advanced = false; }),
       InChaos("retry after sending", Promise::kAtMostOnce, RetryAfterSending),
--- a/tests/correctness/server_probe_test.cc
+++ b/tests/correctness/server_probe_test.cc
@@ -19,11 +19,11 @@
 constexpr char kHost[] = "127.0.0.1";
 constexpr std::chrono::milliseconds kShortTimeout{50};
 
-ServerProbeResult Probe(std::uint16_t port, std::chrono::milliseconds timeout) {
+MemberSight Probe(std::uint16_t port, std::chrono::milliseconds timeout) {
   boost::asio::io_context io;
-  std::optional<ServerProbeResult> found;
+  std::optional<MemberSight> found;
   ProbeServer(io, Endpoint{kHost, port}, timeout,
-              [&found](ServerProbeResult result) { found = result; });
+              [&found](MemberSight sight) { found = sight; });
   CPPUNIT_ASSERT(!found.has_value());
   io.run();
   CPPUNIT_ASSERT(found.has_value());
@@ -48,7 +48,7 @@
     }
     CPPUNIT_ASSERT(!PostgresClient(server.Port()).Connected());
     CPPUNIT_ASSERT(Probe(server.Port(), kTestDeadline) ==
-                   ServerProbeResult::kAnswered);
+                   MemberSight::kAnswers);
   }
 
   void RefusedWhereNothingListens() {
@@ -57,7 +57,7 @@
       boost::asio::io_context io;
       port = this->Listen(io).local_endpoint().port();
     }
-    CPPUNIT_ASSERT(Probe(port, kTestDeadline) == ServerProbeResult::kRefused);
+    CPPUNIT_ASSERT(Probe(port, kTestDeadline) == MemberSight::kRefuses);
   }
 
   // A frozen process still has its connections accepted by the machine.
@@ -65,7 +65,7 @@
     boost::asio::io_context io;
     const tcp::acceptor silent = this->Listen(io);
     CPPUNIT_ASSERT(Probe(silent.local_endpoint().port(), kShortTimeout) ==
-                   ServerProbeResult::kTimedOut);
+                   MemberSight::kSilent);
   }
 
  private:
--- a/tests/correctness/traffic_chaos_test.cc
+++ b/tests/correctness/traffic_chaos_test.cc
@@ -18,8 +18,6 @@
 constexpr std::uint64_t kSeeds = 1000;
 /** Seeds within which a seeded fault must be caught. */
 constexpr std::uint64_t kFaultySeeds = 100;
-/** Requests of a run in which one has to be under way at each promotion. */
-constexpr std::size_t kDenseWorks = 300;
 
 /** The promises that are broken within a number of seeds, the first of each
  * with its seed and text. */
@@ -54,7 +52,7 @@
 
   void MajorityAloneKeepsAcknowledgedWrites() {
     ChaosOptions options;
-    options.works = kDenseWorks;
+    options.works = model::kDenseWorks;
     options.lease_wall = false;
     const auto broken = BrokenWithin(options, kFaultySeeds);
     CPPUNIT_ASSERT(broken.count(Promise::kNoAnswerByReplaced) > 0);
