--- a/src/lacewingferry/adapters/http/http_connection.cc
+++ b/src/lacewingferry/adapters/http/http_connection.cc
@@ -132,6 +132,9 @@
   const bool stay = keep_alive && !this->state->stopping;
   this->response = Response(static_cast<http::status>(answer.status), 11);
   this->response.set(http::field::content_type, answer.content_type);
+  if (!answer.location.empty()) {
+    this->response.set(http::field::location, answer.location);
+  }
   this->response.body() = std::move(answer.body);
   this->response.keep_alive(stay);
   this->response.prepare_payload();
--- a/src/lacewingferry/adapters/http/http_message.h
+++ b/src/lacewingferry/adapters/http/http_message.h
@@ -24,6 +24,8 @@
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
+  /** Where a caller should go instead; empty for most responses. */
+  std::string location{};
 };
 
 /** Answers a request, now or later, exactly once, on the thread that the
--- a/src/lacewingferry/adapters/log4cxx/event_log.cc
+++ b/src/lacewingferry/adapters/log4cxx/event_log.cc
@@ -1,12 +1,15 @@
 #include "lacewingferry/adapters/log4cxx/event_log.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/pool.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/hierarchy.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdint>
@@ -18,11 +21,33 @@
 #include <utility>
 
 #include "lacewingferry/adapters/json/event_json.h"
+#include "lacewingferry/adapters/log4cxx/bounded_output.h"
 #include "lacewingferry/core/errors.h"
 
 namespace lacewingferry {
 namespace {
 
+/** Writes to standard output without waiting for its reader. */
+class BoundedAppender : public log4cxx::AppenderSkeleton {
+ public:
+  explicit BoundedAppender(const ClockPort& clock)
+      : output(STDOUT_FILENO, OutputLimits(), clock.now) {}
+
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& /*pool*/) override {
+    std::string line;
+    log4cxx::helpers::Transcoder::encode(event->getMessage(), line);
+    const bool urgent =
+        event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
+    this->output.Write(line, urgent);
+  }
+  void close() override {}
+  bool requiresLayout() const override { return false; }
+
+ private:
+  BoundedOutput output;
+};
+
 /** A logger of its own hierarchy, so that logs of one process don't mix. */
 struct Log {
   log4cxx::spi::LoggerRepositoryPtr hierarchy;
@@ -65,7 +90,9 @@
       -1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-log4cxx::AppenderPtr MakeAppender(const LogSettings& settings) {
+log4cxx::AppenderPtr MakeAppender(const LogSettings& settings,
+                                  const ClockPort& clock) {
+  if (settings.standard_output) return std::make_shared<BoundedAppender>(clock);
   const auto layout =
       std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   if (settings.file.empty()) {
@@ -99,7 +126,7 @@
   auto log = std::make_shared<Log>();
   log->hierarchy = log4cxx::Hierarchy::create();
   log->logger = log->hierarchy->getLogger(LOG4CXX_STR("lacewingferry"));
-  log->logger->addAppender(MakeAppender(settings));
+  log->logger->addAppender(MakeAppender(settings, clock));
   log->logger->setLevel(LibraryLevel(settings.level));
   log->hierarchy->setConfigured(true);
   log->node = std::move(node);
--- a/src/lacewingferry/adapters/nng/peer_socket.cc
+++ b/src/lacewingferry/adapters/nng/peer_socket.cc
@@ -69,9 +69,11 @@
 }
 
 PeerPort PeerSocket::Port() {
-  return PeerPort{[this](const std::string& url, const PeerMessage& message) {
-    this->Send(url, message);
-  }};
+  return PeerPort{
+      [this](const std::string& url, const PeerMessage& message) {
+        this->Send(url, message);
+      },
+      [this](const std::string& url) { this->Redial(url); }};
 }
 
 std::uint64_t PeerSocket::SentBytes() const {
@@ -92,6 +94,14 @@
   return socket;
 }
 
+void PeerSocket::Redial(const std::string& url) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->outboxes.find(url);
+  if (found == this->outboxes.end()) return;
+  nng_close(found->second);
+  this->outboxes.erase(found);
+}
+
 void PeerSocket::Send(const std::string& url, const PeerMessage& message) {
   std::string bytes = EncodePeerMessage(message);
   const std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/lacewingferry/adapters/nng/peer_socket.h
+++ b/src/lacewingferry/adapters/nng/peer_socket.h
@@ -45,6 +45,7 @@
   static void OnReceived(void* self);
   void TakeReceived();
   void Send(const std::string& url, const PeerMessage& message);
+  void Redial(const std::string& url);
   nng_socket SocketFor(const std::string& url);
 
   PeerSocketHooks hooks;
--- /dev/null
+++ b/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
@@ -0,0 +1,118 @@
+#include "lacewingferry/adapters/yaml/fleet_settings_reader.h"
+
+#include <limits>
+
+#include "lacewingferry/adapters/yaml/document_walk.h"
+#include "lacewingferry/adapters/yaml/settings_parts.h"
+
+namespace lacewingferry {
+namespace {
+
+using detail::DocumentWalk;
+using Need = DocumentWalk::Need;
+
+constexpr std::uint64_t kMostPort = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t kMostLosses = 4;
+
+void ReadPort(DocumentWalk* walk, const YAML::Node& mapping, const char* key,
+              std::uint16_t* target) {
+  std::uint64_t port = *target;
+  walk->ReadNumber(mapping, key, Need::kRequired, 1, kMostPort, &port);
+  *target = static_cast<std::uint16_t>(port);
+}
+
+/** The host of HOST:PORT. */
+std::string HostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+void ReadControl(DocumentWalk* walk, const YAML::Node& root,
+                 std::vector<NodeId>* target) {
+  walk->ReadSequence(root, "control", Need::kRequired,
+                     [&](const YAML::Node& item) {
+                       if (!item.IsScalar() || item.Scalar().empty()) {
+                         walk->Note(item, "'control' must list addresses");
+                         return;
+                       }
+                       target->push_back(NodeId(HostOf(item.Scalar())));
+                     });
+}
+
+void ReadRegions(DocumentWalk* walk, const YAML::Node& root,
+                 std::map<AvailabilityZone, std::string>* target) {
+  const YAML::Node* regions = walk->Find(root, "regions", Need::kRequired);
+  if (regions == nullptr) return;
+  if (!regions->IsMap()) {
+    walk->Note(*regions, "'regions' must name the region of each zone");
+    return;
+  }
+  for (const auto& entry : *regions) {
+    (*target)[AvailabilityZone(entry.first.Scalar())] = entry.second.Scalar();
+  }
+}
+
+void ReadNode(DocumentWalk* walk, const YAML::Node& root,
+              FleetNodeSettings* node) {
+  walk->ReadText(root, "name", Need::kRequired, &node->name);
+  walk->ReadId(root, "address", Need::kRequired, &node->address);
+  walk->ReadId(root, "zone", Need::kRequired, &node->zone);
+  ReadRegions(walk, root, &node->regions);
+  ReadPort(walk, root, "peer_port", &node->peer_port);
+  ReadPort(walk, root, "metrics_port", &node->metrics_port);
+  ReadControl(walk, root, &node->control);
+  detail::ReadLog(walk, root, &node->log);
+}
+
+void ReadFlag(DocumentWalk* walk, const YAML::Node& root, const char* key,
+              bool* target) {
+  std::string text;
+  walk->ReadText(root, key, Need::kRequired, &text);
+  *target = text == "true";
+  if (text.empty() || text == "true" || text == "false") return;
+  walk->Note(root, std::string("'") + key + "' must be true or false");
+}
+
+}  // namespace
+
+SessionProxySettings ReadSessionProxySettings(const std::string& path) {
+  DocumentWalk walk(detail::ReadWholeFile(path), path);
+  SessionProxySettings settings;
+  const YAML::Node& root = walk.Root();
+  if (walk.ExpectMapping(root, "the settings of a proxy of sessions",
+                         {"name", "address", "zone", "regions", "peer_port",
+                          "metrics_port", "control", "log", "listen",
+                          "readiness", "stop_limit"})) {
+    ReadNode(&walk, root, &settings.node);
+    walk.ReadEndpoint(root, "listen", Need::kRequired, &settings.listen);
+    walk.ReadEndpoint(root, "readiness", Need::kRequired, &settings.readiness);
+    walk.ReadDuration(root, "stop_limit", Need::kOptional,
+                      &settings.stop_limit);
+  }
+  walk.ThrowFindings();
+  return settings;
+}
+
+FleetControlProgramSettings ReadFleetControlSettings(const std::string& path) {
+  DocumentWalk walk(detail::ReadWholeFile(path), path);
+  FleetControlProgramSettings settings;
+  const YAML::Node& root = walk.Root();
+  if (walk.ExpectMapping(root, "the settings of a control process of a fleet",
+                         {"name", "address", "zone", "regions", "peer_port",
+                          "metrics_port", "control", "log", "listen",
+                          "data_folder", "founding", "tolerated_losses",
+                          "promotion", "stop_limit"})) {
+    ReadNode(&walk, root, &settings.node);
+    walk.ReadEndpoint(root, "listen", Need::kRequired, &settings.listen);
+    walk.ReadText(root, "data_folder", Need::kRequired, &settings.data_folder);
+    ReadFlag(&walk, root, "founding", &settings.founding);
+    walk.ReadNumber(root, "tolerated_losses", Need::kRequired, 0, kMostLosses,
+                    &settings.tolerated_losses);
+    walk.ReadEndpoint(root, "promotion", Need::kRequired, &settings.promotion);
+    walk.ReadDuration(root, "stop_limit", Need::kOptional,
+                      &settings.stop_limit);
+  }
+  walk.ThrowFindings();
+  return settings;
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/adapters/yaml/settings_parts.cc
+++ b/src/lacewingferry/adapters/yaml/settings_parts.cc
@@ -36,10 +36,17 @@
              LogSettings* target) {
   const YAML::Node* log = walk->Find(mapping, "log", Need::kOptional);
   if (log == nullptr ||
-      !walk->ExpectMapping(*log, "'log'", {"file", "level"})) {
+      !walk->ExpectMapping(*log, "'log'", {"file", "level", "output"})) {
     return;
   }
   walk->ReadText(*log, "file", Need::kOptional, &target->file);
+  std::string output;
+  walk->ReadText(*log, "output", Need::kOptional, &output);
+  target->standard_output = output == "stdout";
+  if (!output.empty() && output != "stdout") {
+    walk->Note(*walk->Find(*log, "output", Need::kRequired),
+               "'output' must be stdout, not '" + output + "'");
+  }
   std::string level = target->level;
   walk->ReadText(*log, "level", Need::kOptional, &level);
   static const std::set<std::string> kLevels = {"debug", "info", "warning",
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -18,6 +18,7 @@
 #include "lacewingferry/app/operator_api.h"
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/app/run_io_context.h"
+#include "lacewingferry/app/wait_until.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/in_force_tracker.h"
 #include "lacewingferry/decisions/consensus/found_control_log.h"
@@ -42,6 +43,16 @@
   return times;
 }
 
+ControlReplicaSettings ReplicaSettings(const ControlSettings& settings) {
+  ControlReplicaSettings replica;
+  replica.data_folder = settings.data_folder;
+  replica.repair.voters = settings.voters.size();
+  for (const PeerAddress& voter : settings.voters) {
+    if (voter.id != settings.node) replica.raft.seeds.push_back(voter.id);
+  }
+  return replica;
+}
+
 }  // namespace
 
 void FoundControlLog(const ControlSettings& settings) {
@@ -108,7 +119,7 @@
       signals(this->control, SIGTERM, SIGINT),
       timer(this->control),
       membership(this->MembershipParts(), this->MembershipEffects()),
-      replica(this->settings, this->ReplicaHooks()),
+      replica(ReplicaSettings(this->settings), this->ReplicaHooks()),
       manager(this->replica.State().Terms(), this->ManagerHooks(),
               FailoverTimes(this->settings)) {
   for (const PeerAddress& voter : this->settings.voters) {
@@ -380,7 +391,7 @@
   auto next = std::min({this->replica.NextWakeup(), this->next_sweep,
                         this->membership.NextWakeup()});
   if (const auto due = this->manager.NextWakeup()) next = std::min(next, *due);
-  this->timer.expires_at(next);
+  WaitUntil(this->timer, now, next);
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     const auto present = this->parts.hybrid.clock.now();
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -7,6 +7,7 @@
 
 #include "lacewingferry/adapters/msgpack/field_codec.h"
 #include "lacewingferry/app/control_disk.h"
+#include "lacewingferry/decisions/consensus/found_control_log.h"
 #include "lacewingferry/decisions/consensus/voter_identity.h"
 
 namespace lacewingferry {
@@ -16,12 +17,6 @@
 
 constexpr std::chrono::seconds kRepairInterval{1};
 
-RepairSettings MakeRepairSettings(const ControlSettings& settings) {
-  RepairSettings repair;
-  repair.voters = settings.voters.size();
-  return repair;
-}
-
 /** The part of a peer message that belongs to the log, if it is one. */
 std::optional<ConsensusMessage> AsConsensus(const PeerBody& body) {
   return std::visit(
@@ -38,19 +33,21 @@
 
 }  // namespace
 
-ControlReplica::ControlReplica(const ControlSettings& settings,
+ControlReplica::ControlReplica(const ControlReplicaSettings& settings,
                                ControlReplicaHooks replica_hooks)
-    : hooks(std::move(replica_hooks)), repair(MakeRepairSettings(settings)) {
+    : hooks(std::move(replica_hooks)), repair(settings.repair) {
   ControlDisk disk = OpenControlDisk(settings.data_folder);
+  if (!settings.founders.empty()) {
+    FoundControlLogTogether(disk.storage, disk.codec, settings.self,
+                            settings.founders);
+  }
   RaftParts parts;
   parts.self = LoadOrCreateIdentity(disk.storage, disk.codec, disk.random);
+  parts.settings = settings.raft;
   parts.storage = disk.storage;
   parts.codec = disk.codec;
   parts.hooks = this->MakeRaftHooks();
   parts.seed = disk.random();
-  for (const PeerAddress& voter : settings.voters) {
-    if (voter.id != settings.node) parts.settings.seeds.push_back(voter.id);
-  }
   this->raft = std::make_unique<RaftNode>(std::move(parts), this->hooks.now());
 }
 
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -11,16 +11,28 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lacewingferry/core/control_command.h"
 #include "lacewingferry/core/messages/peer_message.h"
-#include "lacewingferry/core/settings.h"
 #include "lacewingferry/decisions/consensus/raft_node.h"
 #include "lacewingferry/decisions/consensus/voter_repair.h"
 #include "lacewingferry/decisions/control/control_state.h"
 
 namespace lacewingferry {
 
+/** What a ControlReplica is made of. */
+struct ControlReplicaSettings {
+  std::string data_folder;
+  RaftSettings raft;
+  RepairSettings repair;
+  /** The process that holds the replica. */
+  NodeId self;
+  /** The replicas that found the log together, on disks that are empty; none
+   * where the log was founded before. */
+  std::vector<NodeId> founders;
+};
+
 /** What a ControlReplica acts through, on its own thread. */
 struct ControlReplicaHooks {
   std::function<void(const NodeId&, const PeerBody&)> send;
@@ -39,7 +51,8 @@
   using OutcomeHook = std::function<void(const std::optional<ControlOutcome>&)>;
 
   /** Reads the disk. Throws StorageError. */
-  ControlReplica(const ControlSettings& settings, ControlReplicaHooks hooks);
+  ControlReplica(const ControlReplicaSettings& settings,
+                 ControlReplicaHooks hooks);
 
   /** Takes a message; returns whether it was one of the log's. */
   bool OnMessage(const NodeId& from, const PeerBody& body);
@@ -57,6 +70,11 @@
   /** Whether this replica leads and its state is current. */
   bool Serving() const;
 
+  /** The replicas of the log, as far as this one knows. */
+  const ControlConfiguration& Configuration() const {
+    return this->raft->Configuration();
+  }
+
   const ControlState& State() const { return this->state; }
   Leadership CurrentLeadership() const {
     return this->raft->CurrentLeadership();
--- /dev/null
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -0,0 +1,451 @@
+#include "lacewingferry/app/fleet_control_program.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "lacewingferry/adapters/http/http_server.h"
+#include "lacewingferry/app/control_replica.h"
+#include "lacewingferry/app/fleet_peers.h"
+#include "lacewingferry/app/run_io_context.h"
+#include "lacewingferry/app/wait_until.h"
+#include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/switchover/fleet_control.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kMostBody = 4U << 20U;
+constexpr std::size_t kMostConnections = 1024;
+/** The fewest voters that can lose one. */
+constexpr std::size_t kFewestVoters = 3;
+constexpr milliseconds kSilenceCheck{350};
+/** Until an order that isn't committed yet is answered as unknown. */
+constexpr milliseconds kOrderLimit{2500};
+
+RaftSettings RaftTimes() {
+  RaftSettings raft;
+  raft.heartbeat = milliseconds(80);
+  raft.election_timeout_min = milliseconds(450);
+  raft.election_timeout_max = milliseconds(800);
+  raft.lease_margin = milliseconds(40);
+  raft.pre_vote_retry = milliseconds(100);
+  raft.resend = milliseconds(250);
+  raft.join_retry = milliseconds(400);
+  return raft;
+}
+
+RepairSettings RepairTimes(std::uint64_t tolerated_losses) {
+  RepairSettings repair;
+  repair.voters = std::max<std::size_t>(kFewestVoters, 2 * tolerated_losses + 1);
+  repair.voter_silence = milliseconds(2000);
+  repair.learner_silence = milliseconds(3000);
+  return repair;
+}
+
+ControlReplicaSettings ReplicaSettings(
+    const FleetControlProgramSettings& settings) {
+  ControlReplicaSettings replica;
+  replica.data_folder = settings.data_folder;
+  replica.raft = RaftTimes();
+  replica.repair = RepairTimes(settings.tolerated_losses);
+  replica.self = settings.node.address;
+  for (const NodeId& node : settings.node.control) {
+    if (node != settings.node.address) replica.raft.seeds.push_back(node);
+  }
+  if (settings.founding) replica.founders = settings.node.control;
+  return replica;
+}
+
+}  // namespace
+
+/** The steps of an input: the replica takes messages of the log, FleetControl
+ * those of proxies; then Advance gives FleetControl its office when the
+ * replica's changed, does what is due, and sets the timer. */
+class FleetControlProgram::Impl {
+ public:
+  explicit Impl(FleetControlParts parts);
+
+  void Run();
+
+ private:
+  ControlReplicaHooks ReplicaHooks();
+  FleetControlHooks FleetHooks();
+  FleetApiPort Api();
+  void OnMessage(const NodeId& from, const PeerBody& body);
+  void Redirect(const NodeId& to);
+  void OnApplied();
+  void Propose(const ControlCommand& command, std::function<void(bool)> done);
+  void Replace(const ServiceConfiguration& configuration,
+               const std::string& document,
+               std::function<void(FleetApiResult)> done);
+  std::vector<NodeId> ControlNodes() const;
+  bool Leads() const;
+  void ReadStoredConfiguration();
+  void FollowOffice(steady_clock::time_point now);
+  void Advance();
+  void Arm(steady_clock::time_point now);
+  void WaitForSignal();
+  MemberAdminPort AdvancingAdmin();
+  PromotionPort AdvancingPromotion();
+
+  FleetControlParts parts;
+  boost::asio::io_context control;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer timer;
+  std::optional<std::string> disk_failure;
+  std::unique_ptr<FleetPeers> peers;
+  ControlReplica replica;
+  std::unique_ptr<FleetControl> fleet;
+  std::uint64_t parsed_version = 0;
+  bool in_office = false;
+  std::uint64_t office_term = 0;
+  bool advancing = false;
+  NodeId reported_leader;
+  steady_clock::time_point next_silence_check;
+  std::shared_ptr<HttpServer> http;
+};
+
+FleetControlProgram::Impl::Impl(FleetControlParts program_parts)
+    : parts(std::move(program_parts)),
+      signals(this->control, SIGTERM, SIGINT, SIGHUP),
+      timer(this->control),
+      replica(ReplicaSettings(this->parts.settings), this->ReplicaHooks()) {
+  this->peers = std::make_unique<FleetPeers>(
+      this->parts.settings.node, this->control, this->parts.hybrid,
+      this->parts.events, [this](const NodeId& from, const PeerBody& body) {
+        this->OnMessage(from, body);
+      });
+  this->fleet = std::make_unique<FleetControl>(
+      this->replica.State(), this->parts.settings.node.address,
+      this->FleetHooks());
+  this->http = std::make_shared<HttpServer>(
+      std::vector<HttpServer::Thread>{
+          {&this->control, this->parts.adapters.make_api(this->Api())}},
+      this->parts.settings.listen, HttpLimits{kMostBody, kMostConnections});
+}
+
+ControlReplicaHooks FleetControlProgram::Impl::ReplicaHooks() {
+  ControlReplicaHooks hooks;
+  hooks.send = [this](const NodeId& to, const PeerBody& body) {
+    if (this->peers) this->peers->Send(to, body);
+  };
+  hooks.applied = [this](steady_clock::time_point, const ControlCommand&,
+                         const ControlOutcome&) { this->OnApplied(); };
+  hooks.failed = [this](const std::string& reason) {
+    this->disk_failure = reason;
+    this->control.stop();
+  };
+  hooks.now = this->parts.hybrid.clock.now;
+  return hooks;
+}
+
+MemberAdminPort FleetControlProgram::Impl::AdvancingAdmin() {
+  MemberAdminPort admin = this->parts.adapters.make_admin(this->control);
+  return MemberAdminPort{[this, admin](const LinkTarget& target,
+                                       const MemberRequest& request,
+                                       milliseconds limit,
+                                       MemberAdminPort::Done done) {
+    admin.ask(target, request, limit,
+              [this, done = std::move(done)](const AdminAnswer& answer) {
+                done(answer);
+                this->Advance();
+              });
+  }};
+}
+
+PromotionPort FleetControlProgram::Impl::AdvancingPromotion() {
+  PromotionPort promotion = this->parts.adapters.make_promotion(this->control);
+  return PromotionPort{
+      [this, promotion](const PromotionCall& call,
+                        std::function<bool()> allowed,
+                        std::function<void(PromotionResult)> done) {
+        promotion.promote(call, std::move(allowed),
+                          [this, done = std::move(done)](
+                              PromotionResult result) {
+                            done(result);
+                            this->Advance();
+                          });
+      }};
+}
+
+FleetControlHooks FleetControlProgram::Impl::FleetHooks() {
+  FleetControlHooks hooks;
+  hooks.update = [this](const NodeId& to, const ProxyUpdate& update) {
+    this->peers->Send(to, update);
+  };
+  hooks.recall = [this](const NodeId& to, const LeaseRecall& recall) {
+    this->parts.events.record(
+        Event{EventCode::kLeaseRecalled,
+              EventLevel::kInfo,
+              {{"database", recall.database.Value()},
+               {"before_term", std::to_string(recall.before_term)},
+               {"holder", to.Value()}}});
+    this->peers->Send(to, recall);
+  };
+  hooks.redial = [this](const NodeId& node) { this->peers->Redial(node); };
+  hooks.propose = [this](const ControlCommand& command,
+                         std::function<void(bool)> done) {
+    this->Propose(command, std::move(done));
+  };
+  hooks.control_nodes = [this] { return this->ControlNodes(); };
+  hooks.revision = [this] { return this->replica.State().LastIndex(); };
+  hooks.leads = [this] { return this->Leads(); };
+  hooks.fence = [this] { return this->replica.CurrentLeadership().term; };
+  hooks.now = this->parts.hybrid.clock.now;
+  hooks.admin = this->AdvancingAdmin();
+  hooks.promotion = this->AdvancingPromotion();
+  hooks.events = this->parts.events;
+  return hooks;
+}
+
+bool FleetControlProgram::Impl::Leads() const {
+  return this->in_office && this->replica.Serving();
+}
+
+std::vector<NodeId> FleetControlProgram::Impl::ControlNodes() const {
+  std::vector<NodeId> nodes;
+  for (const ControlMember& member : this->replica.Configuration().members) {
+    nodes.push_back(member.node);
+  }
+  return nodes;
+}
+
+/** A proposal may be applied before it returns; what follows from it waits
+ * for the end of the input, as Advance is posted. */
+void FleetControlProgram::Impl::Propose(const ControlCommand& command,
+                                        std::function<void(bool)> done) {
+  this->replica.Propose(
+      command,
+      [done = std::move(done)](const std::optional<ControlOutcome>& outcome) {
+        done(outcome.has_value());
+      });
+}
+
+void FleetControlProgram::Impl::OnApplied() {
+  if (this->fleet) this->fleet->OnApplied(this->parts.hybrid.clock.now());
+}
+
+void FleetControlProgram::Impl::ReadStoredConfiguration() {
+  const ConfigurationSubmission& stored = this->replica.State().Services();
+  if (stored.version == this->parsed_version) return;
+  this->fleet->SetConfiguration(this->parts.adapters.parse(stored.document));
+  this->parsed_version = stored.version;
+}
+
+FleetApiPort FleetControlProgram::Impl::Api() {
+  FleetApiPort api;
+  api.leader = [this] {
+    const Leadership known = this->replica.CurrentLeadership();
+    if (this->Leads()) return FleetLeader{true};
+    return FleetLeader{false, known.self ? NodeId() : known.node};
+  };
+  api.replace = [this](const ServiceConfiguration& configuration,
+                       const std::string& document,
+                       std::function<void(FleetApiResult)> done) {
+    this->Replace(configuration, document, std::move(done));
+  };
+  api.fetch = [this]() -> std::optional<std::string> {
+    const ConfigurationSubmission& stored = this->replica.State().Services();
+    if (stored.version == 0) return std::nullopt;
+    return stored.document;
+  };
+  api.announce = [this](const MemberAnnouncement& announcement,
+                        std::function<void(FleetApiResult)> done) {
+    this->fleet->OnAnnouncement(
+        this->parts.hybrid.clock.now(), announcement,
+        [done = std::move(done)](AnnouncementVerdict verdict) {
+          done(verdict == AnnouncementVerdict::kAccepted
+                   ? FleetApiResult::kDone
+               : verdict == AnnouncementVerdict::kOutdated
+                   ? FleetApiResult::kOutdated
+                   : FleetApiResult::kUnknown);
+        });
+    this->Advance();
+  };
+  api.farewell = [this](const MemberId& member,
+                        std::function<void(FleetApiResult)> done) {
+    this->fleet->OnFarewell(
+        this->parts.hybrid.clock.now(), member,
+        [done = std::move(done)](AnnouncementVerdict verdict) {
+          done(verdict == AnnouncementVerdict::kAccepted
+                   ? FleetApiResult::kDone
+                   : FleetApiResult::kUnknown);
+        });
+    this->Advance();
+  };
+  api.refused = [this](const std::string& what, const std::string& reason) {
+    this->parts.events.record(Event{EventCode::kConfigurationRefused,
+                                    EventLevel::kWarning,
+                                    {{"what", what}, {"reason", reason}}});
+  };
+  return api;
+}
+
+void FleetControlProgram::Impl::Replace(
+    const ServiceConfiguration& configuration, const std::string& document,
+    std::function<void(FleetApiResult)> done) {
+  if (configuration.version <= this->replica.State().Services().version) {
+    // What is stored may be superseded elsewhere, but never by a lower one.
+    done(this->Leads() ? FleetApiResult::kDone : FleetApiResult::kUnknown);
+    return;
+  }
+  const auto finish =
+      std::make_shared<std::function<void(FleetApiResult)>>(std::move(done));
+  const auto once = [finish](FleetApiResult result) {
+    const auto answer = std::exchange(*finish, nullptr);
+    if (answer) answer(result);
+  };
+  const auto limit =
+      std::make_shared<boost::asio::steady_timer>(this->control, kOrderLimit);
+  limit->async_wait([once, limit](boost::system::error_code error) {
+    if (!error) once(FleetApiResult::kUnknown);
+  });
+  const std::uint64_t version = configuration.version;
+  this->Propose(
+      ControlCommand{ConfigurationSubmission{version, document}},
+      [this, once, limit, version](bool applied) {
+        limit->cancel();
+        this->parts.events.record(
+            Event{EventCode::kConfigurationReplaced,
+                  EventLevel::kInfo,
+                  {{"version", std::to_string(version)},
+                   {"outcome", applied ? "stored" : "unknown"}}});
+        once(applied ? FleetApiResult::kDone : FleetApiResult::kUnknown);
+      });
+  this->Advance();
+}
+
+void FleetControlProgram::Impl::OnMessage(const NodeId& from,
+                                          const PeerBody& body) {
+  const auto now = this->parts.hybrid.clock.now();
+  if (this->replica.OnMessage(from, body)) {
+    this->Advance();
+    return;
+  }
+  if (!this->Leads()) {
+    this->Redirect(from);
+    return;
+  }
+  if (const auto* report = std::get_if<ProxyReport>(&body)) {
+    this->fleet->OnReport(now, from, *report);
+  } else if (const auto* recalled = std::get_if<LeaseRecalled>(&body)) {
+    this->fleet->OnRecalled(now, from, *recalled);
+  }
+  this->Advance();
+}
+
+void FleetControlProgram::Impl::Redirect(const NodeId& to) {
+  const Leadership known = this->replica.CurrentLeadership();
+  if (known.self || known.node.Empty()) return;
+  this->peers->Send(to, ControlRedirect{known.node, "", known.term});
+}
+
+void FleetControlProgram::Impl::FollowOffice(steady_clock::time_point now) {
+  const Leadership known = this->replica.CurrentLeadership();
+  const bool lost = this->in_office &&
+                    (!known.self || known.term != this->office_term);
+  if (lost) {
+    this->in_office = false;
+    this->fleet->OnLeadership(now, false);
+  }
+  // A pause of the log's lease is no change of office: the term is the same.
+  if (!this->in_office && this->replica.Serving()) {
+    this->in_office = true;
+    this->office_term = known.term;
+    this->ReadStoredConfiguration();
+    this->fleet->OnLeadership(now, true);
+  }
+  const NodeId leader = known.node;
+  if (leader == this->reported_leader) return;
+  this->reported_leader = leader;
+  this->parts.events.record(
+      Event{EventCode::kControlLeaderChanged,
+            EventLevel::kInfo,
+            {{"leader", leader.Value()},
+             {"term", std::to_string(known.term)},
+             {"self", known.self ? "yes" : "no"}}});
+}
+
+void FleetControlProgram::Impl::Advance() {
+  if (this->advancing) return;
+  this->advancing = true;
+  const auto now = this->parts.hybrid.clock.now();
+  this->FollowOffice(now);
+  this->ReadStoredConfiguration();
+  if (this->Leads()) this->fleet->OnTick(now);
+  this->Arm(now);
+  this->advancing = false;
+}
+
+void FleetControlProgram::Impl::Arm(steady_clock::time_point now) {
+  auto next = std::min(this->replica.NextWakeup(), this->next_silence_check);
+  if (this->Leads()) {
+    const auto due = this->fleet->NextWakeup();
+    if (due) next = std::min(next, *due);
+  }
+  WaitUntil(this->timer, now, next);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->replica.OnTick();
+    const auto present = this->parts.hybrid.clock.now();
+    if (present >= this->next_silence_check) {
+      this->next_silence_check = present + kSilenceCheck;
+      this->peers->RedialSilent();
+    }
+    this->Advance();
+  });
+}
+
+void FleetControlProgram::Impl::WaitForSignal() {
+  this->signals.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    if (signal != SIGHUP) {
+      this->parts.events.record(Event{EventCode::kProcessStopping});
+      this->control.stop();
+      return;
+    }
+    try {
+      this->parts.reload();
+      this->parts.events.record(Event{EventCode::kSettingsReloaded});
+    } catch (const UserError& wrong) {
+      this->parts.events.record(
+          Event{EventCode::kSettingsReloaded,
+                EventLevel::kError,
+                {{"kept", "the settings before"}, {"reason", wrong.what()}}});
+    }
+    this->WaitForSignal();
+  });
+}
+
+void FleetControlProgram::Impl::Run() {
+  this->parts.events.record(
+      Event{EventCode::kListening,
+            EventLevel::kInfo,
+            {{"operators", this->parts.settings.listen.host + ":" +
+                               std::to_string(this->http->Port())}}});
+  this->WaitForSignal();
+  boost::asio::post(this->control, [this] {
+    this->http->Start();
+    this->Advance();
+  });
+  RunIoContext(this->control, this->parts.events);
+  if (this->disk_failure) throw StorageError(*this->disk_failure);
+}
+
+FleetControlProgram::FleetControlProgram(FleetControlParts parts)
+    : impl(std::make_unique<Impl>(std::move(parts))) {}
+
+FleetControlProgram::~FleetControlProgram() = default;
+
+void FleetControlProgram::Run() { this->impl->Run(); }
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/app/session_front.h
@@ -0,0 +1,48 @@
+#ifndef LACEWINGFERRY_APP_SESSION_FRONT_H_
+#define LACEWINGFERRY_APP_SESSION_FRONT_H_
+
+// Defines SessionFront, the adapter of clients' sessions and of connections to
+// members, as a proxy's traffic thread sees it.
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lacewingferry/core/client_statement.h"
+#include "lacewingferry/core/member_request.h"
+#include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/decisions/gateway/gateway.h"
+
+namespace lacewingferry {
+
+/** What the front reports, on the traffic thread. */
+struct SessionFrontHooks {
+  std::function<Admission(ClientId, const std::string& host)> open;
+  std::function<void(ClientId, const ClientStatement&)> statement;
+  std::function<void(ClientId)> client_gone;
+  std::function<void(LinkId, const std::optional<LogPosition>&)> link_opened;
+  std::function<void(LinkId)> link_lost;
+  std::function<void(LinkId, const MemberReply&)> link_reply;
+};
+
+/** What the front does, on the traffic thread. */
+struct SessionFront {
+  std::function<void(ClientId, const ClientReply&)> reply;
+  std::function<void(ClientId)> close_client;
+  std::function<void(LinkId, const LinkTarget&)> open_link;
+  std::function<void(LinkId, const std::vector<MemberRequest>&)> send;
+  std::function<void(LinkId)> close_link;
+  /** Takes no more connections of clients. */
+  std::function<void()> stop_accepting;
+};
+
+/** Makes a front that listens at an address. Throws UserError if it can't. */
+using MakeSessionFront = std::function<SessionFront(
+    boost::asio::io_context& traffic, const Endpoint& listen,
+    SessionFrontHooks hooks)>;
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_APP_SESSION_FRONT_H_
--- /dev/null
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -0,0 +1,172 @@
+#include "lacewingferry/app/session_traffic.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <utility>
+
+#include "lacewingferry/app/run_io_context.h"
+#include "lacewingferry/app/wait_until.h"
+
+namespace lacewingferry {
+
+using std::chrono::steady_clock;
+
+SessionTraffic::SessionTraffic(SessionTrafficParts traffic_parts)
+    : parts(std::move(traffic_parts)),
+      work(boost::asio::make_work_guard(this->io)),
+      timer(this->io),
+      armed_for(steady_clock::time_point::max()),
+      gateway(std::make_unique<Gateway>(this->MakeGatewayHooks(),
+                                        this->parts.settings)),
+      front(this->parts.make_front(this->io, this->parts.listen,
+                                   this->FrontHooks())) {}
+
+SessionTraffic::~SessionTraffic() { this->Stop(); }
+
+void SessionTraffic::Start() {
+  this->thread = std::thread(
+      [this] { RunIoContext(this->io, this->parts.events); });
+}
+
+void SessionTraffic::Stop() {
+  this->io.stop();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+GatewayHooks SessionTraffic::MakeGatewayHooks() {
+  GatewayHooks hooks;
+  hooks.reply = [this](ClientId client, const ClientReply& reply) {
+    this->front.reply(client, reply);
+  };
+  hooks.close_client = [this](ClientId client) {
+    this->front.close_client(client);
+  };
+  hooks.open_link = [this](LinkId link, const LinkTarget& target) {
+    this->front.open_link(link, target);
+  };
+  hooks.send = [this](LinkId link, const std::vector<MemberRequest>& requests) {
+    this->front.send(link, requests);
+  };
+  hooks.close_link = [this](LinkId link) { this->front.close_link(link); };
+  hooks.recalled = this->parts.recalled;
+  hooks.events = this->parts.events;
+  return hooks;
+}
+
+SessionFrontHooks SessionTraffic::FrontHooks() {
+  SessionFrontHooks hooks;
+  hooks.open = [this](ClientId client, const std::string& host) {
+    const Admission admission = this->gateway->Open(client, host);
+    this->session_count = this->gateway->SessionCount();
+    return admission;
+  };
+  hooks.statement = [this](ClientId client, const ClientStatement& statement) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->OnStatement(now, client, statement);
+    });
+  };
+  hooks.client_gone = [this](ClientId client) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->OnClientGone(now, client);
+    });
+  };
+  hooks.link_opened = [this](LinkId link,
+                             const std::optional<LogPosition>& position) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->OnLinkOpened(now, link, position);
+    });
+  };
+  hooks.link_lost = [this](LinkId link) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->OnLinkLost(now, link);
+    });
+  };
+  hooks.link_reply = [this](LinkId link, const MemberReply& reply) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->OnReply(now, link, reply);
+    });
+  };
+  return hooks;
+}
+
+template <typename Action>
+void SessionTraffic::Handle(Action action) {
+  action(this->parts.clock.now());
+  this->session_count = this->gateway->SessionCount();
+  this->Arm();
+}
+
+template <typename Action>
+void SessionTraffic::Post(Action action) {
+  boost::asio::post(this->io, [this, action = std::move(action)] {
+    this->Handle(action);
+  });
+}
+
+/** Sets the timer only when something is due before it would fire. */
+void SessionTraffic::Arm() {
+  const auto now = this->parts.clock.now();
+  const auto next = this->gateway->NextWakeup(now);
+  if (!next || *next >= this->armed_for) return;
+  this->armed_for = *next;
+  WaitUntil(this->timer, now, *next);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    this->armed_for = steady_clock::time_point::max();
+    this->Handle([this](steady_clock::time_point present) {
+      this->gateway->OnTick(present);
+    });
+  });
+}
+
+void SessionTraffic::SetView(GatewayViewPtr view) {
+  this->Post([this, view = std::move(view)](steady_clock::time_point now) {
+    this->gateway->SetView(now, view);
+  });
+}
+
+void SessionTraffic::SetLease(const DatabaseId& database, std::uint64_t term,
+                              steady_clock::time_point until) {
+  this->Post([this, database, term, until](steady_clock::time_point) {
+    this->gateway->SetLease(database, term, until);
+  });
+}
+
+void SessionTraffic::OnPosition(const DatabaseId& database,
+                                steady_clock::time_point asked,
+                                const LogPosition& position) {
+  this->Post([this, database, asked, position](steady_clock::time_point) {
+    this->gateway->OnPosition(database, asked, position);
+  });
+}
+
+void SessionTraffic::Recall(const DatabaseId& database,
+                            std::uint64_t before_term,
+                            std::chrono::milliseconds patience) {
+  this->Post([this, database, before_term,
+              patience](steady_clock::time_point now) {
+    this->gateway->Recall(now, database, before_term, patience);
+  });
+}
+
+void SessionTraffic::StartDraining() {
+  this->Post([this](steady_clock::time_point now) {
+    this->gateway->StartDraining(now);
+  });
+}
+
+void SessionTraffic::EndTransactions() {
+  this->Post([this](steady_clock::time_point now) {
+    this->gateway->EndTransactions(now);
+  });
+}
+
+GatewayCounters SessionTraffic::Counters() {
+  std::promise<GatewayCounters> counted;
+  boost::asio::post(this->io, [this, &counted] {
+    counted.set_value(this->gateway->Counters());
+  });
+  return counted.get_future().get();
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "lacewingferry/app/wait_until.h"
 #include "lacewingferry/adapters/json/stored_answer_json.h"
 #include "lacewingferry/app/run_io_context.h"
 
@@ -98,7 +99,7 @@
   const auto next = this->shard.NextWakeup();
   if (!next || *next == this->armed_for) return;
   this->armed_for = *next;
-  this->timer.expires_at(*next);
+  WaitUntil(this->timer, this->hooks.clock.now(), *next);
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     this->armed_for = kNotArmed;
--- a/src/lacewingferry/core/control_command.h
+++ b/src/lacewingferry/core/control_command.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "lacewingferry/core/database_command.h"
+#include "lacewingferry/core/fleet_command.h"
 #include "lacewingferry/core/release_note.h"
 
 namespace lacewingferry {
@@ -13,7 +14,9 @@
 /** A command of the control log. Logs number the alternatives by their order:
  * add new ones at the end. */
 struct ControlCommand {
-  std::variant<NoteSubmission, DatabaseCommand> body;
+  std::variant<NoteSubmission, DatabaseCommand, ConfigurationSubmission,
+               RosterCommand>
+      body;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -30,6 +30,8 @@
       return "listening";
     case EventCode::kInternalError:
       return "internal_error";
+    case EventCode::kSettingsReloaded:
+      return "settings_reloaded";
     case EventCode::kMemberAnnounced:
       return "member_announced";
     case EventCode::kMemberLost:
@@ -44,12 +46,22 @@
       return "request_refused";
     case EventCode::kRequestUnknown:
       return "request_unknown";
+    case EventCode::kRequestServed:
+      return "request_served";
+    case EventCode::kSessionsClosed:
+      return "sessions_closed";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
       return "replica_taken_back";
     case EventCode::kPeerMessageRejected:
       return "peer_message_rejected";
+    case EventCode::kControlReached:
+      return "control_reached";
+    case EventCode::kControlLost:
+      return "control_lost";
+    case EventCode::kControlLeaderChanged:
+      return "control_leader_changed";
     case EventCode::kDatabaseAdopted:
       return "database_adopted";
     case EventCode::kPrimarySuspected:
@@ -70,12 +82,22 @@
       return "member_ordered";
     case EventCode::kPrimaryRouted:
       return "primary_routed";
+    case EventCode::kPromotionCalled:
+      return "promotion_called";
+    case EventCode::kLeaseRecalled:
+      return "lease_recalled";
     case EventCode::kNoteAccepted:
       return "note_accepted";
     case EventCode::kNoteRejected:
       return "note_rejected";
     case EventCode::kOperatorRefused:
       return "operator_refused";
+    case EventCode::kConfigurationReplaced:
+      return "configuration_replaced";
+    case EventCode::kConfigurationRefused:
+      return "configuration_refused";
+    case EventCode::kConfigurationInForce:
+      return "configuration_in_force";
   }
   throw InternalError("event code without a name");
 }
--- /dev/null
+++ b/src/lacewingferry/core/fleet_settings.h
@@ -0,0 +1,65 @@
+#ifndef LACEWINGFERRY_CORE_FLEET_SETTINGS_H_
+#define LACEWINGFERRY_CORE_FLEET_SETTINGS_H_
+
+// Defines the settings of the programs that serve sessions: the proxy of
+// sessions and the control process of its fleet.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/routing_view.h"
+#include "lacewingferry/core/settings.h"
+
+namespace lacewingferry {
+
+/** What both programs are told of themselves and of their fleet. */
+struct FleetNodeSettings {
+  /** The name in logs. */
+  std::string name;
+  /** This machine's address; it also identifies the process to others. */
+  NodeId address;
+  AvailabilityZone zone;
+  /** The region of each availability zone. */
+  std::map<AvailabilityZone, std::string> regions;
+  /** The port at which every process of the fleet takes messages. */
+  std::uint16_t peer_port = 0;
+  /** Where metrics are served. */
+  std::uint16_t metrics_port = 0;
+  /** Processes of control to meet first. */
+  std::vector<NodeId> control;
+  LogSettings log;
+};
+
+/** The settings of a proxy of sessions. */
+struct SessionProxySettings {
+  FleetNodeSettings node;
+  /** Where clients connect. */
+  Endpoint listen;
+  /** Where the balancer asks whether this proxy takes connections. */
+  Endpoint readiness;
+  /** How long a planned stop may take. */
+  std::chrono::milliseconds stop_limit{5000};
+};
+
+/** The settings of a control process of the fleet. */
+struct FleetControlProgramSettings {
+  FleetNodeSettings node;
+  /** Where operators and members connect. */
+  Endpoint listen;
+  std::string data_folder;
+  /** Whether this is the very first start of the fleet, on empty disks. */
+  bool founding = false;
+  /** How many VMs with a disk may be lost at the same time. */
+  std::uint64_t tolerated_losses = 1;
+  /** Where promotions are asked for. */
+  Endpoint promotion;
+  std::chrono::milliseconds stop_limit{5000};
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_CORE_FLEET_SETTINGS_H_
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -12,6 +12,7 @@
 #include "lacewingferry/core/messages/configuration_messages.h"
 #include "lacewingferry/core/messages/consensus_messages.h"
 #include "lacewingferry/core/messages/failover_messages.h"
+#include "lacewingferry/core/messages/fleet_messages.h"
 #include "lacewingferry/core/messages/forward_messages.h"
 #include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
@@ -31,7 +32,8 @@
     ConfigurationReport, MembershipDelta, MembershipAck, MemberHeard,
     MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
     MembershipBuckets, MembershipVersions, MembershipPull, PositionProbe,
-    PositionSample, SeatClaim, SeatGrant>;
+    PositionSample, SeatClaim, SeatGrant, ProxyReport, ProxyUpdate, LeaseRecall,
+    LeaseRecalled>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/core/settings.h
+++ b/src/lacewingferry/core/settings.h
@@ -24,6 +24,9 @@
 struct LogSettings {
   /** The file's path; empty for standard error. */
   std::string file;
+  /** Whether the log goes to standard output instead, without ever waiting for
+   * its reader. */
+  bool standard_output = false;
   /** The least level that is written: debug, info, warning or error. */
   std::string level = "info";
 };
--- a/src/lacewingferry/decisions/consensus/found_control_log.h
+++ b/src/lacewingferry/decisions/consensus/found_control_log.h
@@ -4,6 +4,7 @@
 // Defines how the first replica of a control log is made.
 
 #include <random>
+#include <vector>
 
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/ports/log_codec_port.h"
@@ -18,6 +19,15 @@
 VoterId FoundControlLog(const StoragePort& storage, const LogCodecPort& codec,
                         const NodeId& node, std::mt19937_64& random);
 
+/** Makes the replica on this disk one of several that found a new control log
+ * together: each is told the same founders, and all are voters from the first
+ * entry on. Does nothing on a disk that holds a log, or for a process that is
+ * no founder. A VM that lost its disk must not call it: a founder's identity
+ * follows from its node. Throws StorageError for a disk that fails. */
+void FoundControlLogTogether(const StoragePort& storage,
+                             const LogCodecPort& codec, const NodeId& self,
+                             const std::vector<NodeId>& founders);
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_CONSENSUS_FOUND_CONTROL_LOG_H_
--- a/src/lacewingferry/decisions/consensus/voter_identity.cc
+++ b/src/lacewingferry/decisions/consensus/voter_identity.cc
@@ -21,22 +21,33 @@
   return VoterId(text);
 }
 
+/** The identity on a disk; empty if there is none. */
+VoterId LoadIdentity(const StoragePort& storage, const LogCodecPort& codec) {
+  const auto records = storage.read(kIdentityFile);
+  if (records.empty()) return VoterId();
+  const LogRecord record = codec.decode(records.front());
+  if (const auto* identity = std::get_if<IdentityRecord>(&record)) {
+    return identity->voter;
+  }
+  throw StorageError("identity: holds a record of another kind");
+}
+
 }  // namespace
 
 VoterId LoadOrCreateIdentity(const StoragePort& storage,
                              const LogCodecPort& codec,
                              std::mt19937_64& random) {
-  const auto records = storage.read(kIdentityFile);
-  if (!records.empty()) {
-    const LogRecord record = codec.decode(records.front());
-    if (const auto* identity = std::get_if<IdentityRecord>(&record)) {
-      return identity->voter;
-    }
-    throw StorageError("identity: holds a record of another kind");
-  }
-  VoterId voter = RandomIdentity(random);
-  storage.replace(kIdentityFile, {codec.encode(IdentityRecord{voter})});
-  return voter;
+  const VoterId stored = LoadIdentity(storage, codec);
+  if (!stored.Empty()) return stored;
+  return StoreIdentity(storage, codec, RandomIdentity(random));
+}
+
+VoterId StoreIdentity(const StoragePort& storage, const LogCodecPort& codec,
+                      const VoterId& identity) {
+  const VoterId stored = LoadIdentity(storage, codec);
+  if (!stored.Empty()) return stored;
+  storage.replace(kIdentityFile, {codec.encode(IdentityRecord{identity})});
+  return identity;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/consensus/voter_identity.h
+++ b/src/lacewingferry/decisions/consensus/voter_identity.h
@@ -19,6 +19,11 @@
                              const LogCodecPort& codec,
                              std::mt19937_64& random);
 
+/** Stores an identity on a disk that has none. Returns the one that the disk
+ * holds. Throws StorageError. */
+VoterId StoreIdentity(const StoragePort& storage, const LogCodecPort& codec,
+                      const VoterId& identity);
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_CONSENSUS_VOTER_IDENTITY_H_
--- /dev/null
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -0,0 +1,418 @@
+#include "lacewingferry/decisions/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "lacewingferry/decisions/gateway/statement_record.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/** A client that sends more statements without reading answers is malformed;
+ * see Gateway::OnStatement. */
+constexpr std::size_t kMostQueued = 64;
+/** How often idle transactions and empty pools are looked at. */
+constexpr milliseconds kSweepInterval{250};
+
+ClientReply Failure(StatementError error, const char* text) {
+  ClientReply reply;
+  reply.error = error;
+  reply.error_text = text;
+  return reply;
+}
+
+bool Begins(const ClientStatement& statement) {
+  return statement.kind == StatementKind::kBegin ||
+         statement.kind == StatementKind::kBeginReadOnly;
+}
+
+bool Ends(const ClientStatement& statement) {
+  return statement.kind == StatementKind::kCommit ||
+         statement.kind == StatementKind::kRollback;
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewayHooks gateway_hooks, GatewaySettings gateway_settings)
+    : hooks(std::move(gateway_hooks)), settings(std::move(gateway_settings)) {}
+
+GroupTraffic* Gateway::Group(const DatabaseId& database) {
+  const auto found = this->groups.find(database);
+  return found == this->groups.end() ? nullptr : found->second.get();
+}
+
+GroupTraffic& Gateway::GroupFor(const DatabaseId& database) {
+  auto& group = this->groups[database];
+  if (group) return *group;
+  GroupTrafficHooks group_hooks;
+  group_hooks.ended = [this](steady_clock::time_point now, const RunPtr& run,
+                             ClientReply reply) {
+    this->OnEnded(now, run, std::move(reply));
+  };
+  group_hooks.transaction_lost = [this](steady_clock::time_point now,
+                                        ClientId client) {
+    this->OnTransactionLost(now, client);
+  };
+  group_hooks.next_link = [this] { return ++this->last_link; };
+  group = std::make_unique<GroupTraffic>(database, this->hooks, this->settings,
+                                         std::move(group_hooks));
+  return *group;
+}
+
+GroupTraffic* Gateway::OwnerOf(LinkId link) {
+  for (const auto& item : this->groups) {
+    if (item.second->Owns(link)) return item.second.get();
+  }
+  return nullptr;
+}
+
+void Gateway::SetView(steady_clock::time_point now, GatewayViewPtr next) {
+  this->view = std::move(next);
+  for (const auto& [database, group] : this->view->groups) {
+    this->GroupFor(database).SetView(now, group);
+  }
+}
+
+void Gateway::SetLease(const DatabaseId& database, std::uint64_t term,
+                       steady_clock::time_point until) {
+  this->GroupFor(database).SetLease(term, until);
+}
+
+void Gateway::OnPosition(const DatabaseId& database,
+                         steady_clock::time_point asked,
+                         const LogPosition& position) {
+  this->GroupFor(database).OnPosition(asked, position);
+}
+
+void Gateway::Recall(steady_clock::time_point now, const DatabaseId& database,
+                     std::uint64_t before_term, milliseconds patience) {
+  this->GroupFor(database).Recall(now, before_term, patience);
+}
+
+Admission Gateway::Open(ClientId client, const std::string& host) {
+  if (!this->view) return Admission::kStarting;
+  if (this->view->configuration.FindRoute(host) == nullptr) {
+    return Admission::kNoDatabase;
+  }
+  const auto session = std::make_shared<ClientSession>();
+  session->id = client;
+  session->host = host;
+  this->sessions[client] = session;
+  ++this->counters.sessions_opened;
+  return Admission::kAccepted;
+}
+
+void Gateway::OnStatement(steady_clock::time_point now, ClientId client,
+                          const ClientStatement& statement) {
+  const auto found = this->sessions.find(client);
+  if (found == this->sessions.end()) return;
+  const SessionPtr session = found->second;
+  if (session->running == nullptr) {
+    this->Serve(now, session, statement);
+    return;
+  }
+  if (session->queued.size() < kMostQueued) {
+    session->queued.push_back(statement);
+    return;
+  }
+  this->OnClientGone(now, client);
+  this->hooks.close_client(client);
+}
+
+void Gateway::Serve(steady_clock::time_point now, const SessionPtr& session,
+                    const ClientStatement& statement) {
+  if (session->transaction == TransactionState::kFailed &&
+      this->ServeInFailed(now, session, statement)) {
+    return;
+  }
+  if (!this->FitsTransaction(*session, statement)) {
+    this->Answer(now, session,
+                 Failure(StatementError::kMalformed,
+                         "the statement doesn't fit the transaction"));
+    return;
+  }
+  if (statement.kind == StatementKind::kRollback) {
+    this->Rollback(now, session);
+    return;
+  }
+  const auto local = session->state->ServeLocally(statement);
+  if (local) {
+    this->Answer(now, session, *local);
+    return;
+  }
+  this->Run(now, session, statement);
+}
+
+/** In a failed transaction only its end is served. */
+bool Gateway::ServeInFailed(steady_clock::time_point now,
+                            const SessionPtr& session,
+                            const ClientStatement& statement) {
+  if (!Ends(statement)) {
+    const bool told = !std::exchange(session->lost, false);
+    this->Answer(now, session,
+                 told ? Failure(StatementError::kMalformed,
+                                "the transaction has failed")
+                      : Failure(StatementError::kAborted,
+                                "the transaction was rolled back"));
+    return true;
+  }
+  session->lost = false;
+  session->transaction = TransactionState::kIdle;
+  if (statement.kind == StatementKind::kRollback) {
+    this->Answer(now, session, ClientReply());
+  } else {
+    this->Answer(now, session,
+                 Failure(StatementError::kAborted,
+                         "the transaction was rolled back"));
+  }
+  return true;
+}
+
+bool Gateway::FitsTransaction(const ClientSession& session,
+                              const ClientStatement& statement) const {
+  const bool open = session.transaction == TransactionState::kOpen;
+  if (Begins(statement)) return !open;
+  if (Ends(statement)) return open;
+  return true;
+}
+
+void Gateway::Rollback(steady_clock::time_point now,
+                       const SessionPtr& session) {
+  session->transaction = TransactionState::kIdle;
+  this->GroupFor(session->transaction_database)
+      .EndTransaction(now, session->id);
+  this->Answer(now, session, ClientReply());
+}
+
+void Gateway::Run(steady_clock::time_point now, const SessionPtr& session,
+                  const ClientStatement& statement) {
+  const bool open = session->transaction == TransactionState::kOpen;
+  if (!open) {
+    const Route* route = this->view->configuration.FindRoute(session->host);
+    if (route == nullptr) {
+      this->Answer(now, session,
+                   Failure(StatementError::kNoDatabase,
+                           "no route has this database name any more"));
+      return;
+    }
+    session->route = *route;
+  }
+  const RunPtr run = this->MakeRun(now, session, statement);
+  session->running = run;
+  if (Begins(statement)) {
+    session->transaction_writes = statement.kind == StatementKind::kBegin;
+    session->transaction_wrote = false;
+    session->transaction_database = session->route.database;
+  }
+  if (open && run->writes && !run->commits) session->transaction_wrote = true;
+  this->GroupFor(session->route.database).Submit(now, run);
+}
+
+RunPtr Gateway::MakeRun(steady_clock::time_point now, const SessionPtr& session,
+                        const ClientStatement& statement) const {
+  const auto run = std::make_shared<StatementRun>();
+  const Route& route = session->route;
+  run->client = session->id;
+  run->statement = statement;
+  run->timeout = route.statement_timeout;
+  run->latency_objective = route.latency_objective;
+  run->max_staleness = route.max_staleness;
+  run->consistency = route.consistency;
+  run->priority = route.priority;
+  run->session = session->state;
+  const auto committed = session->committed.find(route.database);
+  if (committed != session->committed.end()) {
+    run->session_position = committed->second;
+  }
+  run->arrived = now;
+  run->deadline = now + route.statement_timeout;
+  run->wait_limit = std::min(
+      run->deadline,
+      now + route.latency_objective / this->settings.wait_divisor);
+  run->in_transaction = session->transaction == TransactionState::kOpen;
+  run->transaction_wrote = session->transaction_wrote;
+  const bool executes_write =
+      statement.kind == StatementKind::kExecute &&
+      session->state->FindPrepared(statement)->writes;
+  const bool commits_writes = statement.kind == StatementKind::kCommit &&
+                              session->transaction_wrote;
+  run->writes = statement.kind == StatementKind::kWrite || executes_write ||
+                commits_writes;
+  run->commits =
+      commits_writes || (run->writes && !run->in_transaction);
+  return run;
+}
+
+void Gateway::OnEnded(steady_clock::time_point now, const RunPtr& run,
+                      ClientReply reply) {
+  this->Count(run, reply);
+  this->Record(now, run, reply);
+  const auto found = this->sessions.find(run->client);
+  if (found == this->sessions.end()) return;
+  const SessionPtr session = found->second;
+  session->running.reset();
+  this->FollowTransaction(now, session, run, reply);
+  this->Answer(now, session, reply);
+}
+
+/** Brings the session's transaction to where the statement left it. */
+void Gateway::FollowTransaction(steady_clock::time_point now,
+                                const SessionPtr& session, const RunPtr& run,
+                                const ClientReply& reply) {
+  session->transaction = reply.state;
+  session->rests_since = now;
+  if (run->commits && !reply.error && reply.position) {
+    LogPosition& committed = session->committed[session->route.database];
+    committed = std::max(committed, *reply.position);
+  }
+  if (reply.error && run->in_transaction) {
+    this->GroupFor(session->route.database).EndTransaction(now, session->id);
+  }
+}
+
+void Gateway::OnTransactionLost(steady_clock::time_point /*now*/,
+                                ClientId client) {
+  const auto found = this->sessions.find(client);
+  if (found == this->sessions.end()) return;
+  if (found->second->transaction == TransactionState::kOpen) {
+    found->second->transaction = TransactionState::kFailed;
+    found->second->lost = true;
+  }
+}
+
+void Gateway::Answer(steady_clock::time_point now, const SessionPtr& session,
+                     const ClientReply& reply) {
+  ClientReply answer = reply;
+  answer.state = session->transaction;
+  this->hooks.reply(session->id, answer);
+  if (session->running == nullptr && !session->queued.empty()) {
+    const ClientStatement next = std::move(session->queued.front());
+    session->queued.pop_front();
+    this->Serve(now, session, next);
+    return;
+  }
+  const bool rests = session->running == nullptr &&
+                     session->transaction == TransactionState::kIdle;
+  if (this->draining && rests) {
+    this->sessions.erase(session->id);
+    this->hooks.close_client(session->id);
+  }
+}
+
+void Gateway::OnClientGone(steady_clock::time_point now, ClientId client) {
+  const auto found = this->sessions.find(client);
+  if (found == this->sessions.end()) return;
+  const SessionPtr session = found->second;
+  this->sessions.erase(found);
+  const bool involved = session->running != nullptr ||
+                        session->transaction == TransactionState::kOpen;
+  if (!involved) return;
+  this->GroupFor(session->route.database).Abandon(now, client);
+}
+
+void Gateway::OnLinkOpened(steady_clock::time_point now, LinkId link,
+                           const std::optional<LogPosition>& position) {
+  GroupTraffic* group = this->OwnerOf(link);
+  if (group != nullptr) group->OnLinkOpened(now, link, position);
+}
+
+void Gateway::OnLinkLost(steady_clock::time_point now, LinkId link) {
+  GroupTraffic* group = this->OwnerOf(link);
+  if (group != nullptr) group->OnLinkLost(now, link);
+}
+
+void Gateway::OnReply(steady_clock::time_point now, LinkId link,
+                      const MemberReply& reply) {
+  GroupTraffic* group = this->OwnerOf(link);
+  if (group != nullptr) group->OnReply(now, link, reply);
+}
+
+void Gateway::OnTick(steady_clock::time_point now) {
+  for (const auto& item : this->groups) item.second->OnTick(now);
+  this->EndIdleTransactions(now);
+}
+
+void Gateway::EndIdleTransactions(steady_clock::time_point now) {
+  if (!this->view) return;
+  const milliseconds limit = this->view->configuration.transaction_idle;
+  if (limit.count() == 0) return;
+  for (const auto& item : this->sessions) {
+    ClientSession& session = *item.second;
+    const bool rests = session.transaction == TransactionState::kOpen &&
+                       session.running == nullptr;
+    if (!rests || now - session.rests_since <= limit) continue;
+    this->GroupFor(session.transaction_database)
+        .EndTransaction(now, session.id);
+    session.transaction = TransactionState::kFailed;
+    session.lost = true;
+  }
+}
+
+std::optional<steady_clock::time_point> Gateway::NextWakeup(
+    steady_clock::time_point now) const {
+  std::optional<steady_clock::time_point> next = now + kSweepInterval;
+  for (const auto& item : this->groups) {
+    const auto due = item.second->NextWakeup(now);
+    if (due) next = std::min(*next, *due);
+  }
+  return next;
+}
+
+void Gateway::StartDraining(steady_clock::time_point /*now*/) {
+  this->draining = true;
+  std::vector<ClientId> resting;
+  for (const auto& [id, session] : this->sessions) {
+    const bool rests = session->running == nullptr &&
+                       session->transaction == TransactionState::kIdle;
+    if (rests) resting.push_back(id);
+  }
+  for (const ClientId id : resting) {
+    this->sessions.erase(id);
+    this->hooks.close_client(id);
+  }
+  this->hooks.events.record(
+      Event{EventCode::kSessionsClosed,
+            EventLevel::kInfo,
+            {{"closed", std::to_string(resting.size())},
+             {"left", std::to_string(this->sessions.size())}}});
+}
+
+void Gateway::EndTransactions(steady_clock::time_point now) {
+  for (const auto& item : this->sessions) {
+    ClientSession& session = *item.second;
+    const bool rests = session.transaction == TransactionState::kOpen &&
+                       session.running == nullptr;
+    if (!rests) continue;
+    this->GroupFor(session.transaction_database)
+        .EndTransaction(now, session.id);
+    session.transaction = TransactionState::kFailed;
+    session.lost = true;
+  }
+}
+
+void Gateway::Count(const RunPtr& run, const ClientReply& reply) {
+  if (run->attempts > 1) ++this->counters.retried;
+  if (!reply.error) {
+    ++this->counters.served;
+    if (run->least_position) ++this->counters.served_by_replica;
+  } else if (*reply.error == StatementError::kUnknown ||
+             *reply.error == StatementError::kTimeout) {
+    ++this->counters.unknown;
+  } else if (*reply.error == StatementError::kFailed) {
+    ++this->counters.failed;
+  } else {
+    ++this->counters.refused;
+  }
+}
+
+void Gateway::Record(steady_clock::time_point now, const RunPtr& run,
+                     const ClientReply& reply) {
+  const auto event = RecordOf(now, *run, reply);
+  if (event) this->hooks.events.record(*event);
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -0,0 +1,133 @@
+#ifndef LACEWINGFERRY_DECISIONS_GATEWAY_GATEWAY_H_
+#define LACEWINGFERRY_DECISIONS_GATEWAY_GATEWAY_H_
+
+// Defines Gateway, all sessions and statements of one proxy.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lacewingferry/decisions/gateway/client_session.h"
+#include "lacewingferry/decisions/gateway/gateway_hooks.h"
+#include "lacewingferry/decisions/gateway/gateway_view.h"
+#include "lacewingferry/decisions/gateway/group_traffic.h"
+
+namespace lacewingferry {
+
+/** Whether a new session is taken. */
+enum class Admission : std::uint8_t {
+  kAccepted,
+  /** No route has the name. */
+  kNoDatabase,
+  /** This proxy knows no configuration yet. */
+  kStarting,
+};
+
+/** What the gateway counts, for metrics. */
+struct GatewayCounters {
+  std::uint64_t served = 0;
+  std::uint64_t served_by_replica = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t sessions_opened = 0;
+};
+
+/**
+ * Takes statements of clients' sessions, serves those that only concern the
+ * session itself, and has the others run by the group that the session's route
+ * names. Belongs to one traffic thread.
+ */
+class Gateway {
+ public:
+  Gateway(GatewayHooks gateway_hooks, GatewaySettings gateway_settings);
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /** Takes a newer view. */
+  void SetView(std::chrono::steady_clock::time_point now, GatewayViewPtr next);
+  void SetLease(const DatabaseId& database, std::uint64_t term,
+                std::chrono::steady_clock::time_point until);
+  void OnPosition(const DatabaseId& database,
+                  std::chrono::steady_clock::time_point asked,
+                  const LogPosition& position);
+  /** Answers through GatewayHooks::recalled. */
+  void Recall(std::chrono::steady_clock::time_point now,
+              const DatabaseId& database, std::uint64_t before_term,
+              std::chrono::milliseconds patience);
+
+  Admission Open(ClientId client, const std::string& host);
+  void OnStatement(std::chrono::steady_clock::time_point now, ClientId client,
+                   const ClientStatement& statement);
+  void OnClientGone(std::chrono::steady_clock::time_point now, ClientId client);
+
+  void OnLinkOpened(std::chrono::steady_clock::time_point now, LinkId link,
+                    const std::optional<LogPosition>& position);
+  void OnLinkLost(std::chrono::steady_clock::time_point now, LinkId link);
+  void OnReply(std::chrono::steady_clock::time_point now, LinkId link,
+               const MemberReply& reply);
+
+  void OnTick(std::chrono::steady_clock::time_point now);
+  /** When OnTick has to be called next. */
+  std::optional<std::chrono::steady_clock::time_point> NextWakeup(
+      std::chrono::steady_clock::time_point now) const;
+
+  /** Ends sessions as they come to rest, from now on. */
+  void StartDraining(std::chrono::steady_clock::time_point now);
+  /** Rolls back the transactions that are still open. */
+  void EndTransactions(std::chrono::steady_clock::time_point now);
+
+  std::size_t SessionCount() const { return this->sessions.size(); }
+  const GatewayCounters& Counters() const { return this->counters; }
+
+ private:
+  using SessionPtr = std::shared_ptr<ClientSession>;
+
+  void Serve(std::chrono::steady_clock::time_point now,
+             const SessionPtr& session, const ClientStatement& statement);
+  bool ServeInFailed(std::chrono::steady_clock::time_point now,
+                     const SessionPtr& session,
+                     const ClientStatement& statement);
+  bool FitsTransaction(const ClientSession& session,
+                       const ClientStatement& statement) const;
+  void Rollback(std::chrono::steady_clock::time_point now,
+                const SessionPtr& session);
+  void Run(std::chrono::steady_clock::time_point now, const SessionPtr& session,
+           const ClientStatement& statement);
+  RunPtr MakeRun(std::chrono::steady_clock::time_point now,
+                 const SessionPtr& session,
+                 const ClientStatement& statement) const;
+  void OnEnded(std::chrono::steady_clock::time_point now, const RunPtr& run,
+               ClientReply reply);
+  void OnTransactionLost(std::chrono::steady_clock::time_point now,
+                         ClientId client);
+  void FollowTransaction(std::chrono::steady_clock::time_point now,
+                         const SessionPtr& session, const RunPtr& run,
+                         const ClientReply& reply);
+  void Answer(std::chrono::steady_clock::time_point now,
+              const SessionPtr& session, const ClientReply& reply);
+  void Count(const RunPtr& run, const ClientReply& reply);
+  void Record(std::chrono::steady_clock::time_point now, const RunPtr& run,
+              const ClientReply& reply);
+  void EndIdleTransactions(std::chrono::steady_clock::time_point now);
+  GroupTraffic* Group(const DatabaseId& database);
+  GroupTraffic& GroupFor(const DatabaseId& database);
+  GroupTraffic* OwnerOf(LinkId link);
+
+  GatewayHooks hooks;
+  GatewaySettings settings;
+  GatewayViewPtr view;
+  std::map<DatabaseId, std::unique_ptr<GroupTraffic>> groups;
+  std::map<ClientId, SessionPtr> sessions;
+  LinkId last_link = 0;
+  GatewayCounters counters;
+  bool draining = false;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -0,0 +1,112 @@
+#include "lacewingferry/decisions/gateway/session_state.h"
+
+#include <algorithm>
+
+namespace lacewingferry {
+namespace {
+
+/** A connection with more prepared statements is reset before its next use. */
+constexpr std::size_t kMostPrepared = 512;
+/** A session may hold this many values and as many prepared statements. */
+constexpr std::size_t kMostSessionEntries = 1024;
+
+ClientReply Failure(StatementError error, std::string text) {
+  ClientReply reply;
+  reply.error = error;
+  reply.error_text = std::move(text);
+  return reply;
+}
+
+}  // namespace
+
+std::string PreparedStatement::SharedName() const {
+  return (this->writes ? "w_" : "r_") + this->shape;
+}
+
+std::optional<ClientReply> SessionState::ServeLocally(
+    const ClientStatement& statement) {
+  const bool full = this->values.size() >= kMostSessionEntries ||
+                    this->prepared.size() >= kMostSessionEntries;
+  switch (statement.kind) {
+    case StatementKind::kSetValue:
+      if (full) return Failure(StatementError::kTooLarge, "too many values");
+      this->values[statement.name] = statement.argument;
+      return ClientReply();
+    case StatementKind::kPrepare:
+      if (full) return Failure(StatementError::kTooLarge, "too many names");
+      this->prepared[statement.name] =
+          PreparedStatement{statement.prepares_write, statement.argument};
+      return ClientReply();
+    case StatementKind::kDeallocate:
+      if (this->prepared.erase(statement.name) > 0) return ClientReply();
+      return Failure(StatementError::kUnknownPrepared, statement.name);
+    case StatementKind::kExecute:
+      if (this->FindPrepared(statement) != nullptr) return std::nullopt;
+      return Failure(StatementError::kUnknownPrepared, statement.name);
+    case StatementKind::kMalformed:
+      return Failure(StatementError::kMalformed, "not a known statement");
+    default:
+      return std::nullopt;
+  }
+}
+
+const PreparedStatement* SessionState::FindPrepared(
+    const ClientStatement& statement) const {
+  const auto found = this->prepared.find(statement.name);
+  return found == this->prepared.end() ? nullptr : &found->second;
+}
+
+std::vector<MemberRequest> LinkState::ValueRequests(
+    const SessionState& session) const {
+  std::vector<MemberRequest> requests;
+  const bool surplus = std::any_of(
+      this->values.begin(), this->values.end(), [&](const auto& value) {
+        return session.values.count(value.first) == 0;
+      });
+  const bool reset = surplus || this->prepared.size() > kMostPrepared;
+  if (reset) {
+    MemberRequest request;
+    request.kind = MemberRequestKind::kReset;
+    requests.push_back(request);
+  }
+  for (const auto& [name, value] : session.values) {
+    const auto held = this->values.find(name);
+    if (!reset && held != this->values.end() && held->second == value) continue;
+    MemberRequest request;
+    request.kind = MemberRequestKind::kSetValue;
+    request.name = name;
+    request.argument = value;
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+std::optional<MemberRequest> LinkState::PrepareRequest(
+    const PreparedStatement& statement) const {
+  if (this->prepared.count(statement.SharedName()) > 0) return std::nullopt;
+  MemberRequest request;
+  request.kind = MemberRequestKind::kPrepare;
+  request.name = statement.SharedName();
+  request.argument = statement.shape;
+  request.prepares_write = statement.writes;
+  return request;
+}
+
+void LinkState::OnDone(const MemberRequest& request) {
+  switch (request.kind) {
+    case MemberRequestKind::kReset:
+      this->values.clear();
+      this->prepared.clear();
+      return;
+    case MemberRequestKind::kSetValue:
+      this->values[request.name] = request.argument;
+      return;
+    case MemberRequestKind::kPrepare:
+      this->prepared.insert(request.name);
+      return;
+    default:
+      return;
+  }
+}
+
+}  // namespace lacewingferry
--- /dev/null
+++ b/src/lacewingferry/decisions/roster/roster.cc
@@ -0,0 +1,83 @@
+#include "lacewingferry/decisions/roster/roster.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <variant>
+
+namespace lacewingferry {
+namespace {
+
+/** What of an announcement the roster keeps apart; the sequence alone is no
+ * change. */
+auto Substance(const MemberAnnouncement& announcement) {
+  const MemberInfo& info = announcement.info;
+  return std::tie(info.database, info.zone, info.endpoint.host,
+                  info.endpoint.port, info.slots, info.leaving,
+                  announcement.incarnation);
+}
+
+bool SameAddress(const MemberAnnouncement& a, const MemberAnnouncement& b) {
+  return a.info.endpoint == b.info.endpoint;
+}
+
+}  // namespace
+
+const MemberAnnouncement* Roster::Find(const MemberId& member) const {
+  const auto found = this->members.find(member);
+  return found == this->members.end() ? nullptr : &found->second;
+}
+
+bool Roster::Changes(const MemberAnnouncement& announcement) const {
+  const MemberAnnouncement* known = this->Find(announcement.info.id);
+  return known == nullptr || Substance(*known) != Substance(announcement);
+}
+
+bool Roster::Outdated(const MemberAnnouncement& announcement) const {
+  const auto gone = this->left.find(announcement.info.id);
+  if (gone != this->left.end() && announcement.incarnation <= gone->second) {
+    return true;
+  }
+  return std::any_of(
+      this->members.begin(), this->members.end(), [&](const auto& entry) {
+        const MemberAnnouncement& known = entry.second;
+        const bool related = entry.first == announcement.info.id ||
+                             SameAddress(known, announcement);
+        return related && known.incarnation > announcement.incarnation;
+      });
+}
+
+bool Roster::Apply(const RosterCommand& command) {
+  if (const auto* enter = std::get_if<EnterMember>(&command.body)) {
+    return this->Enter(enter->member);
+  }
+  return this->Leave(std::get<LeaveMember>(command.body));
+}
+
+bool Roster::Enter(const MemberAnnouncement& announcement) {
+  if (this->Outdated(announcement)) return false;
+  const MemberAnnouncement* known = this->Find(announcement.info.id);
+  if (known != nullptr && known->incarnation == announcement.incarnation &&
+      known->sequence > announcement.sequence) {
+    return false;
+  }
+  for (auto it = this->members.begin(); it != this->members.end();) {
+    const bool displaced = it->first != announcement.info.id &&
+                           SameAddress(it->second, announcement);
+    it = displaced ? this->members.erase(it) : std::next(it);
+  }
+  this->members[announcement.info.id] = announcement;
+  return true;
+}
+
+bool Roster::Leave(const LeaveMember& leave) {
+  std::uint64_t& last = this->left[leave.member];
+  last = std::max(last, leave.incarnation);
+  const auto found = this->members.find(leave.member);
+  if (found == this->members.end()) return false;
+  if (found->second.incarnation > leave.incarnation) return false;
+  this->members.erase(found);
+  return true;
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/ports/clock.h
+++ b/src/lacewingferry/ports/clock.h
@@ -11,7 +11,9 @@
 
 /** Reads time for the parts of a program that feed the decisions. */
 struct ClockPort {
-  /** The monotonic present, for deadlines, leases and ages. */
+  /** The monotonic present, for deadlines, leases and ages. It counts the time
+   * for which the machine was suspended, so a timer of a library that doesn't
+   * is set to a length of time, never to a time of this clock. */
   std::function<std::chrono::steady_clock::time_point()> now;
   /** The calendar's present, for logs and history only. */
   std::function<std::chrono::system_clock::time_point()> wall_now;
--- a/src/lacewingferry/ports/peer_port.h
+++ b/src/lacewingferry/ports/peer_port.h
@@ -14,6 +14,9 @@
  * overtaken; send never blocks and reports no failure. */
 struct PeerPort {
   std::function<void(const std::string& peer_url, const PeerMessage&)> send;
+  /** Gives up the connection to a process, with the messages that wait for it,
+   * and opens another with the next message. */
+  std::function<void(const std::string& peer_url)> redial;
 };
 
 }  // namespace lacewingferry
