Prepare again after a reset; wait through changes that are on their way

Cause: a connection that is reset for another session's values forgets its prepared statements, and the set-up that was computed before the reset took them for there. Ruled out: a shed PREPARE (no PREPARE was refused in the log). Cause: a statement was refused after a quarter of its objective although a lease, a primary or the first configuration was on its way; the switchover asked a dead primary for its position before it paused the replicas (2.9 s from crash to promotion); control's election took 0.85 s.

--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -33,11 +33,10 @@
 
 RaftSettings RaftTimes() {
   RaftSettings raft;
-  raft.heartbeat = milliseconds(80);
-  raft.election_timeout_min = milliseconds(450);
-  raft.election_timeout_max = milliseconds(800);
-  raft.lease_margin = milliseconds(40);
-  raft.pre_vote_retry = milliseconds(100);
+  raft.heartbeat = milliseconds(70);
+  raft.election_timeout_min = milliseconds(300);
+  raft.election_timeout_max = milliseconds(450);
+  raft.lease_margin = milliseconds(30);
   raft.resend = milliseconds(250);
   raft.join_retry = milliseconds(400);
   return raft;
--- a/src/lacewingferry/app/session_front.h
+++ b/src/lacewingferry/app/session_front.h
@@ -19,7 +19,7 @@
 
 /** What the front reports, on the traffic thread. */
 struct SessionFrontHooks {
-  std::function<Admission(ClientId, const std::string& host)> open;
+  std::function<void(ClientId, const std::string& host, AdmissionHook)> open;
   std::function<void(ClientId, const ClientStatement&)> statement;
   std::function<void(ClientId)> client_gone;
   std::function<void(LinkId, const std::optional<LogPosition>&)> link_opened;
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -55,10 +55,11 @@
 
 SessionFrontHooks SessionTraffic::FrontHooks() {
   SessionFrontHooks hooks;
-  hooks.open = [this](ClientId client, const std::string& host) {
-    const Admission admission = this->gateway->Open(client, host);
-    this->session_count = this->gateway->SessionCount();
-    return admission;
+  hooks.open = [this](ClientId client, const std::string& host,
+                      AdmissionHook done) {
+    this->Handle([&](steady_clock::time_point now) {
+      this->gateway->Open(now, client, host, std::move(done));
+    });
   };
   hooks.statement = [this](ClientId client, const ClientStatement& statement) {
     this->Handle([&](steady_clock::time_point now) {
--- a/src/lacewingferry/core/settings.h
+++ b/src/lacewingferry/core/settings.h
@@ -24,11 +24,11 @@
 struct LogSettings {
   /** The file's path; empty for standard error. */
   std::string file;
+  /** The least level that is written: debug, info, warning or error. */
+  std::string level = "info";
   /** Whether the log goes to standard output instead, without ever waiting for
    * its reader. */
   bool standard_output = false;
-  /** The least level that is written: debug, info, warning or error. */
-  std::string level = "info";
 };
 
 /** The SQL by which members tell and change their state. The defaults are
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -195,8 +195,9 @@
 
 void FleetClient::OnTick(steady_clock::time_point now) {
   this->present = now;
-  const bool silent = now - this->last_answer > this->settings.answer_limit &&
-                      now - this->last_switch > this->settings.answer_limit;
+  const milliseconds limit = this->AnswerLimit();
+  const bool silent =
+      now - this->last_answer > limit && now - this->last_switch > limit;
   if (silent) this->TryNextNode(now);
   if (this->in_contact &&
       now - this->last_answer > this->settings.lost_after) {
@@ -207,15 +208,26 @@
   }
   if (now < this->next_report) return;
   const std::uint64_t before = this->sequence;
-  this->holder->OnTick(now);
+  if (this->unanswered > 1) {
+    this->holder->RenewNow(now);
+  } else {
+    this->holder->OnTick(now);
+  }
   if (this->sequence == before) this->SendReport(now, std::nullopt);
-  this->next_report = now + this->settings.report_interval;
+  this->next_report = now + (this->unanswered > 1
+                                 ? this->settings.retry_interval
+                                 : this->settings.report_interval);
+}
+
+milliseconds FleetClient::AnswerLimit() const {
+  return this->in_contact ? this->settings.answer_limit
+                          : this->settings.first_answer_limit;
 }
 
 steady_clock::time_point FleetClient::NextWakeup() const {
   return std::min(this->next_report,
                   std::max(this->last_answer, this->last_switch) +
-                      this->settings.answer_limit + milliseconds(1));
+                      this->AnswerLimit() + milliseconds(1));
 }
 
 void FleetClient::StartDraining(steady_clock::time_point now) {
--- a/src/lacewingferry/decisions/gateway/fleet_client.h
+++ b/src/lacewingferry/decisions/gateway/fleet_client.h
@@ -47,8 +47,12 @@
   AvailabilityZone zone;
   LeaseTiming lease;
   std::chrono::milliseconds report_interval{500};
+  /** Between two reports while none is answered. */
+  std::chrono::milliseconds retry_interval{120};
   /** Without an answer for this long, another process of control is asked. */
   std::chrono::milliseconds answer_limit{700};
+  /** The same before the first answer, when control may be starting too. */
+  std::chrono::milliseconds first_answer_limit{300};
   /** After this long without control, the log says so. */
   std::chrono::milliseconds lost_after{2500};
   /** A smaller number of proxies counts only after this time. */
@@ -95,6 +99,7 @@
   void MakeHolder();
   void SendReport(std::chrono::steady_clock::time_point now,
                   std::optional<LeaseRenewal> renewal);
+  std::chrono::milliseconds AnswerLimit() const;
   void TryNextNode(std::chrono::steady_clock::time_point now);
   std::vector<NodeId> KnownNodes() const;
   void TakeShare(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -75,6 +75,7 @@
   for (const auto& [database, group] : this->view->groups) {
     this->GroupFor(database).SetView(now, group);
   }
+  this->AdmitWaiting();
 }
 
 void Gateway::SetLease(const DatabaseId& database, std::uint64_t term,
@@ -93,8 +94,34 @@
   this->GroupFor(database).Recall(now, before_term, patience);
 }
 
-Admission Gateway::Open(ClientId client, const std::string& host) {
-  if (!this->view) return Admission::kStarting;
+void Gateway::Open(steady_clock::time_point now, ClientId client,
+                   const std::string& host, AdmissionHook done) {
+  if (this->view) {
+    done(this->Admit(client, host));
+    return;
+  }
+  this->openings.push_back(Opening{client, host, std::move(done),
+                                   now + this->settings.opening_limit});
+}
+
+void Gateway::AdmitWaiting() {
+  std::vector<Opening> admitted;
+  admitted.swap(this->openings);
+  for (const Opening& opening : admitted) {
+    opening.done(this->Admit(opening.client, opening.host));
+  }
+}
+
+void Gateway::RefuseLate(steady_clock::time_point now) {
+  const auto late = std::stable_partition(
+      this->openings.begin(), this->openings.end(),
+      [now](const Opening& opening) { return now < opening.limit; });
+  const std::vector<Opening> refused(late, this->openings.end());
+  this->openings.erase(late, this->openings.end());
+  for (const Opening& opening : refused) opening.done(Admission::kStarting);
+}
+
+Admission Gateway::Admit(ClientId client, const std::string& host) {
   if (this->view->configuration.FindRoute(host) == nullptr) {
     return Admission::kNoDatabase;
   }
@@ -230,9 +257,6 @@
   }
   run->arrived = now;
   run->deadline = now + route.statement_timeout;
-  run->wait_limit = std::min(
-      run->deadline,
-      now + route.latency_objective / this->settings.wait_divisor);
   run->in_transaction = session->transaction == TransactionState::kOpen;
   run->transaction_wrote = session->transaction_wrote;
   const bool executes_write =
@@ -304,6 +328,11 @@
 }
 
 void Gateway::OnClientGone(steady_clock::time_point now, ClientId client) {
+  this->openings.erase(
+      std::remove_if(
+          this->openings.begin(), this->openings.end(),
+          [client](const Opening& entry) { return entry.client == client; }),
+      this->openings.end());
   const auto found = this->sessions.find(client);
   if (found == this->sessions.end()) return;
   const SessionPtr session = found->second;
@@ -334,6 +363,7 @@
 void Gateway::OnTick(steady_clock::time_point now) {
   for (const auto& item : this->groups) item.second->OnTick(now);
   this->EndIdleTransactions(now);
+  this->RefuseLate(now);
 }
 
 void Gateway::EndIdleTransactions(steady_clock::time_point now) {
@@ -359,6 +389,9 @@
     const auto due = item.second->NextWakeup(now);
     if (due) next = std::min(*next, *due);
   }
+  for (const Opening& opening : this->openings) {
+    next = std::min(*next, opening.limit);
+  }
   return next;
 }
 
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -5,10 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lacewingferry/decisions/gateway/client_session.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
@@ -22,10 +24,13 @@
   kAccepted,
   /** No route has the name. */
   kNoDatabase,
-  /** This proxy knows no configuration yet. */
+  /** This proxy still knows no configuration. */
   kStarting,
 };
 
+/** Gets the answer to the opening of a session, once. */
+using AdmissionHook = std::function<void(Admission)>;
+
 /** What the gateway counts, for metrics. */
 struct GatewayCounters {
   std::uint64_t served = 0;
@@ -60,7 +65,10 @@
               const DatabaseId& database, std::uint64_t before_term,
               std::chrono::milliseconds patience);
 
-  Admission Open(ClientId client, const std::string& host);
+  /** Opens a session. While no configuration is known, the answer waits for
+   * one, as long as a proxy usually needs to start. */
+  void Open(std::chrono::steady_clock::time_point now, ClientId client,
+            const std::string& host, AdmissionHook done);
   void OnStatement(std::chrono::steady_clock::time_point now, ClientId client,
                    const ClientStatement& statement);
   void OnClientGone(std::chrono::steady_clock::time_point now, ClientId client);
@@ -86,6 +94,17 @@
 
  private:
   using SessionPtr = std::shared_ptr<ClientSession>;
+  /** A session that waits for the first configuration. */
+  struct Opening {
+    ClientId client = 0;
+    std::string host;
+    AdmissionHook done;
+    std::chrono::steady_clock::time_point limit;
+  };
+
+  Admission Admit(ClientId client, const std::string& host);
+  void AdmitWaiting();
+  void RefuseLate(std::chrono::steady_clock::time_point now);
 
   void Serve(std::chrono::steady_clock::time_point now,
              const SessionPtr& session, const ClientStatement& statement);
@@ -123,6 +142,7 @@
   GatewayViewPtr view;
   std::map<DatabaseId, std::unique_ptr<GroupTraffic>> groups;
   std::map<ClientId, SessionPtr> sessions;
+  std::vector<Opening> openings;
   LinkId last_link = 0;
   GatewayCounters counters;
   bool draining = false;
--- a/src/lacewingferry/decisions/gateway/gateway_hooks.h
+++ b/src/lacewingferry/decisions/gateway/gateway_hooks.h
@@ -56,9 +56,12 @@
   std::chrono::milliseconds longest_reconnect_pause{1000};
   /** The time for a connection to open. */
   std::chrono::milliseconds connect_limit{1200};
-  /** The part of a route's latency objective that a statement may wait
-   * without being sent to a member, as a divisor. */
+  /** The part of a route's latency objective that a statement may wait while
+   * all members that could serve it are busy, as a divisor. */
   int wait_divisor = 4;
+  /** How long the opening of a session may wait for the first
+   * configuration; clients give up a little later. */
+  std::chrono::milliseconds opening_limit{1700};
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -135,6 +135,7 @@
 }
 
 void GroupTraffic::Submit(steady_clock::time_point now, const RunPtr& run) {
+  run->waits_since = now;
   if (this->Place(now, run)) return;
   const auto place = std::upper_bound(this->waiting.begin(),
                                       this->waiting.end(), run, ServedBefore);
@@ -273,29 +274,20 @@
   flight.sent = now;
   flight.leased = this->Leased(now);
   flight.term = this->lease_term;
-  const std::vector<MemberRequest> values =
-      used.state.ValueRequests(*run->session);
-  std::vector<MemberRequest> main;
-  if (run->statement.kind == StatementKind::kExecute) {
-    const auto prepare = used.state.PrepareRequest(
-        *run->session->FindPrepared(run->statement));
-    if (prepare) main.push_back(*prepare);
-  }
-  main.push_back(this->RequestFor(run));
-  // A statement must not run under other values than its session's, so it
-  // follows once the member has confirmed them. A statement that isn't
-  // prepared doesn't run at all, so that need not be waited for.
-  if (values.empty()) {
-    flight.next = std::move(main);
-  } else {
-    flight.next = values;
-    flight.next.insert(flight.next.end(), main.begin(), main.end());
-  }
+  const PreparedStatement* prepared =
+      run->statement.kind == StatementKind::kExecute
+          ? run->session->FindPrepared(run->statement)
+          : nullptr;
+  flight.next = used.state.SetupFor(*run->session, prepared);
+  flight.next.push_back(this->RequestFor(run));
   Flight& stored = this->flights[link] = std::move(flight);
   this->SendNext(link, stored);
 }
 
-/** Sends the set-up of values alone, and the rest in one flight. */
+/** Sends the set-up of values alone, and the rest in one flight. A statement
+ * must not run under other values than its session's, so it follows once the
+ * member has confirmed them. A statement that isn't prepared doesn't run at
+ * all, so its preparing need not be waited for. */
 void GroupTraffic::SendNext(LinkId link, Flight& flight) {
   const auto is_value = [](const MemberRequest& request) {
     return request.kind == MemberRequestKind::kReset ||
@@ -491,7 +483,9 @@
     this->Fail(now, run, error, reply.error_text);
     return;
   }
-  if (reply.state == TransactionState::kIdle) {
+  // A connection that lacks what it was told isn't what it is taken for.
+  const bool in_doubt = error == StatementError::kUnknownPrepared;
+  if (reply.state == TransactionState::kIdle && !in_doubt) {
     this->Free(link);
   } else {
     this->Drop(now, link);
@@ -502,7 +496,8 @@
                          error == StatementError::kUnknownPrepared;
   if (never_ran || run->Repeatable()) {
     run->avoided.insert(pool.Info().id);
-    this->Retry(now, run, error, reply.error_text);
+    this->Retry(now, run, in_doubt ? StatementError::kBusy : error,
+                reply.error_text);
     return;
   }
   this->Fail(now, run, error, reply.error_text);
@@ -514,8 +509,6 @@
     this->Fail(now, run, error, text);
     return;
   }
-  const auto wait = run->latency_objective / this->settings.wait_divisor;
-  run->wait_limit = std::min(run->deadline, now + wait);
   this->Submit(now, run);
 }
 
@@ -600,10 +593,39 @@
   this->pumping = false;
 }
 
+/** Whether what the statement waits for is on its way: a primary that is being
+ * replaced, a lease, or the first connections after a start. */
+bool GroupTraffic::InTransition(steady_clock::time_point now,
+                                const RunPtr& run) const {
+  if (run->in_transaction) return false;
+  const bool elsewhere = run->least_position.has_value();
+  if (!elsewhere && !this->Leased(now)) return true;
+  const auto usable = [&](const auto& item) {
+    const MemberPool& pool = *item.second;
+    const bool serves =
+        elsewhere ? !pool.Info().leaving : item.first == this->view.term.primary;
+    return serves && pool.Opening() < pool.Links().size();
+  };
+  return std::none_of(this->pools.begin(), this->pools.end(), usable);
+}
+
+/** A statement waits a short time for members that are busy, since more of it
+ * would only keep others waiting; and as long as its answer is of use for a
+ * change that is on its way. */
+steady_clock::time_point GroupTraffic::WaitLimit(steady_clock::time_point now,
+                                                 const RunPtr& run) const {
+  const bool transition = this->InTransition(now, run);
+  const auto patience =
+      transition ? run->latency_objective
+                 : run->latency_objective / this->settings.wait_divisor;
+  const auto since = transition ? run->arrived : run->waits_since;
+  return std::min(run->deadline, since + patience);
+}
+
 void GroupTraffic::ExpireWaiting(steady_clock::time_point now) {
   std::vector<RunPtr> expired;
   for (const RunPtr& run : this->waiting) {
-    if (now >= run->wait_limit || now >= run->deadline) expired.push_back(run);
+    if (now >= this->WaitLimit(now, run)) expired.push_back(run);
   }
   for (const RunPtr& run : expired) {
     const auto place =
@@ -714,7 +736,7 @@
     }
   }
   for (const RunPtr& run : this->waiting) {
-    consider(std::min(run->wait_limit, run->deadline));
+    consider(this->WaitLimit(now, run));
   }
   for (const auto& item : this->pools) {
     const MemberPool& pool = *item.second;
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -145,6 +145,10 @@
   void Free(LinkId link);
   void Drop(std::chrono::steady_clock::time_point now, LinkId link);
   void Pump(std::chrono::steady_clock::time_point now);
+  std::chrono::steady_clock::time_point WaitLimit(
+      std::chrono::steady_clock::time_point now, const RunPtr& run) const;
+  bool InTransition(std::chrono::steady_clock::time_point now,
+                    const RunPtr& run) const;
   void ExpireWaiting(std::chrono::steady_clock::time_point now);
   void ExpireFlights(std::chrono::steady_clock::time_point now);
   void CheckOpening(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -56,14 +56,18 @@
   return found == this->prepared.end() ? nullptr : &found->second;
 }
 
-std::vector<MemberRequest> LinkState::ValueRequests(
-    const SessionState& session) const {
-  std::vector<MemberRequest> requests;
+bool LinkState::NeedsReset(const SessionState& session) const {
   const bool surplus = std::any_of(
       this->values.begin(), this->values.end(), [&](const auto& value) {
         return session.values.count(value.first) == 0;
       });
-  const bool reset = surplus || this->prepared.size() > kMostPrepared;
+  return surplus || this->prepared.size() > kMostPrepared;
+}
+
+std::vector<MemberRequest> LinkState::SetupFor(
+    const SessionState& session, const PreparedStatement* statement) const {
+  std::vector<MemberRequest> requests;
+  const bool reset = this->NeedsReset(session);
   if (reset) {
     MemberRequest request;
     request.kind = MemberRequestKind::kReset;
@@ -78,18 +82,16 @@
     request.argument = value;
     requests.push_back(request);
   }
-  return requests;
-}
-
-std::optional<MemberRequest> LinkState::PrepareRequest(
-    const PreparedStatement& statement) const {
-  if (this->prepared.count(statement.SharedName()) > 0) return std::nullopt;
+  if (statement == nullptr) return requests;
+  const std::string name = statement->SharedName();
+  if (!reset && this->prepared.count(name) > 0) return requests;
   MemberRequest request;
   request.kind = MemberRequestKind::kPrepare;
-  request.name = statement.SharedName();
-  request.argument = statement.shape;
-  request.prepares_write = statement.writes;
-  return request;
+  request.name = name;
+  request.argument = statement->shape;
+  request.prepares_write = statement->writes;
+  requests.push_back(request);
+  return requests;
 }
 
 void LinkState::OnDone(const MemberRequest& request) {
--- a/src/lacewingferry/decisions/gateway/session_state.h
+++ b/src/lacewingferry/decisions/gateway/session_state.h
@@ -48,15 +48,16 @@
   }
 
   /** The requests after which the connection's values are those of the
-   * session. */
-  std::vector<MemberRequest> ValueRequests(const SessionState& session) const;
-
-  /** The request that prepares a statement; none if it is prepared. */
-  std::optional<MemberRequest> PrepareRequest(
-      const PreparedStatement& statement) const;
+   * session and the statement, if there is one, is prepared. A reset forgets
+   * what was prepared, so a statement is prepared again after it. */
+  std::vector<MemberRequest> SetupFor(const SessionState& session,
+                                      const PreparedStatement* statement) const;
 
   /** Notes a request of the above that succeeded. */
   void OnDone(const MemberRequest& request);
+
+ private:
+  bool NeedsReset(const SessionState& session) const;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -32,8 +32,8 @@
   std::chrono::steady_clock::time_point arrived;
   /** The statement is given up then. */
   std::chrono::steady_clock::time_point deadline;
-  /** Without a member until then, it is refused. */
-  std::chrono::steady_clock::time_point wait_limit;
+  /** Since when it waits for a member. */
+  std::chrono::steady_clock::time_point waits_since;
   /** Whether it belongs to an open transaction. */
   bool in_transaction = false;
   /** Whether the transaction, up to now, has written. */
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -136,7 +136,7 @@
     update.grant = this->grantor.OnRenewal(now, from, *report.renewal);
   }
   for (const auto& [database, keeper] : this->keepers) {
-    const auto& sample = keeper->Sample();
+    const auto sample = keeper->Sample(now);
     if (!sample) continue;
     update.positions.push_back(
         {database, sample->position,
--- a/src/lacewingferry/decisions/switchover/group_keeper.cc
+++ b/src/lacewingferry/decisions/switchover/group_keeper.cc
@@ -153,10 +153,31 @@
 void GroupKeeper::Watch(steady_clock::time_point now,
                         const DatabaseTerm& entry) {
   this->AskPrimary(entry);
+  this->AskReplicas(now, entry);
   this->ReplaceIfNeeded(now, entry);
   this->EnterMembers(now, entry);
 }
 
+void GroupKeeper::AskReplicas(steady_clock::time_point now,
+                              const DatabaseTerm& entry) {
+  if (now < this->next_replica_poll) return;
+  this->next_replica_poll = now + this->context.settings.replica_interval;
+  for (const MemberId& id : this->Members()) {
+    if (id == entry.primary) continue;
+    this->context.hooks.admin.ask(
+        TargetOf(*this->context.roster.Find(id)), StatusRequest(),
+        this->context.settings.answer_limit, [](const AdminAnswer&) {});
+  }
+}
+
+std::optional<PositionSampled> GroupKeeper::Sample(
+    steady_clock::time_point now) const {
+  if (this->run == nullptr) return this->sample;
+  const auto covering = this->run->Covering();
+  if (!covering) return std::nullopt;
+  return PositionSampled{*covering, now};
+}
+
 void GroupKeeper::AskPrimary(const DatabaseTerm& entry) {
   const MemberAnnouncement* primary = this->context.roster.Find(entry.primary);
   if (primary == nullptr || this->primary_asked) return;
--- a/src/lacewingferry/decisions/switchover/group_keeper.h
+++ b/src/lacewingferry/decisions/switchover/group_keeper.h
@@ -46,8 +46,10 @@
   /** The process was suspended: silence during that time proves nothing. */
   void OnSuspended();
 
-  /** The primary's newest known position; none unless one leads. */
-  const std::optional<PositionSampled>& Sample() const { return this->sample; }
+  /** A position that covers what was acknowledged before a time; none while
+   * it isn't known. */
+  std::optional<PositionSampled> Sample(
+      std::chrono::steady_clock::time_point now) const;
 
  private:
   const DatabaseTerm* Entry() const;
@@ -56,6 +58,8 @@
   void TryAdopt(std::chrono::steady_clock::time_point now);
   void Watch(std::chrono::steady_clock::time_point now,
              const DatabaseTerm& entry);
+  void AskReplicas(std::chrono::steady_clock::time_point now,
+                   const DatabaseTerm& entry);
   void AskPrimary(const DatabaseTerm& entry);
   void OnPrimaryAnswer(std::chrono::steady_clock::time_point asked,
                        const MemberId& primary, const AdminAnswer& answer);
@@ -88,6 +92,7 @@
   bool primary_asked = false;
   std::chrono::steady_clock::time_point first_seen;
   std::chrono::steady_clock::time_point next_poll;
+  std::chrono::steady_clock::time_point next_replica_poll;
   std::chrono::steady_clock::time_point next_proposal;
 };
 
--- a/src/lacewingferry/decisions/switchover/primary_watch.h
+++ b/src/lacewingferry/decisions/switchover/primary_watch.h
@@ -19,7 +19,7 @@
    * that nothing listens. */
   std::chrono::milliseconds refused_for{300};
   /** The same for one that doesn't answer at all. */
-  std::chrono::milliseconds silent_for{800};
+  std::chrono::milliseconds silent_for{650};
 };
 
 /** Counts the failures since the last answer. A busy primary is alive. */
--- a/src/lacewingferry/decisions/switchover/succession_run.cc
+++ b/src/lacewingferry/decisions/switchover/succession_run.cc
@@ -74,11 +74,15 @@
 }
 
 void SuccessionRun::Elect(steady_clock::time_point now) {
+  // Where the former primary is lost, nothing is gained by waiting for the
+  // leases before the replicas are paused.
+  if (!this->Planned()) this->PauseReplicas(now);
   if (!this->freed) {
     this->Recall(now);
     if (this->context.hooks.free_at(this->Stamp()) > now) return;
     this->freed = now;
   }
+  this->TryChoose(now);
   this->AskFormer(now);
   if (!this->former_answered) return;
   if (this->FormerStays()) {
@@ -90,14 +94,18 @@
   this->TryChoose(now);
 }
 
+/** Whether the former primary leaves by itself, and lives until it has. */
+bool SuccessionRun::Planned() const {
+  const MemberAnnouncement* former =
+      this->context.roster.Find(this->entry.former_primary);
+  return former != nullptr && former->info.leaving;
+}
+
 void SuccessionRun::Recall(steady_clock::time_point now) {
   if (now < this->next_recall) return;
   this->next_recall = now + this->context.settings.recall_interval;
-  const MemberAnnouncement* former =
-      this->context.roster.Find(this->entry.former_primary);
-  const bool planned = former != nullptr && former->info.leaving;
   this->context.hooks.recall(this->Stamp(),
-                             planned ? this->context.settings.planned_patience
+                             this->Planned() ? this->context.settings.planned_patience
                                      : this->context.settings.lost_patience);
 }
 
@@ -200,7 +208,7 @@
   if (this->entry.phase != TermPhase::kElecting || !this->freed) return;
   const auto chosen = ChooseSuccessor(this->Evidence());
   if (!chosen) return;
-  if (this->former_leads) this->StopFormer(now);
+  this->StopFormer(now);
   this->Choose(now, chosen->id, chosen->received);
 }
 
--- a/src/lacewingferry/decisions/switchover/succession_run.h
+++ b/src/lacewingferry/decisions/switchover/succession_run.h
@@ -44,6 +44,13 @@
 
   const MemberId& Chosen() const { return this->entry.primary; }
 
+  /** The position that covers all that was ever acknowledged, while a member
+   * is being promoted: no lease is in force until it leads. */
+  std::optional<LogPosition> Covering() const {
+    if (this->entry.phase != TermPhase::kPromoting) return std::nullopt;
+    return this->entry.start;
+  }
+
   /** Notes what a proxy had acknowledged when it gave up its lease. */
   void OnAcknowledged(const LogPosition& position);
 
@@ -60,6 +67,7 @@
                          const AdminAnswer&)>;
 
   void Elect(std::chrono::steady_clock::time_point now);
+  bool Planned() const;
   void Recall(std::chrono::steady_clock::time_point now);
   void AskFormer(std::chrono::steady_clock::time_point now);
   bool ReplicasMayCatchUp(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/decisions/switchover/switchover_context.h
+++ b/src/lacewingferry/decisions/switchover/switchover_context.h
@@ -43,9 +43,12 @@
 struct SwitchoverSettings {
   /** Between two questions to a primary; its position is shared with all
    * proxies, so this bounds the age of what replicas may serve. */
-  std::chrono::milliseconds poll_interval{250};
+  std::chrono::milliseconds poll_interval{200};
   /** Until a question counts as unanswered. */
-  std::chrono::milliseconds answer_limit{600};
+  std::chrono::milliseconds answer_limit{350};
+  /** Between two questions to a replica, which keep its connection open for a
+   * switchover. */
+  std::chrono::milliseconds replica_interval{1000};
   /** Between two rounds of a switchover. */
   std::chrono::milliseconds round{50};
   /** How long writes under way may take to end when a live primary leaves. */
--- /dev/null
+++ b/tests/correctness/gateway_session_test.cc
@@ -0,0 +1,190 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "bench/model/session_gateway.h"
+
+namespace lacewingferry {
+namespace {
+
+using model::SessionGateway;
+using std::chrono::milliseconds;
+
+void Prepare(SessionGateway& gateway) {
+  gateway.Publish();
+  gateway.Lease(milliseconds(60000));
+  gateway.Vouch();
+  gateway.Run(milliseconds(50));
+}
+
+class GatewaySessionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewaySessionTest);
+  CPPUNIT_TEST(TransactionStaysOnOneConnection);
+  CPPUNIT_TEST(StatementsRunUnderTheirSessionsValues);
+  CPPUNIT_TEST(BrokenConnectionAbortsTheTransaction);
+  CPPUNIT_TEST(IdleTransactionIsRolledBackAndTold);
+  CPPUNIT_TEST(ClientThatLeavesRollsBack);
+  CPPUNIT_TEST(FailedTransactionAcceptsOnlyItsEnd);
+  CPPUNIT_TEST(RemovedRouteIsRefusedFromTheNextOperation);
+  CPPUNIT_TEST(OpeningWaitsForTheFirstConfiguration);
+  CPPUNIT_TEST(DrainingEndsSessionsAtRest);
+  CPPUNIT_TEST(PipelinedStatementsAreAnsweredInOrder);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TransactionStaysOnOneConnection() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    std::vector<ClientId> clients;
+    for (int i = 0; i < 3; ++i) clients.push_back(gateway.Open("primary"));
+    std::map<ClientId, std::set<LinkId>> links;
+    std::map<RequestId, ClientId> owners;
+    for (const char* text : {"BEGIN", "STORE 1 x", "LOOKUP 1", "COMMIT"}) {
+      for (const ClientId client : clients) {
+        owners[gateway.Ask(client, text)] = client;
+      }
+      gateway.Run(milliseconds(200));
+    }
+    for (const auto& run : gateway.Members().Runs()) {
+      links[owners.at(run.id)].insert(run.link);
+      CPPUNIT_ASSERT(run.in_transaction == (run.text != "BEGIN"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, links.size());
+    for (const auto& item : links) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, item.second.size());
+    }
+  }
+
+  void StatementsRunUnderTheirSessionsValues() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId first = gateway.Open("primary");
+    const ClientId second = gateway.Open("primary");
+    gateway.AskAndWait(first, "SET language nl");
+    gateway.AskAndWait(second, "SET zone 7");
+    std::map<RequestId, std::string> expected;
+    for (int i = 0; i < 10; ++i) {
+      expected[gateway.Ask(first, "LOOKUP 1")] = "language";
+      expected[gateway.Ask(second, "LOOKUP 1")] = "zone";
+      gateway.Run(milliseconds(60));
+    }
+    for (const auto& run : gateway.Members().Runs()) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.values.size());
+      CPPUNIT_ASSERT_EQUAL(expected.at(run.id), run.values.begin()->first);
+    }
+    CPPUNIT_ASSERT_EQUAL(expected.size(), gateway.Members().Runs().size());
+  }
+
+  void BrokenConnectionAbortsTheTransaction() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    gateway.AskAndWait(client, "BEGIN");
+    gateway.AskAndWait(client, "STORE 1 x");
+    gateway.Members().Break(MemberId("m0"));
+    const ClientReply reply = gateway.AskAndWait(client, "COMMIT");
+    CPPUNIT_ASSERT(reply.error == StatementError::kAborted);
+    CPPUNIT_ASSERT(reply.state == TransactionState::kIdle);
+    CPPUNIT_ASSERT(gateway.Members().Commits().empty());
+  }
+
+  void IdleTransactionIsRolledBackAndTold() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    gateway.AskAndWait(client, "BEGIN");
+    gateway.Run(milliseconds(3500));
+    const ClientReply reply = gateway.AskAndWait(client, "STORE 1 x");
+    CPPUNIT_ASSERT(reply.error == StatementError::kAborted);
+    CPPUNIT_ASSERT(reply.state == TransactionState::kFailed);
+    CPPUNIT_ASSERT(!gateway.AskAndWait(client, "ROLLBACK").error);
+    CPPUNIT_ASSERT(gateway.Members().Commits().empty());
+  }
+
+  void ClientThatLeavesRollsBack() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    gateway.AskAndWait(client, "BEGIN");
+    gateway.AskAndWait(client, "STORE 1 x");
+    gateway.Decisions().OnClientGone(gateway.Queue().Now(), client);
+    gateway.Run(milliseconds(100));
+    const ClientId next = gateway.Open("primary");
+    CPPUNIT_ASSERT(!gateway.AskAndWait(next, "LOOKUP 1").error);
+    CPPUNIT_ASSERT(!gateway.Members().Runs().back().in_transaction);
+    CPPUNIT_ASSERT(gateway.Members().Commits().empty());
+  }
+
+  void FailedTransactionAcceptsOnlyItsEnd() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    gateway.AskAndWait(client, "BEGIN");
+    gateway.Members().Break(MemberId("m0"));
+    CPPUNIT_ASSERT(gateway.AskAndWait(client, "LOOKUP 1").error ==
+                   StatementError::kAborted);
+    CPPUNIT_ASSERT(gateway.AskAndWait(client, "LOOKUP 1").error ==
+                   StatementError::kMalformed);
+    const ClientReply end = gateway.AskAndWait(client, "ROLLBACK");
+    CPPUNIT_ASSERT(!end.error && end.state == TransactionState::kIdle);
+  }
+
+  void RemovedRouteIsRefusedFromTheNextOperation() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    gateway.AskAndWait(client, "BEGIN");
+    gateway.view.configuration.routes.clear();
+    gateway.Publish();
+    CPPUNIT_ASSERT(!gateway.AskAndWait(client, "LOOKUP 1").error);
+    CPPUNIT_ASSERT(!gateway.AskAndWait(client, "COMMIT").error);
+    CPPUNIT_ASSERT(gateway.AskAndWait(client, "LOOKUP 1").error ==
+                   StatementError::kNoDatabase);
+  }
+
+  void OpeningWaitsForTheFirstConfiguration() {
+    SessionGateway gateway;
+    const ClientId early = gateway.Open("primary");
+    const ClientId stranger = gateway.Open("nowhere");
+    gateway.Run(milliseconds(500));
+    CPPUNIT_ASSERT(!gateway.Closed(early));
+    Prepare(gateway);
+    CPPUNIT_ASSERT(gateway.Closed(stranger));
+    CPPUNIT_ASSERT(!gateway.AskAndWait(early, "LOOKUP 1").error);
+    SessionGateway never;
+    const ClientId late = never.Open("primary");
+    never.Run(milliseconds(1900));
+    CPPUNIT_ASSERT(never.Closed(late));
+  }
+
+  void DrainingEndsSessionsAtRest() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId resting = gateway.Open("primary");
+    const ClientId open = gateway.Open("primary");
+    gateway.AskAndWait(open, "BEGIN");
+    gateway.Decisions().StartDraining(gateway.Queue().Now());
+    CPPUNIT_ASSERT(gateway.Closed(resting));
+    CPPUNIT_ASSERT(!gateway.Closed(open));
+    CPPUNIT_ASSERT(!gateway.AskAndWait(open, "COMMIT").error);
+    CPPUNIT_ASSERT(gateway.Closed(open));
+  }
+
+  void PipelinedStatementsAreAnsweredInOrder() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    const ClientId client = gateway.Open("primary");
+    const RequestId first = gateway.Ask(client, "LOOKUP 1");
+    const RequestId second = gateway.Ask(client, "LOOKUP 2");
+    gateway.Run(milliseconds(200));
+    CPPUNIT_ASSERT(gateway.Answers().at(first).reply.digest ==
+                   "digest-" + first.Value());
+    CPPUNIT_ASSERT(gateway.Answers().at(second).reply.digest ==
+                   "digest-" + second.Value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySessionTest);
+
+}  // namespace
+}  // namespace lacewingferry
