--- /dev/null
+++ b/bench/model/switchover_fleet.cc
@@ -0,0 +1,254 @@
+#include "bench/model/switchover_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingferry::model {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kWay{20};
+constexpr milliseconds kCommitTime{30};
+constexpr milliseconds kPromotionTime{300};
+constexpr milliseconds kReportInterval{500};
+constexpr milliseconds kTick{10};
+constexpr milliseconds kLag{10};
+
+const DatabaseId kDatabase{"db"};
+
+}  // namespace
+
+SwitchoverFleet::SwitchoverFleet() {
+  for (const char* id : {"m0", "m1", "m2"}) {
+    this->members[MemberId(id)].primary = std::string(id) == "m0";
+  }
+  this->proxies[NodeId("p0")];
+  this->proxies[NodeId("p1")];
+  this->control = std::make_unique<FleetControl>(
+      this->state, NodeId("control"), this->Hooks());
+  ServiceConfiguration configuration;
+  configuration.version = 1;
+  configuration.services = {{kDatabase, 60, 1}};
+  this->control->SetConfiguration(configuration);
+  this->Tick();
+}
+
+FleetControlHooks SwitchoverFleet::Hooks() {
+  FleetControlHooks hooks;
+  hooks.update = [this](const NodeId& to, const ProxyUpdate& update) {
+    SwitchoverProxy& proxy = this->proxies.at(to);
+    const bool granted = update.grant && update.grant->refused.empty() &&
+                         update.grant->duration.count() > 0;
+    if (!proxy.reachable || !granted) return;
+    proxy.leased_until = this->queue.Now() + update.grant->duration;
+  };
+  hooks.recall = [this](const NodeId& to, const LeaseRecall& recall) {
+    this->queue.After(kWay, [this, to, recall] {
+      SwitchoverProxy& proxy = this->proxies.at(to);
+      if (!proxy.reachable) return;
+      proxy.leased_until.reset();
+      const LeaseRecalled recalled{
+          {recall.database, recall.before_term, 1}, proxy.acknowledged};
+      this->queue.After(kWay, [this, to, recalled] {
+        this->control->OnRecalled(this->queue.Now(), to, recalled);
+      });
+    });
+  };
+  hooks.redial = [](const NodeId&) {};
+  hooks.propose = [this](const ControlCommand& command,
+                         std::function<void(bool)> done) {
+    this->queue.After(kCommitTime, [this, command, done] {
+      this->state.Apply(command, this->next_index++);
+      this->control->OnApplied(this->queue.Now());
+      done(true);
+    });
+  };
+  hooks.control_nodes = [] { return std::vector<NodeId>{NodeId("control")}; };
+  hooks.revision = [this] { return this->state.LastIndex(); };
+  hooks.leads = [this] { return this->leads; };
+  hooks.fence = [this] { return this->fence; };
+  hooks.now = [this] { return this->queue.Now(); };
+  hooks.admin.ask = [this](const LinkTarget& target,
+                           const MemberRequest& request, milliseconds limit,
+                           MemberAdminPort::Done done) {
+    this->Ask(target, request, limit, std::move(done));
+  };
+  hooks.promotion.promote = [this](const PromotionCall& call,
+                                   std::function<bool()> allowed,
+                                   std::function<void(PromotionResult)> done) {
+    this->queue.After(kWay, [this, call, allowed, done] {
+      this->Promote(call, allowed, done);
+    });
+  };
+  hooks.events = EventPort{[](const Event&) {}};
+  return hooks;
+}
+
+void SwitchoverFleet::Ask(const LinkTarget& target,
+                          const MemberRequest& request, milliseconds limit,
+                          MemberAdminPort::Done done) {
+  this->commands.push_back(request.kind);
+  if (!this->members.at(target.member).reachable) {
+    this->queue.After(limit, [done] { done(AdminAnswer()); });
+    return;
+  }
+  this->queue.After(kWay, [this, target, request, done] {
+    const AdminAnswer answer =
+        this->AnswerOf(this->members.at(target.member), request);
+    this->queue.After(kWay, [done, answer] { done(answer); });
+  });
+}
+
+AdminAnswer SwitchoverFleet::AnswerOf(SwitchoverMember& member,
+                                      const MemberRequest& request) {
+  AdminAnswer answer;
+  answer.response =
+      member.busy ? MemberResponse::kBusy : MemberResponse::kAnswered;
+  if (member.busy) return answer;
+  if (request.kind == MemberRequestKind::kPause && !member.primary) {
+    member.paused_term = request.term;
+  }
+  if (request.kind == MemberRequestKind::kResume) member.paused_term = 0;
+  if (request.kind == MemberRequestKind::kStepDown) member.primary = false;
+  answer.status.primary = member.primary;
+  answer.status.term = member.term;
+  answer.status.received = member.received;
+  answer.status.paused_term = member.paused_term;
+  return answer;
+}
+
+void SwitchoverFleet::Promote(
+    const PromotionCall& call, const std::function<bool()>& allowed,
+    const std::function<void(PromotionResult)>& done) {
+  if (!allowed()) {
+    done(PromotionResult::kFailed);
+    return;
+  }
+  if (!this->members.at(call.member).reachable) {
+    done(PromotionResult::kMemberDown);
+    return;
+  }
+  done(PromotionResult::kAccepted);
+  if (this->members.at(call.member).primary) return;
+  this->queue.After(kPromotionTime,
+                    [this, id = call.member] { this->TakeEffect(id); });
+}
+
+void SwitchoverFleet::TakeEffect(const MemberId& id) {
+  ++this->promotions;
+  this->promoted_at = this->queue.Now();
+  SwitchoverMember& chosen = this->members.at(id);
+  if (chosen.received < this->acknowledged) this->lost_commit = true;
+  for (const auto& item : this->proxies) {
+    const auto& until = item.second.leased_until;
+    if (until && *until > this->queue.Now()) this->promoted_under_lease = true;
+  }
+  std::uint64_t term = 0;
+  for (const auto& item : this->members) {
+    term = std::max(term, item.second.term);
+  }
+  for (auto& item : this->members) {
+    if (item.second.reachable) item.second.primary = false;
+    item.second.paused_term = 0;
+  }
+  chosen.primary = true;
+  chosen.term = term + 1;
+  chosen.received = LogPosition{term + 1, chosen.received.offset};
+}
+
+void SwitchoverFleet::Start() {
+  for (const auto& item : this->members) this->Announce(item.first, false);
+  this->TakeOffice(true);
+  for (const auto& item : this->proxies) this->Report(item.first);
+  this->Run(milliseconds(2000));
+}
+
+void SwitchoverFleet::Announce(const MemberId& id, bool leaving,
+                               std::uint64_t run) {
+  MemberAnnouncement announcement;
+  announcement.info.id = id;
+  announcement.info.database = kDatabase;
+  announcement.info.zone = AvailabilityZone("zone-" + id.Value());
+  announcement.info.endpoint = {id.Value(), 5000};
+  announcement.info.leaving = leaving;
+  announcement.incarnation = run;
+  this->state.Apply(ControlCommand{RosterCommand{EnterMember{announcement}}},
+                    this->next_index++);
+  this->control->OnApplied(this->queue.Now());
+}
+
+void SwitchoverFleet::TakeOffice(bool office) {
+  this->leads = office;
+  if (office) ++this->fence;
+  this->control->OnLeadership(this->queue.Now(), office);
+}
+
+void SwitchoverFleet::Report(const NodeId& node) {
+  SwitchoverProxy& proxy = this->proxies.at(node);
+  this->queue.After(kReportInterval, [this, node] { this->Report(node); });
+  if (!proxy.reachable || !this->proxies_report || !this->leads) return;
+  ProxyReport report;
+  report.sequence = this->next_report++;
+  report.incarnation = 1;
+  const DatabaseTerm* term = this->Term();
+  if (term != nullptr && term->phase == TermPhase::kSteady) {
+    LeaseRenewal renewal;
+    renewal.sequence = report.sequence;
+    renewal.incarnation = 1;
+    renewal.databases_revision = report.sequence;
+    renewal.lists_databases = true;
+    renewal.databases = {{kDatabase, term->term, term->members_revision}};
+    report.renewal = renewal;
+  }
+  this->control->OnReport(this->queue.Now(), node, report);
+}
+
+void SwitchoverFleet::Tick() {
+  if (this->queue.Now() >= this->suspended_until) {
+    this->control->OnTick(this->queue.Now());
+  }
+  this->queue.After(kTick, [this] { this->Tick(); });
+}
+
+void SwitchoverFleet::Run(milliseconds length) {
+  this->queue.RunUntil(this->queue.Now() + length);
+}
+
+void SwitchoverFleet::Suspend(milliseconds length) {
+  this->suspended_until = this->queue.Now() + length;
+  this->Run(length);
+}
+
+void SwitchoverFleet::Commit() {
+  const auto primary =
+      std::find_if(this->members.begin(), this->members.end(),
+                   [](const auto& item) { return item.second.primary; });
+  if (primary == this->members.end()) return;
+  LogPosition& log = primary->second.received;
+  ++log.offset;
+  const LogPosition position = log;
+  this->queue.After(kLag, [this, position, id = primary->first] {
+    bool received = false;
+    for (auto& [name, member] : this->members) {
+      if (name == id || !member.receives || member.paused_term != 0) continue;
+      member.received = std::max(member.received, position);
+      received = true;
+    }
+    if (!received) return;
+    for (auto& item : this->proxies) {
+      const auto& until = item.second.leased_until;
+      if (!until || *until < this->queue.Now()) continue;
+      item.second.acknowledged = std::max(item.second.acknowledged, position);
+      this->acknowledged = std::max(this->acknowledged, position);
+      return;
+    }
+  });
+}
+
+const DatabaseTerm* SwitchoverFleet::Term() const {
+  return this->state.Terms().Find(kDatabase);
+}
+
+}  // namespace lacewingferry::model
--- /dev/null
+++ b/bench/model/switchover_fleet.h
@@ -0,0 +1,110 @@
+#ifndef BENCH_MODEL_SWITCHOVER_FLEET_H_
+#define BENCH_MODEL_SWITCHOVER_FLEET_H_
+
+// Defines SwitchoverFleet, control's care for one group of members with its
+// proxies, in virtual time.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bench/model/event_queue.h"
+#include "lacewingferry/decisions/switchover/fleet_control.h"
+
+namespace lacewingferry::model {
+
+/** A member as control can see and command it. */
+struct SwitchoverMember {
+  bool primary = false;
+  std::uint64_t term = 1;
+  LogPosition received{1, 0};
+  std::uint64_t paused_term = 0;
+  /** Answers control's questions. */
+  bool reachable = true;
+  bool busy = false;
+  /** Receives from the primary. */
+  bool receives = true;
+};
+
+/** A proxy that holds a lease on the group's term. */
+struct SwitchoverProxy {
+  /** Takes control's messages. */
+  bool reachable = true;
+  /** Keeps its lease whatever control says; for the sake of the checks. */
+  LogPosition acknowledged;
+  std::optional<std::chrono::steady_clock::time_point> leased_until;
+};
+
+/**
+ * One group "db" of the members "m0" (the primary), "m1" and "m2", and the
+ * proxies "p0" and "p1". Commands of the control log are applied after a
+ * while; promotions take effect after 300 ms.
+ */
+class SwitchoverFleet {
+ public:
+  SwitchoverFleet();
+
+  std::map<MemberId, SwitchoverMember> members;
+  std::map<NodeId, SwitchoverProxy> proxies;
+  /** Whether this process leads the control log. */
+  bool leads = true;
+  /** What the proxies say about themselves goes through. */
+  bool proxies_report = true;
+
+  /** Announces all members and lets control adopt the group. */
+  void Start();
+  void Announce(const MemberId& id, bool leaving, std::uint64_t run = 1);
+  void TakeOffice(bool office);
+  void Run(std::chrono::milliseconds length);
+  /** A pause of the whole control process. */
+  void Suspend(std::chrono::milliseconds length);
+
+  /** Commits at the primary and, where a lease and a replica allow it, has a
+   * proxy acknowledge it. */
+  void Commit();
+
+  const DatabaseTerm* Term() const;
+  FleetControl& Control() { return *this->control; }
+  const ControlState& State() const { return this->state; }
+  std::chrono::steady_clock::time_point Now() const {
+    return this->queue.Now();
+  }
+
+  /** What happened, for the checks. */
+  int promotions = 0;
+  std::optional<std::chrono::steady_clock::time_point> promoted_at;
+  /** The newest position that any proxy acknowledged. */
+  LogPosition acknowledged;
+  /** Whether a member was promoted that lacks it, or while a lease of the
+   * former term was in force. */
+  bool lost_commit = false;
+  bool promoted_under_lease = false;
+  std::vector<MemberRequestKind> commands;
+
+ private:
+  FleetControlHooks Hooks();
+  void Ask(const LinkTarget& target, const MemberRequest& request,
+           std::chrono::milliseconds limit, MemberAdminPort::Done done);
+  AdminAnswer AnswerOf(SwitchoverMember& member, const MemberRequest& request);
+  void Promote(const PromotionCall& call, const std::function<bool()>& allowed,
+               const std::function<void(PromotionResult)>& done);
+  void TakeEffect(const MemberId& id);
+  void Report(const NodeId& node);
+  void Tick();
+
+  EventQueue queue;
+  ControlState state;
+  std::unique_ptr<FleetControl> control;
+  std::uint64_t next_index = 1;
+  std::uint64_t next_report = 1;
+  std::uint64_t fence = 1;
+  std::chrono::steady_clock::time_point suspended_until;
+};
+
+}  // namespace lacewingferry::model
+
+#endif  // BENCH_MODEL_SWITCHOVER_FLEET_H_
--- /dev/null
+++ b/tests/correctness/roster_test.cc
@@ -0,0 +1,102 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "lacewingferry/decisions/control/control_state.h"
+#include "lacewingferry/decisions/roster/roster.h"
+
+namespace lacewingferry {
+namespace {
+
+MemberAnnouncement Announcement(const char* id, const char* host,
+                                std::uint64_t run, std::uint64_t sequence) {
+  MemberAnnouncement announcement;
+  announcement.info.id = MemberId(id);
+  announcement.info.database = DatabaseId("db");
+  announcement.info.endpoint = {host, 5000};
+  announcement.incarnation = run;
+  announcement.sequence = sequence;
+  return announcement;
+}
+
+RosterCommand Enter(const MemberAnnouncement& announcement) {
+  return RosterCommand{EnterMember{announcement}};
+}
+
+class RosterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RosterTest);
+  CPPUNIT_TEST(SequenceAloneIsNoChange);
+  CPPUNIT_TEST(LateAnnouncementOfAnEarlierRunChangesNothing);
+  CPPUNIT_TEST(AddressBelongsToTheRunThatBeganLast);
+  CPPUNIT_TEST(LateAnnouncementBringsNobodyBack);
+  CPPUNIT_TEST(LeavingIsAChange);
+  CPPUNIT_TEST(HighestConfigurationVersionStays);
+  CPPUNIT_TEST(SnapshotBringsBackTheWholeState);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SequenceAloneIsNoChange() {
+    Roster roster;
+    roster.Apply(Enter(Announcement("a", "h1", 5, 1)));
+    CPPUNIT_ASSERT(!roster.Changes(Announcement("a", "h1", 5, 2)));
+    CPPUNIT_ASSERT(roster.Changes(Announcement("a", "h2", 5, 2)));
+  }
+
+  void LateAnnouncementOfAnEarlierRunChangesNothing() {
+    Roster roster;
+    roster.Apply(Enter(Announcement("a", "h1", 9, 1)));
+    CPPUNIT_ASSERT(roster.Outdated(Announcement("a", "h1", 5, 70)));
+    CPPUNIT_ASSERT(!roster.Apply(Enter(Announcement("a", "h1", 5, 70))));
+    CPPUNIT_ASSERT(roster.Find(MemberId("a"))->incarnation == 9);
+  }
+
+  void AddressBelongsToTheRunThatBeganLast() {
+    Roster roster;
+    roster.Apply(Enter(Announcement("a", "h1", 5, 1)));
+    roster.Apply(Enter(Announcement("b", "h1", 9, 1)));
+    CPPUNIT_ASSERT(roster.Find(MemberId("a")) == nullptr);
+    CPPUNIT_ASSERT(roster.Outdated(Announcement("a", "h1", 5, 2)));
+  }
+
+  void LateAnnouncementBringsNobodyBack() {
+    Roster roster;
+    roster.Apply(Enter(Announcement("a", "h1", 5, 1)));
+    roster.Apply(RosterCommand{LeaveMember{MemberId("a"), 5}});
+    CPPUNIT_ASSERT(!roster.Apply(Enter(Announcement("a", "h1", 5, 2))));
+    CPPUNIT_ASSERT(roster.Members().empty());
+    CPPUNIT_ASSERT(roster.Apply(Enter(Announcement("a", "h1", 6, 1))));
+  }
+
+  void LeavingIsAChange() {
+    Roster roster;
+    MemberAnnouncement announcement = Announcement("a", "h1", 5, 1);
+    roster.Apply(Enter(announcement));
+    announcement.info.leaving = true;
+    CPPUNIT_ASSERT(roster.Changes(announcement));
+  }
+
+  void HighestConfigurationVersionStays() {
+    ControlState state;
+    state.Apply(ControlCommand{ConfigurationSubmission{7, "seven"}}, 1);
+    const ControlOutcome same =
+        state.Apply(ControlCommand{ConfigurationSubmission{7, "other"}}, 2);
+    state.Apply(ControlCommand{ConfigurationSubmission{4, "four"}}, 3);
+    CPPUNIT_ASSERT(std::get<StateChange>(same) == StateChange::kNone);
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), state.Services().document);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state.LastIndex());
+  }
+
+  void SnapshotBringsBackTheWholeState() {
+    ControlState state;
+    state.Apply(ControlCommand{ConfigurationSubmission{7, "seven"}}, 1);
+    state.Apply(ControlCommand{Enter(Announcement("a", "h1", 5, 1))}, 2);
+    ControlState copy;
+    copy.Restore(state.TakeSnapshot());
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), copy.Services().document);
+    CPPUNIT_ASSERT(copy.Members().Find(MemberId("a")) != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, copy.LastIndex());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
+
+}  // namespace
+}  // namespace lacewingferry
--- /dev/null
+++ b/tests/error/platform_documents_test.cc
@@ -0,0 +1,172 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "lacewingferry/core/finding.h"
+#include "platform/configuration_json.h"
+#include "platform/member_report_json.h"
+
+namespace lacewingferry::platform {
+namespace {
+
+using nlohmann::json;
+
+json Configuration() {
+  return json::parse(R"({"version":7,
+    "routes":[
+      {"name":"r1","host":"fiti","prefix":"/","kind":"session",
+       "timeout_ms":800,"slo_ms":500,"priority":2,"service":"huvo",
+       "attempts":2,"max_staleness_ms":2500},
+      {"name":"r2","host":"lepu","prefix":"/","kind":"primary",
+       "timeout_ms":800,"slo_ms":300,"priority":1,"service":"huvo"}],
+    "services":[{"name":"huvo","max_conns":64,"sync_replicas":1,"tls":false}],
+    "limits":{"tx_idle_ms":3000}})");
+}
+
+json Report() {
+  return json::parse(R"({"service":"huvo","addr":"10.128.0.9:8080",
+    "zone":"nh-a","version":"v1","slots":5,"state":"ready",
+    "warmup_left_ms":0,"db_role":"replica","sequence":4,"born":1700000000000})");
+}
+
+std::size_t FindingsIn(const json& document) {
+  try {
+    DecodeConfiguration(document.dump());
+  } catch (const FindingsError& error) {
+    return error.Findings().size();
+  }
+  return 0;
+}
+
+bool Reported(const json& document) {
+  try {
+    DecodeMemberReport(MemberId("i-7f"), document.dump());
+  } catch (const FindingsError&) {
+    return true;
+  }
+  return false;
+}
+
+class PlatformDocumentsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformDocumentsTest);
+  CPPUNIT_TEST(ReadsAWholeConfiguration);
+  CPPUNIT_TEST(InvalidConfigurationsAreRefusedWhole);
+  CPPUNIT_TEST(AllMistakesAreFoundAtOnce);
+  CPPUNIT_TEST(CutConfigurationsAreRefused);
+  CPPUNIT_TEST(ReadsAnAnnouncement);
+  CPPUNIT_TEST(StrangeAnnouncementsNameNobody);
+  CPPUNIT_TEST(DamagedDocumentsOnlyThrowFindings);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsAWholeConfiguration() {
+    const auto read = DecodeConfiguration(Configuration().dump());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.version);
+    const Route* route = read.FindRoute("fiti");
+    CPPUNIT_ASSERT(route->consistency == ReadConsistency::kSession);
+    CPPUNIT_ASSERT(route->statement_timeout == std::chrono::milliseconds(800));
+    CPPUNIT_ASSERT(route->max_staleness == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{64}, read.services[0].max_connections);
+    CPPUNIT_ASSERT(read.transaction_idle == std::chrono::milliseconds(3000));
+  }
+
+  void InvalidConfigurationsAreRefusedWhole() {
+    json unknown_service = Configuration();
+    unknown_service["routes"][0]["service"] = "nobody";
+    CPPUNIT_ASSERT(FindingsIn(unknown_service) > 0);
+    json same_place = Configuration();
+    same_place["routes"][1]["host"] = "fiti";
+    CPPUNIT_ASSERT(FindingsIn(same_place) > 0);
+    json no_timeout = Configuration();
+    no_timeout["routes"][0]["timeout_ms"] = 0;
+    CPPUNIT_ASSERT(FindingsIn(no_timeout) > 0);
+    json no_kind = Configuration();
+    no_kind["routes"][0]["kind"] = "other";
+    CPPUNIT_ASSERT(FindingsIn(no_kind) > 0);
+    json no_version = Configuration();
+    no_version.erase("version");
+    CPPUNIT_ASSERT(FindingsIn(no_version) > 0);
+    json negative = Configuration();
+    negative["version"] = -3;
+    CPPUNIT_ASSERT(FindingsIn(negative) > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, FindingsIn(Configuration()));
+  }
+
+  void AllMistakesAreFoundAtOnce() {
+    json wrong = Configuration();
+    wrong["routes"][0]["timeout_ms"] = 0;
+    wrong["routes"][0].erase("host");
+    wrong["services"][0]["max_conns"] = "many";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, FindingsIn(wrong));
+  }
+
+  void CutConfigurationsAreRefused() {
+    const std::string whole = Configuration().dump();
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      CPPUNIT_ASSERT_THROW(DecodeConfiguration(whole.substr(0, size)),
+                           FindingsError);
+    }
+  }
+
+  void ReadsAnAnnouncement() {
+    const auto read =
+        DecodeMemberReport(MemberId("i-7f"), Report().dump());
+    CPPUNIT_ASSERT(read.info.id == MemberId("i-7f"));
+    CPPUNIT_ASSERT(read.info.database == DatabaseId("huvo"));
+    CPPUNIT_ASSERT(read.info.endpoint == (Endpoint{"10.128.0.9", 8080}));
+    CPPUNIT_ASSERT(!read.info.leaving && !read.primary);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1700000000000}, read.incarnation);
+    json leaving = Report();
+    leaving["state"] = "draining";
+    CPPUNIT_ASSERT(
+        DecodeMemberReport(MemberId("i-7f"), leaving.dump()).info.leaving);
+  }
+
+  void StrangeAnnouncementsNameNobody() {
+    for (const char* field :
+         {"service", "addr", "zone", "slots", "state", "db_role", "sequence"}) {
+      json missing = Report();
+      missing.erase(field);
+      CPPUNIT_ASSERT_MESSAGE(field, Reported(missing));
+      json other = Report();
+      other[field] = json::array({1});
+      CPPUNIT_ASSERT_MESSAGE(field, Reported(other));
+    }
+    json state = Report();
+    state["state"] = "asleep";
+    CPPUNIT_ASSERT(Reported(state));
+    json born = Report();
+    born["born"] = 1.5;
+    CPPUNIT_ASSERT(Reported(born));
+    json port = Report();
+    port["addr"] = "10.0.0.1:99999";
+    CPPUNIT_ASSERT(Reported(port));
+    CPPUNIT_ASSERT(!Reported(Report()));
+  }
+
+  void DamagedDocumentsOnlyThrowFindings() {
+    const std::string nested(200'000, '[');
+    CPPUNIT_ASSERT_THROW(DecodeConfiguration(nested), FindingsError);
+    const std::string whole = Configuration().dump();
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 2000; ++i) {
+      std::string damaged = whole;
+      for (int j = 0; j < 4; ++j) {
+        damaged[random() % damaged.size()] =
+            static_cast<char>(random() % 256);
+      }
+      try {
+        DecodeConfiguration(damaged);
+        DecodeMemberReport(MemberId("i"), damaged);
+      } catch (const FindingsError&) {
+        continue;
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDocumentsTest);
+
+}  // namespace
+}  // namespace lacewingferry::platform
