Send sessions elsewhere when a proxy has lost control; serve metrics; log terms

Now a statement that needs a lease which ran out is refused at once, its session is ended at rest, and the readiness probe fails without control. Test: GatewayWriteTest.LostControlIsToldAtOnce. Metrics at the settings' address, one line a step of each term.

--- a/bench/model/session_gateway.cc
+++ b/bench/model/session_gateway.cc
@@ -149,6 +149,8 @@
                           const LogPosition& acknowledged) {
     this->recalls.push_back({before_term, acknowledged, this->queue.Now()});
   };
+  hooks.ended = [](const StatementRun&, const ClientReply&,
+                   std::chrono::nanoseconds) {};
   hooks.events = EventPort{[](const Event&) {}};
   return hooks;
 }
@@ -203,7 +205,7 @@
 }
 
 RequestId SessionGateway::Ask(ClientId client, const std::string& text) {
-  const RequestId id("q" + std::to_string(++this->last_request));
+  RequestId id("q" + std::to_string(++this->last_request));
   this->asked[client].push_back(id);
   this->gateway->OnStatement(this->queue.Now(), client,
                              MakeStatement(id, text));
--- /dev/null
+++ b/src/lacewingferry/adapters/histogram/gauge_text.cc
@@ -0,0 +1,26 @@
+#include "lacewingferry/adapters/histogram/gauge_text.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace lacewingferry {
+
+std::string FormatGauges(std::vector<Gauge> gauges) {
+  std::stable_sort(
+      gauges.begin(), gauges.end(),
+      [](const Gauge& a, const Gauge& b) { return a.name < b.name; });
+  std::ostringstream out;
+  std::string last;
+  for (const Gauge& gauge : gauges) {
+    if (gauge.name != last) out << "# TYPE " << gauge.name << " gauge\n";
+    last = gauge.name;
+    out << gauge.name;
+    if (!gauge.database.empty()) {
+      out << "{database=\"" << gauge.database << "\"}";
+    }
+    out << " " << gauge.value << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -9,9 +9,11 @@
 #include <utility>
 #include <variant>
 
+#include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/control_replica.h"
 #include "lacewingferry/app/fleet_peers.h"
+#include "lacewingferry/app/metrics_server.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/wait_until.h"
 #include "lacewingferry/core/errors.h"
@@ -93,6 +95,7 @@
   void FollowOffice(steady_clock::time_point now);
   void Advance();
   void Arm(steady_clock::time_point now);
+  std::string Metrics() const;
   void WaitForSignal();
   MemberAdminPort AdvancingAdmin();
   PromotionPort AdvancingPromotion();
@@ -112,6 +115,7 @@
   NodeId reported_leader;
   steady_clock::time_point next_silence_check;
   std::shared_ptr<HttpServer> http;
+  std::shared_ptr<HttpServer> metrics;
 };
 
 FleetControlProgram::Impl::Impl(FleetControlParts program_parts)
@@ -131,6 +135,23 @@
       std::vector<HttpServer::Thread>{
           {&this->control, this->parts.adapters.make_api(this->Api())}},
       this->parts.settings.listen, HttpLimits{kMostBody, kMostConnections});
+  this->metrics = MakeMetricsServer(this->control, this->parts.settings.node,
+                                    [this] { return this->Metrics(); });
+}
+
+std::string FleetControlProgram::Impl::Metrics() const {
+  const Leadership known = this->replica.CurrentLeadership();
+  const auto now = this->parts.hybrid.clock.now();
+  const ControlState& state = this->replica.State();
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  return FormatGauges(
+      {{"ferry_control_leads", "", this->Leads() ? 1.0 : 0.0},
+       {"ferry_control_term", "", number(known.term)},
+       {"ferry_control_index", "", number(state.LastIndex())},
+       {"ferry_control_replicas", "", number(this->ControlNodes().size())},
+       {"ferry_configuration_version", "", number(state.Services().version)},
+       {"ferry_members", "", number(state.Members().Members().size())},
+       {"ferry_proxies", "", number(this->fleet->ProxyCount(now))}});
 }
 
 ControlReplicaHooks FleetControlProgram::Impl::ReplicaHooks() {
@@ -431,6 +452,7 @@
   this->WaitForSignal();
   boost::asio::post(this->control, [this] {
     this->http->Start();
+    this->metrics->Start();
     this->Advance();
   });
   RunIoContext(this->control, this->parts.events);
--- a/src/lacewingferry/app/session_proxy_program.cc
+++ b/src/lacewingferry/app/session_proxy_program.cc
@@ -12,6 +12,7 @@
 
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/fleet_peers.h"
+#include "lacewingferry/app/metrics_server.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/session_traffic.h"
 #include "lacewingferry/app/wait_until.h"
@@ -70,6 +71,7 @@
   FleetClient client;
   FleetPeers peers;
   std::shared_ptr<HttpServer> readiness;
+  std::shared_ptr<HttpServer> metrics;
   bool stopping = false;
   bool draining = false;
   bool transactions_ended = false;
@@ -97,6 +99,9 @@
            })}},
       this->parts.settings.readiness,
       HttpLimits{kMostProbeBody, kMostProbeConnections});
+  this->metrics =
+      MakeMetricsServer(this->control, this->parts.settings.node,
+                        [this] { return this->traffic.Metrics(); });
 }
 
 SessionTrafficParts SessionProxyProgram::Impl::TrafficParts() {
@@ -265,6 +270,7 @@
   this->traffic.Start();
   boost::asio::post(this->control, [this] {
     this->readiness->Start();
+    this->metrics->Start();
     this->client.Start(this->clock.now());
     this->Arm();
   });
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -1,16 +1,50 @@
 #include "lacewingferry/app/session_traffic.h"
 
 #include <boost/asio/post.hpp>
-#include <future>
 #include <utility>
 
+#include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/wait_until.h"
 
 namespace lacewingferry {
+namespace {
 
 using std::chrono::steady_clock;
 
+RequestKind KindOf(const StatementRun& run) {
+  switch (run.statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      return RequestKind::kBegin;
+    case StatementKind::kCommit:
+      return RequestKind::kCommit;
+    case StatementKind::kRollback:
+      return RequestKind::kRollback;
+    default:
+      return run.writes ? RequestKind::kWrite : RequestKind::kRead;
+  }
+}
+
+Outcome OutcomeOf(const StatementRun& run, const ClientReply& reply) {
+  if (!reply.error) {
+    Answered answered;
+    answered.served_by_replica = run.least_position.has_value();
+    return answered;
+  }
+  switch (*reply.error) {
+    case StatementError::kUnknown:
+    case StatementError::kTimeout:
+      return UnknownOutcome{};
+    case StatementError::kFailed:
+      return StatementFailed{};
+    default:
+      return NotRun{};
+  }
+}
+
+}  // namespace
+
 SessionTraffic::SessionTraffic(SessionTrafficParts traffic_parts)
     : parts(std::move(traffic_parts)),
       work(boost::asio::make_work_guard(this->io)),
@@ -49,6 +83,10 @@
   };
   hooks.close_link = [this](LinkId link) { this->front.close_link(link); };
   hooks.recalled = this->parts.recalled;
+  hooks.ended = [this](const StatementRun& run, const ClientReply& reply,
+                       std::chrono::nanoseconds took) {
+    this->Measure(run, reply, took);
+  };
   hooks.events = this->parts.events;
   return hooks;
 }
@@ -115,6 +153,7 @@
     this->armed_for = steady_clock::time_point::max();
     this->Handle([this](steady_clock::time_point present) {
       this->gateway->OnTick(present);
+      this->KeepGauges(present);
     });
   });
 }
@@ -161,12 +200,20 @@
   });
 }
 
-GatewayCounters SessionTraffic::Counters() {
-  std::promise<GatewayCounters> counted;
-  boost::asio::post(this->io, [this, &counted] {
-    counted.set_value(this->gateway->Counters());
-  });
-  return counted.get_future().get();
+void SessionTraffic::Measure(const StatementRun& run, const ClientReply& reply,
+                             std::chrono::nanoseconds took) {
+  this->metrics.Record(KindOf(run), OutcomeOf(run, reply), took);
+}
+
+void SessionTraffic::KeepGauges(steady_clock::time_point now) {
+  std::vector<Gauge> present = this->gateway->Gauges(now);
+  const std::lock_guard<std::mutex> lock(this->gauges_mutex);
+  this->gauges = std::move(present);
+}
+
+std::string SessionTraffic::Metrics() const {
+  const std::lock_guard<std::mutex> lock(this->gauges_mutex);
+  return this->metrics.Format() + FormatGauges(this->gauges);
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/app/session_traffic.h
+++ b/src/lacewingferry/app/session_traffic.h
@@ -9,8 +9,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <string>
 #include <thread>
+#include <vector>
 
+#include "lacewingferry/adapters/histogram/request_metrics.h"
 #include "lacewingferry/app/session_front.h"
 #include "lacewingferry/decisions/gateway/gateway.h"
 #include "lacewingferry/ports/clock.h"
@@ -58,7 +62,9 @@
 
   /** The sessions that are open, as of the last input. */
   std::size_t SessionCount() const { return this->session_count; }
-  GatewayCounters Counters();
+  /** The metrics in the Prometheus text format; the gauges are those of the
+   * last tick. */
+  std::string Metrics() const;
 
  private:
   template <typename Action>
@@ -67,6 +73,9 @@
   void Handle(Action action);
   SessionFrontHooks FrontHooks();
   GatewayHooks MakeGatewayHooks();
+  void Measure(const StatementRun& run, const ClientReply& reply,
+               std::chrono::nanoseconds took);
+  void KeepGauges(std::chrono::steady_clock::time_point now);
   void Arm();
 
   SessionTrafficParts parts;
@@ -77,6 +86,9 @@
   std::unique_ptr<Gateway> gateway;
   SessionFront front;
   std::atomic<std::size_t> session_count{0};
+  RequestMetrics metrics;
+  mutable std::mutex gauges_mutex;
+  std::vector<Gauge> gauges;
   std::thread thread;
 };
 
--- a/src/lacewingferry/core/client_statement.h
+++ b/src/lacewingferry/core/client_statement.h
@@ -93,6 +93,9 @@
   std::string digest;
   TransactionState state = TransactionState::kIdle;
   std::optional<LogPosition> position;
+  /** Whether the session had better go on at another proxy: this one is cut
+   * off. It is ended after the answer, when it is at rest. */
+  bool elsewhere = false;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/fleet_client.h
+++ b/src/lacewingferry/decisions/gateway/fleet_client.h
@@ -92,8 +92,11 @@
   /** Gives up all leases, when traffic has ended. */
   void Leave(std::chrono::steady_clock::time_point now);
 
-  /** Whether sessions can be served: routes and members are known. */
-  bool Ready() const { return this->configuration.version != 0; }
+  /** Whether sessions should come here: routes and members are known, and
+   * control answers. Without control others serve more. */
+  bool Ready() const {
+    return this->configuration.version != 0 && this->in_contact;
+  }
 
  private:
   void MakeHolder();
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -129,7 +129,6 @@
   session->id = client;
   session->host = host;
   this->sessions[client] = session;
-  ++this->counters.sessions_opened;
   return Admission::kAccepted;
 }
 
@@ -271,7 +270,7 @@
 
 void Gateway::OnEnded(steady_clock::time_point now, const RunPtr& run,
                       ClientReply reply) {
-  this->Count(run, reply);
+  this->hooks.ended(*run, reply, now - run->arrived);
   this->Record(now, run, reply);
   const auto found = this->sessions.find(run->client);
   if (found == this->sessions.end()) return;
@@ -319,7 +318,7 @@
   }
   const bool rests = session->running == nullptr &&
                      session->transaction == TransactionState::kIdle;
-  if (this->draining && rests) {
+  if ((this->draining || reply.elsewhere) && rests) {
     this->sessions.erase(session->id);
     this->hooks.close_client(session->id);
   }
@@ -425,19 +424,18 @@
   }
 }
 
-void Gateway::Count(const RunPtr& run, const ClientReply& reply) {
-  if (run->attempts > 1) ++this->counters.retried;
-  if (!reply.error) {
-    ++this->counters.served;
-    if (run->least_position) ++this->counters.served_by_replica;
-  } else if (*reply.error == StatementError::kUnknown ||
-             *reply.error == StatementError::kTimeout) {
-    ++this->counters.unknown;
-  } else if (*reply.error == StatementError::kFailed) {
-    ++this->counters.failed;
-  } else {
-    ++this->counters.refused;
+std::vector<Gauge> Gateway::Gauges(steady_clock::time_point now) const {
+  std::vector<Gauge> gauges = {
+      {"ferry_sessions", "", static_cast<double>(this->sessions.size())}};
+  if (this->view) {
+    gauges.push_back(
+        {"ferry_configuration_version", "",
+         static_cast<double>(this->view->configuration.version)});
+  }
+  for (const auto& [database, group] : this->groups) {
+    group->AddGauges(now, database.Value(), &gauges);
   }
+  return gauges;
 }
 
 void Gateway::Record(steady_clock::time_point now, const RunPtr& run,
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/gauge.h"
 #include "lacewingferry/decisions/gateway/client_session.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
 #include "lacewingferry/decisions/gateway/gateway_view.h"
@@ -31,17 +32,6 @@
 /** Gets the answer to the opening of a session, once. */
 using AdmissionHook = std::function<void(Admission)>;
 
-/** What the gateway counts, for metrics. */
-struct GatewayCounters {
-  std::uint64_t served = 0;
-  std::uint64_t served_by_replica = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t retried = 0;
-  std::uint64_t sessions_opened = 0;
-};
-
 /**
  * Takes statements of clients' sessions, serves those that only concern the
  * session itself, and has the others run by the group that the session's route
@@ -90,7 +80,8 @@
   void EndTransactions(std::chrono::steady_clock::time_point now);
 
   std::size_t SessionCount() const { return this->sessions.size(); }
-  const GatewayCounters& Counters() const { return this->counters; }
+  /** What the gateway stands at, for metrics. */
+  std::vector<Gauge> Gauges(std::chrono::steady_clock::time_point now) const;
 
  private:
   using SessionPtr = std::shared_ptr<ClientSession>;
@@ -129,7 +120,6 @@
                          const ClientReply& reply);
   void Answer(std::chrono::steady_clock::time_point now,
               const SessionPtr& session, const ClientReply& reply);
-  void Count(const RunPtr& run, const ClientReply& reply);
   void Record(std::chrono::steady_clock::time_point now, const RunPtr& run,
               const ClientReply& reply);
   void EndIdleTransactions(std::chrono::steady_clock::time_point now);
@@ -144,7 +134,6 @@
   std::map<ClientId, SessionPtr> sessions;
   std::vector<Opening> openings;
   LinkId last_link = 0;
-  GatewayCounters counters;
   bool draining = false;
 };
 
--- a/src/lacewingferry/decisions/gateway/gateway_hooks.h
+++ b/src/lacewingferry/decisions/gateway/gateway_hooks.h
@@ -13,6 +13,7 @@
 #include "lacewingferry/core/client_statement.h"
 #include "lacewingferry/core/member_request.h"
 #include "lacewingferry/core/messages/lease_messages.h"
+#include "lacewingferry/decisions/gateway/statement_run.h"
 #include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
@@ -35,6 +36,10 @@
   std::function<void(const DatabaseId&, std::uint64_t before_term,
                      const LogPosition& acknowledged)>
       recalled;
+  /** A statement that a member had to see has its answer. */
+  std::function<void(const StatementRun&, const ClientReply&,
+                     std::chrono::nanoseconds took)>
+      ended;
   EventPort events;
 };
 
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -127,6 +127,12 @@
          !this->recall;
 }
 
+bool GroupTraffic::Isolated(steady_clock::time_point now) const {
+  return this->view.term.phase == TermPhase::kSteady &&
+         this->lease_term == this->view.term.term &&
+         now >= this->lease_until;
+}
+
 void GroupTraffic::OnPosition(steady_clock::time_point asked,
                               const LogPosition& position) {
   this->history.Add(asked, position);
@@ -163,6 +169,14 @@
   const auto ahead =
       static_cast<std::size_t>(std::distance(this->waiting.begin(), place));
   const auto passed = now - run->arrived;
+  if (!run->in_transaction && !run->least_position && this->Isolated(now)) {
+    ClientReply refusal;
+    refusal.error = StatementError::kBusy;
+    refusal.error_text = "this proxy has lost control";
+    refusal.elsewhere = true;
+    this->Finish(now, run, std::move(refusal));
+    return;
+  }
   const bool hopeless =
       !run->in_transaction &&
       passed + this->ExpectedWait(run, ahead) >
@@ -642,7 +656,7 @@
                                 const RunPtr& run) const {
   if (run->in_transaction) return false;
   const bool elsewhere = run->least_position.has_value();
-  if (!elsewhere && !this->Leased(now)) return true;
+  if (!elsewhere && !this->Leased(now)) return !this->Isolated(now);
   const auto usable = [&](const auto& item) {
     const MemberPool& pool = *item.second;
     const bool serves = elsewhere ? !pool.Info().leaving
@@ -789,4 +803,25 @@
   return next;
 }
 
+void GroupTraffic::AddGauges(steady_clock::time_point now,
+                             const std::string& name,
+                             std::vector<Gauge>* gauges) const {
+  const auto add = [&](const char* metric, double value) {
+    gauges->push_back({metric, name, value});
+  };
+  const auto seconds = [](steady_clock::duration length) {
+    return std::chrono::duration<double>(length).count();
+  };
+  add("ferry_statements_waiting", static_cast<double>(this->waiting.size()));
+  add("ferry_statements_under_way", static_cast<double>(this->flights.size()));
+  add("ferry_member_connections",
+      static_cast<double>(this->link_members.size()));
+  add("ferry_open_transactions", static_cast<double>(this->pinned.size()));
+  add("ferry_term", static_cast<double>(this->view.term.term));
+  add("ferry_lease_seconds_left",
+      this->Leased(now) ? seconds(this->lease_until - now) : 0);
+  const auto asked = this->history.NewestAsked();
+  if (asked) add("ferry_position_age_seconds", seconds(now - *asked));
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/gauge.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
 #include "lacewingferry/decisions/gateway/gateway_view.h"
 #include "lacewingferry/decisions/gateway/member_pool.h"
@@ -93,12 +94,16 @@
   std::optional<std::chrono::steady_clock::time_point> NextWakeup(
       std::chrono::steady_clock::time_point now) const;
 
+  /** Whether the lease on the present term ran out: this proxy has lost
+   * control, while others may serve. */
+  bool Isolated(std::chrono::steady_clock::time_point now) const;
+
   /** Whether the lease on the present term is in force. */
   bool Leased(std::chrono::steady_clock::time_point now) const;
 
-  std::size_t Waiting() const { return this->waiting.size(); }
-  std::size_t UnderWay() const { return this->flights.size(); }
-  std::size_t LinkCount() const { return this->link_members.size(); }
+  /** Adds what the group stands at, for metrics. */
+  void AddGauges(std::chrono::steady_clock::time_point now,
+                 const std::string& name, std::vector<Gauge>* gauges) const;
 
  private:
   /** What is under way on a connection. */
--- a/src/lacewingferry/decisions/gateway/position_history.cc
+++ b/src/lacewingferry/decisions/gateway/position_history.cc
@@ -43,6 +43,11 @@
   return found->position;
 }
 
+std::optional<steady_clock::time_point> PositionHistory::NewestAsked() const {
+  if (this->samples.empty()) return std::nullopt;
+  return this->samples.back().asked;
+}
+
 LogPosition PositionHistory::InTerm(const LogPosition& position) const {
   if (!this->newest || position.term >= this->newest->term) return position;
   if (this->term_start.term == 0) return position;
--- a/src/lacewingferry/decisions/gateway/position_history.h
+++ b/src/lacewingferry/decisions/gateway/position_history.h
@@ -34,6 +34,9 @@
   /** The highest position known. */
   const std::optional<LogPosition>& Newest() const { return this->newest; }
 
+  /** When the newest position was asked for; none without one. */
+  std::optional<std::chrono::steady_clock::time_point> NewestAsked() const;
+
   /** Notes where the log of the primary's term began; what an earlier term
    * held after it was rolled back and never acknowledged. */
   void SetTermStart(const LogPosition& start) { this->term_start = start; }
--- a/src/lacewingferry/decisions/switchover/group_keeper.cc
+++ b/src/lacewingferry/decisions/switchover/group_keeper.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/switchover/group_keeper.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace lacewingferry {
@@ -38,6 +39,7 @@
 void GroupKeeper::OnChanged(steady_clock::time_point now) {
   const DatabaseTerm* entry = this->Entry();
   if (entry == nullptr) return;
+  this->RecordPhase(*entry);
   if (entry->phase != TermPhase::kSteady) {
     this->sample.reset();
     if (this->run == nullptr || this->run_term != entry->term) {
@@ -60,6 +62,28 @@
   this->next_poll = now;
 }
 
+/** One line for each step of a term that this leader saw. */
+void GroupKeeper::RecordPhase(const DatabaseTerm& entry) {
+  const auto step = std::make_pair(entry.term, entry.phase);
+  if (this->recorded == step) return;
+  this->recorded = step;
+  const EventCode code = entry.phase == TermPhase::kElecting
+                             ? EventCode::kTermBegun
+                         : entry.phase == TermPhase::kPromoting
+                             ? EventCode::kPrimaryChosen
+                             : EventCode::kPrimaryConfirmed;
+  this->context.hooks.events.record(
+      Event{code,
+            EventLevel::kInfo,
+            {{"database", entry.database.Value()},
+             {"term", std::to_string(entry.term)},
+             {"primary", entry.primary.Value()},
+             {"former", entry.former_primary.Value()},
+             {"start", std::to_string(entry.start.term) + "." +
+                           std::to_string(entry.start.offset)},
+             {"reason", this->reason}}});
+}
+
 void GroupKeeper::StartRun(steady_clock::time_point now,
                            const DatabaseTerm& entry) {
   this->run = std::make_shared<SuccessionRun>(this->context, entry, now);
@@ -236,9 +260,10 @@
 }
 
 void GroupKeeper::BeginNextTerm(steady_clock::time_point now,
-                                const DatabaseTerm& entry, const char* reason) {
+                                const DatabaseTerm& entry, const char* why) {
+  this->reason = why;
   this->Propose(now, DatabaseCommand{BeginTerm{entry.database, entry.term,
-                                               entry.term + 1, reason}});
+                                               entry.term + 1, why}});
 }
 
 void GroupKeeper::EnterMembers(steady_clock::time_point now,
--- a/src/lacewingferry/decisions/switchover/group_keeper.h
+++ b/src/lacewingferry/decisions/switchover/group_keeper.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <utility>
 
 #include "lacewingferry/decisions/switchover/primary_watch.h"
 #include "lacewingferry/decisions/switchover/succession_run.h"
@@ -67,9 +69,10 @@
                        const DatabaseTerm& entry);
   bool HasSuccessor(const DatabaseTerm& entry) const;
   void BeginNextTerm(std::chrono::steady_clock::time_point now,
-                     const DatabaseTerm& entry, const char* reason);
+                     const DatabaseTerm& entry, const char* why);
   void EnterMembers(std::chrono::steady_clock::time_point now,
                     const DatabaseTerm& entry);
+  void RecordPhase(const DatabaseTerm& entry);
   void StartRun(std::chrono::steady_clock::time_point now,
                 const DatabaseTerm& entry);
   void ReleaseReplicas(const DatabaseTerm& entry);
@@ -90,6 +93,10 @@
   std::map<MemberId, AdminAnswer> answers;
   std::set<MemberId> asking;
   bool primary_asked = false;
+  /** The term and phase that the log was told last, and why the last term was
+   * begun, if this leader began it. */
+  std::optional<std::pair<std::uint64_t, TermPhase>> recorded;
+  std::string reason;
   std::chrono::steady_clock::time_point first_seen;
   std::chrono::steady_clock::time_point next_poll;
   std::chrono::steady_clock::time_point next_replica_poll;
--- a/tests/correctness/gateway_write_test.cc
+++ b/tests/correctness/gateway_write_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CommitAfterARecallIsNotAskedFor);
   CPPUNIT_TEST(LeaseOfALaterTermProvesNoEarlierWrite);
   CPPUNIT_TEST(WriteWaitsForTheNextPrimary);
+  CPPUNIT_TEST(LostControlIsToldAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +175,25 @@
     gateway.Run(milliseconds(100));
     CPPUNIT_ASSERT(!gateway.Answers().at(write).reply.error);
   }
+
+  // Incident inc-864e of standpijp-hosting: proxies that were cut off from
+  // control kept each write until its time limit, while others could serve it.
+  void LostControlIsToldAtOnce() {
+    SessionGateway gateway;
+    Prepare(gateway);
+    gateway.Lease(milliseconds(100));
+    gateway.Run(milliseconds(200));
+    const ClientId client = gateway.Open("primary");
+    const RequestId write = gateway.Ask(client, "STORE 1 x");
+    gateway.Run(milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.Answers().count(write));
+    CPPUNIT_ASSERT(gateway.Answers().at(write).reply.error ==
+                   StatementError::kBusy);
+    CPPUNIT_ASSERT(gateway.Closed(client));
+    // Reads of a stated age go on while a position is young enough.
+    const ClientId reader = gateway.Open("bounded");
+    CPPUNIT_ASSERT(!gateway.AskAndWait(reader, "LOOKUP 1").error);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayWriteTest);
