--- a/src/lacewingferry/app/session_proxy_program.cc
+++ b/src/lacewingferry/app/session_proxy_program.cc
@@ -99,9 +99,8 @@
            })}},
       this->parts.settings.readiness,
       HttpLimits{kMostProbeBody, kMostProbeConnections});
-  this->metrics =
-      MakeMetricsServer(this->control, this->parts.settings.node,
-                        [this] { return this->traffic.Metrics(); });
+  this->metrics = MakeMetricsServer(this->control, this->parts.settings.node,
+                                    [this] { return this->traffic.Metrics(); });
 }
 
 SessionTrafficParts SessionProxyProgram::Impl::TrafficParts() {
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -428,9 +428,8 @@
   std::vector<Gauge> gauges = {
       {"ferry_sessions", "", static_cast<double>(this->sessions.size())}};
   if (this->view) {
-    gauges.push_back(
-        {"ferry_configuration_version", "",
-         static_cast<double>(this->view->configuration.version)});
+    gauges.push_back({"ferry_configuration_version", "",
+                      static_cast<double>(this->view->configuration.version)});
   }
   for (const auto& [database, group] : this->groups) {
     group->AddGauges(now, database.Value(), &gauges);
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -129,8 +129,7 @@
 
 bool GroupTraffic::Isolated(steady_clock::time_point now) const {
   return this->view.term.phase == TermPhase::kSteady &&
-         this->lease_term == this->view.term.term &&
-         now >= this->lease_until;
+         this->lease_term == this->view.term.term && now >= this->lease_until;
 }
 
 void GroupTraffic::OnPosition(steady_clock::time_point asked,
--- a/src/lacewingferry/decisions/switchover/group_keeper.cc
+++ b/src/lacewingferry/decisions/switchover/group_keeper.cc
@@ -67,11 +67,10 @@
   const auto step = std::make_pair(entry.term, entry.phase);
   if (this->recorded == step) return;
   this->recorded = step;
-  const EventCode code = entry.phase == TermPhase::kElecting
-                             ? EventCode::kTermBegun
-                         : entry.phase == TermPhase::kPromoting
-                             ? EventCode::kPrimaryChosen
-                             : EventCode::kPrimaryConfirmed;
+  const EventCode code =
+      entry.phase == TermPhase::kElecting    ? EventCode::kTermBegun
+      : entry.phase == TermPhase::kPromoting ? EventCode::kPrimaryChosen
+                                             : EventCode::kPrimaryConfirmed;
   this->context.hooks.events.record(
       Event{code,
             EventLevel::kInfo,
--- /dev/null
+++ b/tests/correctness/session_metrics_test.cc
@@ -0,0 +1,56 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "bench/model/session_gateway.h"
+#include "lacewingferry/adapters/histogram/gauge_text.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+
+class SessionMetricsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SessionMetricsTest);
+  CPPUNIT_TEST(GaugesOfAProxyAreCatalogued);
+  CPPUNIT_TEST(GaugesOfANameStandTogether);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void GaugesOfAProxyAreCatalogued() {
+    model::SessionGateway gateway;
+    gateway.Publish();
+    gateway.Lease(milliseconds(5000));
+    gateway.Vouch();
+    gateway.Run(milliseconds(100));
+    const char* folder = std::getenv("FERRY_SOURCE_DIR");
+    CPPUNIT_ASSERT_MESSAGE("FERRY_SOURCE_DIR is not set", folder != nullptr);
+    std::ifstream page(std::string(folder) + "/docs/METRICS.md");
+    std::ostringstream text;
+    text << page.rdbuf();
+    const auto gauges = gateway.Decisions().Gauges(gateway.Queue().Now());
+    CPPUNIT_ASSERT(gauges.size() >= 9);
+    for (const Gauge& gauge : gauges) {
+      CPPUNIT_ASSERT_MESSAGE(
+          gauge.name,
+          text.str().find("`" + gauge.name + "`") != std::string::npos);
+    }
+  }
+
+  void GaugesOfANameStandTogether() {
+    const std::string text = FormatGauges(
+        {{"b", "", 1}, {"a", "x", 2}, {"b", "y", 3}, {"a", "", 0.5}});
+    CPPUNIT_ASSERT_EQUAL(std::string("# TYPE a gauge\na{database=\"x\"} 2\n"
+                                     "a 0.5\n# TYPE b gauge\nb 1\n"
+                                     "b{database=\"y\"} 3\n"),
+                         text);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionMetricsTest);
+
+}  // namespace
+}  // namespace lacewingferry
