--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -128,8 +128,10 @@
 }
 
 bool GroupTraffic::Isolated(steady_clock::time_point now) const {
-  return this->view.term.phase == TermPhase::kSteady &&
-         this->lease_term == this->view.term.term && now >= this->lease_until;
+  const bool had_lease =
+      this->lease_term != 0 && this->lease_term == this->view.term.term;
+  return had_lease && this->view.term.phase == TermPhase::kSteady &&
+         now >= this->lease_until;
 }
 
 void GroupTraffic::OnPosition(steady_clock::time_point asked,
--- a/tests/correctness/gateway_write_test.cc
+++ b/tests/correctness/gateway_write_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(LeaseOfALaterTermProvesNoEarlierWrite);
   CPPUNIT_TEST(WriteWaitsForTheNextPrimary);
   CPPUNIT_TEST(LostControlIsToldAtOnce);
+  CPPUNIT_TEST(FirstLeaseIsWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -194,6 +195,23 @@
     const ClientId reader = gateway.Open("bounded");
     CPPUNIT_ASSERT(!gateway.AskAndWait(reader, "LOOKUP 1").error);
   }
+
+  // Found with the stand-in of the platform: before control had adopted a group
+  // its missing lease was taken for one that ran out.
+  void FirstLeaseIsWaitedFor() {
+    SessionGateway gateway;
+    DatabaseTerm& term = gateway.view.groups.at(DatabaseId("db")).term;
+    const DatabaseTerm adopted = term;
+    term = DatabaseTerm();
+    gateway.Publish();
+    const ClientId client = gateway.Open("primary");
+    const RequestId write = gateway.Ask(client, "STORE 1 x");
+    gateway.Run(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway.Answers().count(write));
+    term = adopted;
+    Prepare(gateway);
+    CPPUNIT_ASSERT(!gateway.Answers().at(write).reply.error);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayWriteTest);
--- /dev/null
+++ b/tests/support/platform_fleet.cc
@@ -0,0 +1,283 @@
+#include "tests/support/platform_fleet.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+#include "bench/processes/free_ports.h"
+#include "bench/processes/http_client.h"
+#include "bench/processes/poll_until.h"
+
+namespace lacewingferry::testing {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallTimeout{2000};
+constexpr char kGroup[] = "db";
+constexpr std::size_t kMembers = 3;
+constexpr int kOk = 200;
+
+std::string MakeFolder() {
+  const auto base = std::filesystem::temp_directory_path() / "ferry-XXXXXX";
+  std::string name = base.string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no folder for a test: " + name);
+  }
+  return name;
+}
+
+std::string MustGetEnv(const char* name) {
+  const char* value = std::getenv(name);
+  if (value == nullptr) throw std::runtime_error(std::string(name) + " unset");
+  return value;
+}
+
+nlohmann::json Route(const char* kind, int staleness_ms) {
+  return {{"name", kind},
+          {"host", kind},
+          {"prefix", "/"},
+          {"kind", kind},
+          {"timeout_ms", 3000},
+          {"slo_ms", 2000},
+          {"priority", 1},
+          {"service", kGroup},
+          {"max_staleness_ms", staleness_ms}};
+}
+
+}  // namespace
+
+PlatformFleet::PlatformFleet()
+    : folder(MakeFolder()), programs(MustGetEnv("FERRY_BINARY_DIR")) {
+  processes::FreePorts ports;
+  for (std::uint16_t* port :
+       {&this->peer_port, &this->metrics_port, &this->control_port,
+        &this->client_port, &this->ready_port, &this->promotion_port,
+        &this->member_port}) {
+    *port = ports.Take();
+  }
+  standin::PlatformStandinPlan plan;
+  plan.group = kGroup;
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    plan.members.push_back(
+        {"127.0.0." + std::to_string(31 + i), this->member_port});
+  }
+  plan.promotion = {"127.0.0.1", this->promotion_port};
+  for (std::size_t i = 0; i < kControls; ++i) {
+    plan.control.push_back({this->ControlHost(i), this->control_port});
+  }
+  this->standin = std::make_unique<standin::PlatformStandin>(plan);
+  for (std::size_t i = 0; i < kControls; ++i) this->StartControl(i, true);
+  for (std::size_t i = 0; i < kProxies; ++i) this->StartProxy(i);
+}
+
+PlatformFleet::~PlatformFleet() {
+  this->proxies.clear();
+  this->controls.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::string PlatformFleet::ControlHost(std::size_t number) const {
+  return "127.0.0." + std::to_string(11 + number);
+}
+
+std::string PlatformFleet::ProxyHost(std::size_t number) const {
+  return "127.0.0." + std::to_string(21 + number);
+}
+
+std::string PlatformFleet::CommonSettings(const std::string& name,
+                                          const std::string& host) const {
+  std::ostringstream out;
+  out << "name: " << name << "\naddress: " << host << "\nzone: z0\n"
+      << "regions: {z0: r0, z1: r1, z2: r2}\npeer_port: " << this->peer_port
+      << "\nmetrics_port: " << this->metrics_port << "\ncontrol: ["
+      << this->ControlHost(0) << ":1, " << this->ControlHost(1) << ":1, "
+      << this->ControlHost(2) << ":1]\nlog:\n  output: stdout\n";
+  return out.str();
+}
+
+void PlatformFleet::StartControl(std::size_t number, bool founding) {
+  const std::string name = "control-" + std::to_string(number);
+  const std::string host = this->ControlHost(number);
+  const std::string disk = this->folder + "/" + name;
+  std::filesystem::create_directories(disk);
+  const std::string path = this->folder + "/" + name + ".yaml";
+  std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
+                      << ":" << this->control_port << "\ndata_folder: " << disk
+                      << "\nfounding: " << (founding ? "true" : "false")
+                      << "\ntolerated_losses: 1\npromotion: 127.0.0.1:"
+                      << this->promotion_port << "\n";
+  this->controls[number] = std::make_unique<processes::ChildProcess>(
+      std::vector<std::string>{this->programs + "/ferryfleetd", "--settings",
+                               path},
+      this->folder + "/" + name + ".log");
+}
+
+void PlatformFleet::StartProxy(std::size_t number) {
+  const std::string name = "proxy-" + std::to_string(number);
+  const std::string host = this->ProxyHost(number);
+  const std::string path = this->folder + "/" + name + ".yaml";
+  std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
+                      << ":" << this->client_port << "\nreadiness: " << host
+                      << ":" << this->ready_port << "\n";
+  this->proxies[number] = std::make_unique<processes::ChildProcess>(
+      std::vector<std::string>{this->programs + "/ferrysessiond", "--settings",
+                               path},
+      this->folder + "/" + name + ".log");
+}
+
+void PlatformFleet::RestartControl(std::size_t number) {
+  this->StartControl(number, false);
+}
+
+void PlatformFleet::RestartProxy(std::size_t number) {
+  this->StartProxy(number);
+}
+
+Endpoint PlatformFleet::ClientAddress(std::size_t proxy) const {
+  return {this->ProxyHost(proxy), this->client_port};
+}
+
+Endpoint PlatformFleet::MetricsAddress(std::size_t proxy) const {
+  return {this->ProxyHost(proxy), this->metrics_port};
+}
+
+int PlatformFleet::TryConfiguration(const std::string& document) {
+  int status = 0;
+  for (std::size_t i = 0; i < kControls; ++i) {
+    try {
+      processes::HttpClient client({this->ControlHost(i), this->control_port});
+      status = client.Post("/config/replace", document, kCallTimeout).status;
+    } catch (const processes::HttpFailure&) {
+      continue;
+    }
+    if (status == kOk || status / 100 == 4) return status;
+  }
+  return status;
+}
+
+void PlatformFleet::PutConfiguration(std::uint64_t version) {
+  const nlohmann::json document = {
+      {"version", version},
+      {"routes",
+       {Route("primary", 0), Route("bounded", 1500), Route("session", 2500)}},
+      {"services",
+       {{{"name", kGroup}, {"max_conns", 60}, {"sync_replicas", 1}}}},
+      {"limits", {{"tx_idle_ms", 3000}}}};
+  const bool put = processes::PollUntil(kFleetDeadline, [&] {
+    return this->TryConfiguration(document.dump()) == kOk;
+  });
+  if (!put) throw std::runtime_error("no configuration; see " + this->folder);
+}
+
+std::uint64_t PlatformFleet::FetchVersion() {
+  for (std::size_t i = 0; i < kControls; ++i) {
+    try {
+      processes::HttpClient client({this->ControlHost(i), this->control_port});
+      const auto answer = client.Get("/config/fetch", kCallTimeout);
+      if (answer.status != kOk) continue;
+      return nlohmann::json::parse(answer.body).at("version");
+    } catch (const processes::HttpFailure&) {
+      continue;
+    }
+  }
+  return 0;
+}
+
+bool PlatformFleet::Ready(std::size_t proxy) {
+  try {
+    processes::HttpClient client({this->ProxyHost(proxy), this->ready_port});
+    return client.Get("/readyz", kCallTimeout).status == kOk;
+  } catch (const processes::HttpFailure&) {
+    return false;
+  }
+}
+
+void PlatformFleet::AwaitReady() {
+  const bool ready = processes::PollUntil(
+      kFleetDeadline, [this] { return this->Ready(0) && this->Ready(1); });
+  if (!ready) throw std::runtime_error("not ready; see " + this->folder);
+}
+
+std::string PlatformFleet::LogOfProxy(std::size_t proxy) const {
+  std::ifstream stream(this->folder + "/proxy-" + std::to_string(proxy) +
+                       ".log");
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+class LineClient::Impl {
+ public:
+  explicit Impl(const Endpoint& proxy) : socket(this->io) {
+    this->socket.connect(
+        {boost::asio::ip::make_address(proxy.host), proxy.port});
+  }
+
+  void Write(const std::string& bytes) {
+    boost::system::error_code error;
+    boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
+  }
+
+  std::string ReadLine() {
+    boost::system::error_code error;
+    const std::size_t size = boost::asio::read_until(
+        this->socket, boost::asio::dynamic_buffer(this->input), "\r\n", error);
+    if (error) return "";
+    const std::string line = this->input.substr(0, size - 2);
+    this->input.erase(0, size);
+    return line;
+  }
+
+  int next_id = 0;
+
+ private:
+  boost::asio::io_context io;
+  tcp::socket socket;
+  std::string input;
+};
+
+LineClient::LineClient(const Endpoint& proxy, const std::string& database)
+    : impl(std::make_unique<Impl>(proxy)) {
+  if (database.empty()) return;
+  this->impl->Write("STARTUP " + database + " tester\r\n");
+  const std::string answer = this->impl->ReadLine();
+  if (answer.rfind("READY", 0) != 0) {
+    throw std::runtime_error("session refused: " + answer);
+  }
+}
+
+LineClient::~LineClient() = default;
+
+std::string LineClient::Ask(const std::string& text) {
+  this->impl->Write("QUERY c" + std::to_string(++this->impl->next_id) + " " +
+                    text + "\r\n");
+  std::string answer;
+  for (;;) {
+    const std::string line = this->impl->ReadLine();
+    if (line.empty()) return "";
+    if (!answer.empty()) answer += "|";
+    answer += line;
+    if (line.rfind("READY", 0) == 0) return answer;
+  }
+}
+
+std::string LineClient::SendRaw(const std::string& bytes) {
+  this->impl->Write(bytes);
+  return this->impl->ReadLine();
+}
+
+std::string LineClient::ReadLine() { return this->impl->ReadLine(); }
+
+}  // namespace lacewingferry::testing
--- /dev/null
+++ b/tests/support/platform_fleet.h
@@ -0,0 +1,112 @@
+#ifndef TESTS_SUPPORT_PLATFORM_FLEET_H_
+#define TESTS_SUPPORT_PLATFORM_FLEET_H_
+
+// Defines PlatformFleet, the programs of the platform as real processes before
+// the platform's stand-in.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/processes/child_process.h"
+#include "lacewingferry/core/routing_view.h"
+#include "standin/platform/platform_standin.h"
+
+namespace lacewingferry::testing {
+
+/** How long a test waits for something that has to happen. */
+constexpr std::chrono::milliseconds kFleetDeadline{30000};
+
+/** Three processes of control and two proxies, each at a loopback address of
+ * its own, since all of a fleet listen at the same ports. The folder of the
+ * programs is that of the environment variable FERRY_BINARY_DIR. */
+class PlatformFleet {
+ public:
+  PlatformFleet();
+  ~PlatformFleet();
+  PlatformFleet(const PlatformFleet&) = delete;
+  PlatformFleet& operator=(const PlatformFleet&) = delete;
+
+  static constexpr std::size_t kControls = 3;
+  static constexpr std::size_t kProxies = 2;
+
+  standin::PlatformStandin& Standin() { return *this->standin; }
+  processes::ChildProcess& Control(std::size_t number) {
+    return *this->controls.at(number);
+  }
+  processes::ChildProcess& Proxy(std::size_t number) {
+    return *this->proxies.at(number);
+  }
+  /** Starts a process again with its disk. */
+  void RestartControl(std::size_t number);
+  void RestartProxy(std::size_t number);
+
+  Endpoint ClientAddress(std::size_t proxy) const;
+  Endpoint MetricsAddress(std::size_t proxy) const;
+
+  /** Sends a configuration until it is acknowledged; the routes are "primary",
+   * "bounded" and "session". */
+  void PutConfiguration(std::uint64_t version);
+  /** The status of one attempt at any process of control that answers it. */
+  int TryConfiguration(const std::string& document);
+  /** The version that is read back; 0 while nobody is sure. */
+  std::uint64_t FetchVersion();
+  bool Ready(std::size_t proxy);
+  /** Waits until both proxies take connections. */
+  void AwaitReady();
+
+  /** The name of the folder with logs and disks. */
+  const std::string& Folder() const { return this->folder; }
+  /** What a process wrote to its standard output. */
+  std::string LogOfProxy(std::size_t proxy) const;
+
+ private:
+  std::string ControlHost(std::size_t number) const;
+  std::string ProxyHost(std::size_t number) const;
+  std::string CommonSettings(const std::string& name,
+                             const std::string& host) const;
+  void StartControl(std::size_t number, bool founding);
+  void StartProxy(std::size_t number);
+
+  std::string folder;
+  std::string programs;
+  std::uint16_t peer_port = 0;
+  std::uint16_t metrics_port = 0;
+  std::uint16_t control_port = 0;
+  std::uint16_t client_port = 0;
+  std::uint16_t ready_port = 0;
+  std::uint16_t promotion_port = 0;
+  std::uint16_t member_port = 0;
+  std::unique_ptr<standin::PlatformStandin> standin;
+  std::map<std::size_t, std::unique_ptr<processes::ChildProcess>> controls;
+  std::map<std::size_t, std::unique_ptr<processes::ChildProcess>> proxies;
+};
+
+/** A client that speaks the lines, and waits for each answer. */
+class LineClient {
+ public:
+  /** Opens a session. Throws std::runtime_error if it is refused. */
+  LineClient(const Endpoint& proxy, const std::string& database);
+  ~LineClient();
+  LineClient(const LineClient&) = delete;
+  LineClient& operator=(const LineClient&) = delete;
+
+  /** Sends a statement; returns the lines of its answer up to READY, joined by
+   * "|", or an empty text when the connection ended. */
+  std::string Ask(const std::string& text);
+  /** Sends bytes as they are, and reads a line; empty at the end. */
+  std::string SendRaw(const std::string& bytes);
+  /** The next line; empty when the connection ended. */
+  std::string ReadLine();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace lacewingferry::testing
+
+#endif  // TESTS_SUPPORT_PLATFORM_FLEET_H_
