Don't wait for a dead neighbour; split the sources of statements by what they do

Cause: a read waited for the nearest member even if no connection to it could be opened, as long as the others were expected to take three times as long. A second copy of a slow read that found no connection is asked for again.

--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -13,6 +13,7 @@
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/control_replica.h"
 #include "lacewingferry/app/fleet_peers.h"
+#include "lacewingferry/app/fleet_replica_settings.h"
 #include "lacewingferry/app/metrics_server.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/wait_until.h"
@@ -27,46 +28,10 @@
 
 constexpr std::size_t kMostBody = 4U << 20U;
 constexpr std::size_t kMostConnections = 1024;
-/** The fewest voters that can lose one. */
-constexpr std::size_t kFewestVoters = 3;
 constexpr milliseconds kSilenceCheck{350};
 /** Until an order that isn't committed yet is answered as unknown. */
 constexpr milliseconds kOrderLimit{2500};
 
-RaftSettings RaftTimes() {
-  RaftSettings raft;
-  raft.heartbeat = milliseconds(70);
-  raft.election_timeout_min = milliseconds(300);
-  raft.election_timeout_max = milliseconds(450);
-  raft.lease_margin = milliseconds(30);
-  raft.resend = milliseconds(250);
-  raft.join_retry = milliseconds(400);
-  return raft;
-}
-
-RepairSettings RepairTimes(std::uint64_t tolerated_losses) {
-  RepairSettings repair;
-  repair.voters =
-      std::max<std::size_t>(kFewestVoters, 2 * tolerated_losses + 1);
-  repair.voter_silence = milliseconds(2000);
-  repair.learner_silence = milliseconds(3000);
-  return repair;
-}
-
-ControlReplicaSettings ReplicaSettings(
-    const FleetControlProgramSettings& settings) {
-  ControlReplicaSettings replica;
-  replica.data_folder = settings.data_folder;
-  replica.raft = RaftTimes();
-  replica.repair = RepairTimes(settings.tolerated_losses);
-  replica.self = settings.node.address;
-  for (const NodeId& node : settings.node.control) {
-    if (node != settings.node.address) replica.raft.seeds.push_back(node);
-  }
-  if (settings.founding) replica.founders = settings.node.control;
-  return replica;
-}
-
 }  // namespace
 
 /** The steps of an input: the replica takes messages of the log, FleetControl
@@ -122,7 +87,8 @@
     : parts(std::move(program_parts)),
       signals(this->control, SIGTERM, SIGINT, SIGHUP),
       timer(this->control),
-      replica(ReplicaSettings(this->parts.settings), this->ReplicaHooks()) {
+      replica(MakeFleetReplicaSettings(this->parts.settings),
+              this->ReplicaHooks()) {
   this->peers = std::make_unique<FleetPeers>(
       this->parts.settings.node, this->control, this->parts.hybrid,
       this->parts.events, [this](const NodeId& from, const PeerBody& body) {
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -36,6 +36,9 @@
  * Takes statements of clients' sessions, serves those that only concern the
  * session itself, and has the others run by the group that the session's route
  * names. Belongs to one traffic thread.
+ *
+ * gateway.cc serves statements; gateway_time.cc does what is due, ends sessions
+ * for a planned stop, and tells where the gateway stands.
  */
 class Gateway {
  public:
@@ -122,6 +125,8 @@
               const SessionPtr& session, const ClientReply& reply);
   void Record(std::chrono::steady_clock::time_point now, const RunPtr& run,
               const ClientReply& reply);
+  void EndResting(std::chrono::steady_clock::time_point now,
+                  std::chrono::milliseconds longest);
   void EndIdleTransactions(std::chrono::steady_clock::time_point now);
   GroupTraffic* Group(const DatabaseId& database);
   GroupTraffic& GroupFor(const DatabaseId& database);
--- a/src/lacewingferry/decisions/gateway/gateway_hooks.h
+++ b/src/lacewingferry/decisions/gateway/gateway_hooks.h
@@ -48,10 +48,8 @@
   AvailabilityZone zone;
   /** The region of each availability zone. */
   std::map<AvailabilityZone, std::string> regions;
-  /** A read without an answer for this long, or for this many times what its
-   * member usually takes, is also sent to another member. */
-  std::chrono::milliseconds least_hedge_delay{250};
-  int hedge_factor = 6;
+  /** A read without an answer for this long is also sent to another member. */
+  std::chrono::milliseconds hedge_delay{250};
   /** The pause before a member that was busy is asked again. */
   std::chrono::milliseconds busy_pause{15};
   /** The pause before a replica that lacked a position is asked again. */
--- /dev/null
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lacewingferry/decisions/gateway/gateway.h"
+#include "lacewingferry/decisions/gateway/statement_record.h"
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/** How often idle transactions and empty pools are looked at. */
+constexpr milliseconds kSweepInterval{250};
+
+}  // namespace
+
+void Gateway::EndIdleTransactions(steady_clock::time_point now) {
+  if (!this->view) return;
+  const milliseconds limit = this->view->configuration.transaction_idle;
+  if (limit.count() > 0) this->EndResting(now, limit);
+}
+
+/** Rolls back the transactions that rest for longer than a time; their next
+ * statements are told. */
+void Gateway::EndResting(steady_clock::time_point now, milliseconds longest) {
+  for (const auto& item : this->sessions) {
+    ClientSession& session = *item.second;
+    const bool rests = session.transaction == TransactionState::kOpen &&
+                       session.running == nullptr;
+    if (!rests || now - session.rests_since <= longest) continue;
+    this->GroupFor(session.transaction_database)
+        .EndTransaction(now, session.id);
+    session.transaction = TransactionState::kFailed;
+    session.lost = true;
+  }
+}
+
+std::optional<steady_clock::time_point> Gateway::NextWakeup(
+    steady_clock::time_point now) const {
+  std::optional<steady_clock::time_point> next = now + kSweepInterval;
+  for (const auto& item : this->groups) {
+    const auto due = item.second->NextWakeup(now);
+    if (due) next = std::min(*next, *due);
+  }
+  for (const Opening& opening : this->openings) {
+    next = std::min(*next, opening.limit);
+  }
+  return next;
+}
+
+void Gateway::StartDraining(steady_clock::time_point /*now*/) {
+  this->draining = true;
+  std::vector<ClientId> resting;
+  for (const auto& [id, session] : this->sessions) {
+    const bool rests = session->running == nullptr &&
+                       session->transaction == TransactionState::kIdle;
+    if (rests) resting.push_back(id);
+  }
+  for (const ClientId id : resting) {
+    this->sessions.erase(id);
+    this->hooks.close_client(id);
+  }
+  this->hooks.events.record(
+      Event{EventCode::kSessionsClosed,
+            EventLevel::kInfo,
+            {{"closed", std::to_string(resting.size())},
+             {"left", std::to_string(this->sessions.size())}}});
+}
+
+void Gateway::EndTransactions(steady_clock::time_point now) {
+  this->EndResting(now, milliseconds(-1));
+}
+
+std::vector<Gauge> Gateway::Gauges(steady_clock::time_point now) const {
+  std::vector<Gauge> gauges = {
+      {"ferry_sessions", "", static_cast<double>(this->sessions.size())}};
+  if (this->view) {
+    gauges.push_back({"ferry_configuration_version", "",
+                      static_cast<double>(this->view->configuration.version)});
+  }
+  for (const auto& [database, group] : this->groups) {
+    group->AddGauges(now, database.Value(), &gauges);
+  }
+  return gauges;
+}
+
+void Gateway::Record(steady_clock::time_point now, const RunPtr& run,
+                     const ClientReply& reply) {
+  const auto event = RecordOf(now, *run, reply);
+  if (event) this->hooks.events.record(*event);
+}
+
+}  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -19,6 +19,7 @@
 #include "lacewingferry/decisions/gateway/member_pool.h"
 #include "lacewingferry/decisions/gateway/position_history.h"
 #include "lacewingferry/decisions/gateway/statement_run.h"
+#include "lacewingferry/decisions/gateway/term_lease.h"
 
 namespace lacewingferry {
 
@@ -44,6 +45,10 @@
  *
  * A statement of an open transaction goes to the transaction's connection and
  * never elsewhere.
+ *
+ * The source stands in three files: group_traffic.cc chooses who serves and who
+ * waits, group_traffic_links.cc sends and takes answers, group_traffic_time.cc
+ * does what is due.
  */
 class GroupTraffic {
  public:
@@ -117,10 +122,6 @@
     bool leased = false;
     std::uint64_t term = 0;
   };
-  struct Recalled {
-    std::uint64_t before_term = 0;
-    std::chrono::steady_clock::time_point limit;
-  };
 
   bool Place(std::chrono::steady_clock::time_point now, const RunPtr& run);
   std::vector<MemberPool*> Candidates(std::chrono::steady_clock::time_point now,
@@ -135,6 +136,17 @@
   void SendPinned(std::chrono::steady_clock::time_point now, const RunPtr& run);
   MemberRequest RequestFor(const RunPtr& run) const;
   void SendNext(LinkId link, Flight& flight);
+  void UnpinLost(std::chrono::steady_clock::time_point now, LinkId link,
+                 bool under_way);
+  void OnAnswerLost(std::chrono::steady_clock::time_point now,
+                    const RunPtr& run);
+  bool Acknowledge(std::chrono::steady_clock::time_point now,
+                   const Flight& flight, const MemberReply& reply);
+  void OnRefusalInTransaction(std::chrono::steady_clock::time_point now,
+                              MemberPool& pool, LinkId link, const RunPtr& run,
+                              const MemberReply& reply);
+  void FreeOrDrop(std::chrono::steady_clock::time_point now, LinkId link,
+                  bool clean);
   void OnResult(std::chrono::steady_clock::time_point now, LinkId link,
                 Flight flight, const MemberReply& reply);
   void OnRefusal(std::chrono::steady_clock::time_point now, MemberPool& pool,
@@ -158,6 +170,9 @@
                     const RunPtr& run) const;
   void ExpireWaiting(std::chrono::steady_clock::time_point now);
   void ExpireFlights(std::chrono::steady_clock::time_point now);
+  void AskElsewhere(std::chrono::steady_clock::time_point now,
+                    const RunPtr& run);
+  void GiveUp(std::chrono::steady_clock::time_point now, LinkId link);
   void CheckOpening(std::chrono::steady_clock::time_point now);
   void CheckRecall(std::chrono::steady_clock::time_point now);
   bool AcknowledgmentUnderWay() const;
@@ -180,10 +195,7 @@
   /** In the order in which they are to be served. */
   std::vector<RunPtr> waiting;
   PositionHistory history;
-  std::uint64_t lease_term = 0;
-  std::chrono::steady_clock::time_point lease_until;
-  std::uint64_t lowest_term = 0;
-  std::optional<Recalled> recall;
+  TermLease lease;
   LogPosition acknowledged;
   bool pumping = false;
   std::optional<std::chrono::steady_clock::time_point> first_view;
--- a/src/lacewingferry/decisions/gateway/member_pool.h
+++ b/src/lacewingferry/decisions/gateway/member_pool.h
@@ -55,6 +55,9 @@
    * at once would keep it from serving. */
   bool MayOpen(std::chrono::steady_clock::time_point now) const;
 
+  /** Whether any connection is open. */
+  bool Connected() const { return this->links.size() > this->Opening(); }
+
   /** Whether the member may be sent a request now. */
   bool Rested(std::chrono::steady_clock::time_point now) const {
     return now >= this->rest_until;
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <tuple>
 
 #include "lacewingferry/core/client_statement.h"
 #include "lacewingferry/core/service_configuration.h"
@@ -49,7 +50,9 @@
   int attempts = 0;
   /** The connections on which it is under way. */
   std::set<LinkId> links;
+  /** Whether it was sent to a second member, and when that is due. */
   bool hedged = false;
+  std::chrono::steady_clock::time_point hedge_at;
   bool ended = false;
   /** The member that answered, and how the answer was proved. */
   MemberId served_by;
@@ -60,6 +63,13 @@
 
 using RunPtr = std::shared_ptr<StatementRun>;
 
+/** The order in which waiting statements are served: by priority, then by how
+ * little time is left. */
+inline bool ServedBefore(const RunPtr& a, const RunPtr& b) {
+  return std::tie(a->priority, a->deadline) <
+         std::tie(b->priority, b->deadline);
+}
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_GATEWAY_STATEMENT_RUN_H_
--- a/tests/correctness/gateway_read_test.cc
+++ b/tests/correctness/gateway_read_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ReplicaThatLagsIsPassedOver);
   CPPUNIT_TEST(OldPositionProvesNothing);
   CPPUNIT_TEST(RolledBackPositionIsNotWaitedFor);
+  CPPUNIT_TEST(DeadNeighbourIsNotWaitedFor);
   CPPUNIT_TEST(LostAnswerIsAskedElsewhere);
   CPPUNIT_TEST(ReadSurvivesABrokenConnection);
   CPPUNIT_TEST_SUITE_END();
@@ -121,12 +122,32 @@
     gateway.Vouch();
     gateway.Run(milliseconds(1600));
     const ClientId client = gateway.Open("bounded");
-    const ClientReply reply = gateway.AskAndWait(client, "LOOKUP 1");
-    CPPUNIT_ASSERT(reply.error == StatementError::kBusy);
-    CPPUNIT_ASSERT(gateway.Members().Runs().empty());
+    const RequestId bounded = gateway.Ask(client, "LOOKUP 1");
     // The longer age that sessions accept is still proved.
     const ClientId session = gateway.Open("session");
     CPPUNIT_ASSERT(!gateway.AskAndWait(session, "LOOKUP 1").error);
+    gateway.Run(milliseconds(1000));
+    const ClientReply reply = gateway.Answers().at(bounded).reply;
+    CPPUNIT_ASSERT(reply.error == StatementError::kBusy);
+    CPPUNIT_ASSERT(ServerOf(gateway, bounded).Empty());
+  }
+
+  // A near member that is gone must not keep reads from those farther away.
+  // (Found when connections began to be opened one at a time.)
+  void DeadNeighbourIsNotWaitedFor() {
+    SessionGateway gateway;
+    gateway.Publish();
+    gateway.Vouch();
+    gateway.Run(milliseconds(3500));
+    gateway.Vouch();
+    gateway.Members().Kill(kPrimary);
+    gateway.Run(milliseconds(20));
+    const ClientId client = gateway.Open("bounded");
+    const auto asked = gateway.Queue().Now();
+    const RequestId read = gateway.Ask(client, "LOOKUP 1");
+    gateway.Run(milliseconds(300));
+    CPPUNIT_ASSERT(!gateway.Answers().at(read).reply.error);
+    CPPUNIT_ASSERT(gateway.Answers().at(read).at - asked < milliseconds(60));
   }
 
   // A commit that only the former primary held was never acknowledged; a
