--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -157,13 +157,11 @@
 void FleetClient::TakeShare(steady_clock::time_point now,
                             std::uint32_t proxies) {
   if (proxies == 0) return;
-  if (proxies >= this->share) {
-    this->share = proxies;
-    this->share_since = now;
-  } else if (now - this->share_since > this->settings.share_memory) {
-    this->share = proxies;
-    this->share_since = now;
-  }
+  const bool remembered =
+      now - this->share_since <= this->settings.share_memory;
+  if (proxies < this->share && remembered) return;
+  this->share = proxies;
+  this->share_since = now;
 }
 
 void FleetClient::Publish(steady_clock::time_point now) {
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -236,7 +236,7 @@
 
 RunPtr Gateway::MakeRun(steady_clock::time_point now, const SessionPtr& session,
                         const ClientStatement& statement) const {
-  const auto run = std::make_shared<StatementRun>();
+  auto run = std::make_shared<StatementRun>();
   const Route& route = session->route;
   run->client = session->id;
   run->statement = statement;
--- a/tests/correctness/gateway_read_test.cc
+++ b/tests/correctness/gateway_read_test.cc
@@ -63,8 +63,8 @@
     gateway.Lease(milliseconds(5000));
     gateway.Vouch();
     gateway.Run(milliseconds(100));
-    std::vector<ClientId> clients;
-    for (int i = 0; i < 12; ++i) clients.push_back(gateway.Open("bounded"));
+    std::vector<ClientId> clients(12);
+    for (ClientId& client : clients) client = gateway.Open("bounded");
     for (const ClientId client : clients) gateway.Ask(client, "LOOKUP 1");
     gateway.Run(milliseconds(400));
     std::size_t elsewhere = 0;
--- a/tests/correctness/gateway_session_test.cc
+++ b/tests/correctness/gateway_session_test.cc
@@ -35,8 +35,8 @@
   void TransactionStaysOnOneConnection() {
     SessionGateway gateway;
     Prepare(gateway);
-    std::vector<ClientId> clients;
-    for (int i = 0; i < 3; ++i) clients.push_back(gateway.Open("primary"));
+    std::vector<ClientId> clients(3);
+    for (ClientId& client : clients) client = gateway.Open("primary");
     std::map<ClientId, std::set<LinkId>> links;
     std::map<RequestId, ClientId> owners;
     for (const char* text : {"BEGIN", "STORE 1 x", "LOOKUP 1", "COMMIT"}) {
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -235,7 +235,7 @@
     const std::size_t size = boost::asio::read_until(
         this->socket, boost::asio::dynamic_buffer(this->input), "\r\n", error);
     if (error) return "";
-    const std::string line = this->input.substr(0, size - 2);
+    std::string line = this->input.substr(0, size - 2);
     this->input.erase(0, size);
     return line;
   }
