A member that is slow isn't lost; a reported position isn't waited for for ever

Tests: SwitchoverTest.OverloadedPrimaryIsNotReplaced and PositionBeyondTheReplicasIsNotWaitedForForEver.

--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -90,8 +90,12 @@
                           const MemberRequest& request, milliseconds limit,
                           MemberAdminPort::Done done) {
   this->commands.push_back(request.kind);
-  if (!this->members.at(target.member).reachable) {
-    this->queue.After(limit, [done] { done(AdminAnswer()); });
+  const SwitchoverMember& member = this->members.at(target.member);
+  if (!member.reachable || member.slow) {
+    AdminAnswer none;
+    none.response =
+        member.slow ? MemberResponse::kSlow : MemberResponse::kSilent;
+    this->queue.After(limit, [done, none] { done(none); });
     return;
   }
   this->queue.After(kWay, [this, target, request, done] {
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -26,6 +26,8 @@
   /** Answers control's questions. */
   bool reachable = true;
   bool busy = false;
+  /** Takes connections and answers too late. */
+  bool slow = false;
   /** Receives from the primary. */
   bool receives = true;
 };
--- a/src/lacewingferry/decisions/switchover/primary_watch.cc
+++ b/src/lacewingferry/decisions/switchover/primary_watch.cc
@@ -14,6 +14,12 @@
     this->Reset();
     return;
   }
+  if (response == MemberResponse::kSlow) {
+    const auto since = this->slow_since.value_or(asked);
+    this->Reset();
+    this->slow_since = since;
+    return;
+  }
   if (!this->first_failure) this->first_failure = asked;
   if (response != MemberResponse::kRefused) this->all_refused = false;
   ++this->failures;
@@ -23,9 +29,13 @@
   this->failures = 0;
   this->all_refused = true;
   this->first_failure.reset();
+  this->slow_since.reset();
 }
 
 bool PrimaryWatch::Lost(steady_clock::time_point now) const {
+  if (this->slow_since && now - *this->slow_since >= this->settings.slow_for) {
+    return true;
+  }
   if (!this->first_failure || this->failures < this->settings.failures) {
     return false;
   }
--- a/src/lacewingferry/decisions/switchover/primary_watch.h
+++ b/src/lacewingferry/decisions/switchover/primary_watch.h
@@ -20,6 +20,9 @@
   std::chrono::milliseconds refused_for{300};
   /** The same for one that doesn't answer at all. */
   std::chrono::milliseconds silent_for{650};
+  /** The same for one that takes connections and doesn't answer on them, as an
+   * overloaded member may do for a while. */
+  std::chrono::milliseconds slow_for{4000};
 };
 
 /** Counts the failures since the last answer. A busy primary is alive. */
@@ -42,6 +45,7 @@
   int failures = 0;
   bool all_refused = true;
   std::optional<std::chrono::steady_clock::time_point> first_failure;
+  std::optional<std::chrono::steady_clock::time_point> slow_since;
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/switchover/succession_run.cc
+++ b/src/lacewingferry/decisions/switchover/succession_run.cc
@@ -48,7 +48,7 @@
   if (known == nullptr || !this->asking.insert(member).second) return;
   const std::weak_ptr<SuccessionRun> weak = this->weak_from_this();
   this->context.hooks.admin.ask(
-      TargetOf(*known), request, this->context.settings.answer_limit,
+      TargetOf(*known), request, this->context.settings.patient_limit,
       [weak, member, answered = std::move(answered)](const AdminAnswer& reply) {
         const auto run = weak.lock();
         if (!run) return;
@@ -126,7 +126,9 @@
             AdminRequest(MemberRequestKind::kStatus, 0),
             [this](steady_clock::time_point, const MemberId&,
                    const AdminAnswer& answer) {
-              if (answer.response == MemberResponse::kBusy) return;
+              const bool lives = answer.response == MemberResponse::kBusy ||
+                                 answer.response == MemberResponse::kSlow;
+              if (lives) return;
               this->former_answered = true;
               if (answer.response != MemberResponse::kAnswered) return;
               this->former_position = answer.status.received;
@@ -185,6 +187,8 @@
   }
   evidence.former_position = this->former_position;
   evidence.acknowledged = this->acknowledged;
+  evidence.waited = this->freed && this->context.hooks.now() - *this->freed >=
+                                       this->context.settings.acknowledged_wait;
   const MemberAnnouncement* former =
       this->context.roster.Find(this->entry.former_primary);
   if (former == nullptr) return evidence;
--- a/src/lacewingferry/decisions/switchover/successor_choice.cc
+++ b/src/lacewingferry/decisions/switchover/successor_choice.cc
@@ -19,7 +19,7 @@
     return std::max(*evidence.former_position, evidence.acknowledged);
   }
   if (!evidence.missing.empty()) return std::nullopt;
-  LogPosition newest = evidence.acknowledged;
+  LogPosition newest = evidence.waited ? LogPosition() : evidence.acknowledged;
   for (const PausedReplica& replica : evidence.paused) {
     newest = std::max(newest, replica.received);
   }
--- a/src/lacewingferry/decisions/switchover/successor_choice.h
+++ b/src/lacewingferry/decisions/switchover/successor_choice.h
@@ -30,8 +30,11 @@
   /** The former primary's position, if it answered after the leases ended. */
   std::optional<LogPosition> former_position;
   AvailabilityZone former_zone;
-  /** The newest position that proxies said they had acknowledged. */
+  /** The newest position that proxies saw with something they acknowledged;
+   * it may lie beyond what was acknowledged. */
   LogPosition acknowledged;
+  /** Whether that position was waited for long enough. */
+  bool waited = false;
 };
 
 /**
@@ -39,7 +42,8 @@
  * while that isn't proved of any. Before a commit was acknowledged the primary
  * and one replica at the least had received it. So a replica has all of them
  * if it reaches the former primary's own position, or the newest of all
- * replicas when none is missing, and no proxy acknowledged more.
+ * replicas when none is missing. A position that proxies saw is waited for
+ * besides, since a replica may have lost its log.
  *
  * Of several, one that stays, then one in the former primary's zone, then the
  * first by name.
--- a/src/lacewingferry/decisions/switchover/switchover_context.h
+++ b/src/lacewingferry/decisions/switchover/switchover_context.h
@@ -46,6 +46,13 @@
   std::chrono::milliseconds poll_interval{200};
   /** Until a question counts as unanswered. */
   std::chrono::milliseconds answer_limit{350};
+  /** The same during a switchover, whose questions may meet members that are
+   * overloaded. */
+  std::chrono::milliseconds patient_limit{1500};
+  /** How long a position that proxies acknowledged is waited for when every
+   * replica was asked. It may count commits that no replica had received and
+   * nobody acknowledged. */
+  std::chrono::milliseconds acknowledged_wait{2000};
   /** Between two questions to a replica, which keep its connection open for a
    * switchover. */
   std::chrono::milliseconds replica_interval{1000};
--- a/src/lacewingferry/ports/member_admin_port.h
+++ b/src/lacewingferry/ports/member_admin_port.h
@@ -20,8 +20,11 @@
   kBusy,
   /** Nothing listens at its address, or another member does. */
   kRefused,
-  /** No answer came in time. */
+  /** No answer came in time, or no connection could be opened. */
   kSilent,
+  /** A new connection was taken, and no answer came in time: the member may be
+   * overloaded. */
+  kSlow,
 };
 
 /** A member's answer to an administrative request. */
--- a/tests/correctness/switchover_test.cc
+++ b/tests/correctness/switchover_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(WaitsOutALeaseThatCannotBeRecalled);
   CPPUNIT_TEST(LeavingPrimaryIsReplaced);
   CPPUNIT_TEST(BusyPrimaryIsNotLost);
+  CPPUNIT_TEST(OverloadedPrimaryIsNotReplaced);
+  CPPUNIT_TEST(PositionBeyondTheReplicasIsNotWaitedForForEver);
   CPPUNIT_TEST(SuspensionOfControlProvesNoSilence);
   CPPUNIT_TEST(NewLeaderWaitsForLeasesOfTheFormer);
   CPPUNIT_TEST(NoPromotionAfterTheOfficeIsLost);
@@ -153,6 +155,44 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.Term()->term);
   }
 
+  // Found by the own day promote-in-freeze, seed 11: the only member that was
+  // left of a group answered control too late, under the load of all three. It
+  // was taken for lost, and its replacement never found a successor.
+  void OverloadedPrimaryIsNotReplaced() {
+    SwitchoverFleet fleet;
+    fleet.Start();
+    fleet.members[kFirst].slow = true;
+    fleet.Run(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.Term()->term);
+    fleet.members[kFirst].slow = false;
+    fleet.Run(milliseconds(1000));
+    fleet.members[kFirst].slow = true;
+    fleet.Run(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.Term()->term);
+    // One that hangs for good is replaced.
+    fleet.Run(milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promotions);
+    AssertSafe(fleet);
+  }
+
+  // The second half of the same finding: a position that a proxy saw with its
+  // answer counts commits of others that no replica has received.
+  void PositionBeyondTheReplicasIsNotWaitedForForEver() {
+    SwitchoverFleet fleet;
+    fleet.Start();
+    RunWithCommits(fleet, milliseconds(500));
+    for (auto& proxy : fleet.proxies) {
+      proxy.second.acknowledged.offset += 3;
+    }
+    fleet.members[kFirst].reachable = false;
+    fleet.members[kFirst].primary = false;
+    fleet.Run(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.promotions);
+    fleet.Run(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promotions);
+    AssertSafe(fleet);
+  }
+
   void SuspensionOfControlProvesNoSilence() {
     SwitchoverFleet fleet;
     fleet.Start();
