--- a/bench/model/session_gateway.cc
+++ b/bench/model/session_gateway.cc
@@ -117,7 +117,6 @@
     group.members.push_back(member);
     settings.regions[member.zone] = "r" + std::to_string(i);
   }
-  this->view.revision = 1;
   ServiceConfiguration& configuration = this->view.configuration;
   configuration.version = 1;
   configuration.transaction_idle = milliseconds(3000);
--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -61,7 +61,7 @@
                          std::function<void(bool)> done) {
     this->queue.After(kCommitTime, [this, command, done] {
       this->state.Apply(command, this->next_index++);
-      this->control->OnApplied(this->queue.Now());
+      this->control->OnApplied();
       done(true);
     });
   };
@@ -180,7 +180,7 @@
   announcement.incarnation = run;
   this->state.Apply(ControlCommand{RosterCommand{EnterMember{announcement}}},
                     this->next_index++);
-  this->control->OnApplied(this->queue.Now());
+  this->control->OnApplied();
 }
 
 void SwitchoverFleet::TakeOffice(bool office) {
--- a/daemons/ferrycontrold_main.cc
+++ b/daemons/ferrycontrold_main.cc
@@ -1,11 +1,9 @@
 #include <memory>
 
-#include "lacewingferry/adapters/clock/system_clock.h"
-#include "lacewingferry/adapters/log4cxx/event_log.h"
 #include "lacewingferry/adapters/yaml/control_settings_reader.h"
 #include "lacewingferry/app/control_program.h"
 #include "lacewingferry/app/daemon_main.h"
-#include "lacewingferry/app/hybrid_wall_clock.h"
+#include "lacewingferry/app/daemon_process.h"
 #include "lacewingferry/app/recent_events.h"
 
 namespace {
@@ -16,19 +14,17 @@
 
 void Run(const std::string& path) {
   const auto settings = lacewingferry::ReadControlSettings(path);
-  const auto hybrid =
-      lacewingferry::MakeHybridWallClock(lacewingferry::MakeSystemClock());
   auto recent = std::make_shared<lacewingferry::RecentEvents>(kRecentEvents);
-  const auto events = lacewingferry::MakeEventLog(
-      settings.log, settings.node, kProgram, hybrid.clock,
+  lacewingferry::RunDaemonProcess(
+      settings.log, settings.node, kProgram,
+      [&](const lacewingferry::DaemonProcess& process) {
+        lacewingferry::ControlProgram({settings, process.events, process.hybrid,
+                                       [recent] { return recent->All(); }})
+            .Run();
+      },
       [recent](const lacewingferry::TimelineEntry& entry) {
         recent->Add(entry);
       });
-  events.record({lacewingferry::EventCode::kProcessStarted});
-  lacewingferry::ControlProgram(
-      {settings, events, hybrid, [recent] { return recent->All(); }})
-      .Run();
-  events.record({lacewingferry::EventCode::kProcessStopped});
 }
 
 void Found(const std::string& path) {
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -15,6 +15,7 @@
 #include "lacewingferry/app/fleet_peers.h"
 #include "lacewingferry/app/fleet_replica_settings.h"
 #include "lacewingferry/app/metrics_server.h"
+#include "lacewingferry/app/reload_settings.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/wait_until.h"
 #include "lacewingferry/core/errors.h"
@@ -204,8 +205,8 @@
   return nodes;
 }
 
-/** A proposal may be applied before it returns; what follows from it waits
- * for the end of the input, as Advance is posted. */
+/** A proposal may be applied before it returns; FleetControl looks at what
+ * follows from it in its next OnTick. */
 void FleetControlProgram::Impl::Propose(const ControlCommand& command,
                                         std::function<void(bool)> done) {
   this->replica.Propose(
@@ -216,7 +217,7 @@
 }
 
 void FleetControlProgram::Impl::OnApplied() {
-  if (this->fleet) this->fleet->OnApplied(this->parts.hybrid.clock.now());
+  if (this->fleet) this->fleet->OnApplied();
 }
 
 void FleetControlProgram::Impl::ReadStoredConfiguration() {
@@ -396,15 +397,7 @@
       this->control.stop();
       return;
     }
-    try {
-      this->parts.reload();
-      this->parts.events.record(Event{EventCode::kSettingsReloaded});
-    } catch (const UserError& wrong) {
-      this->parts.events.record(
-          Event{EventCode::kSettingsReloaded,
-                EventLevel::kError,
-                {{"kept", "the settings before"}, {"reason", wrong.what()}}});
-    }
+    ReloadSettings(this->parts.events, [this] { this->parts.reload(); });
     this->WaitForSignal();
   });
 }
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -16,6 +16,7 @@
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
 #include "lacewingferry/app/caller_api.h"
+#include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/proxy_control.h"
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/app/run_io_context.h"
@@ -33,13 +34,6 @@
  * long. */
 constexpr milliseconds kPeerNoticeTime{1000};
 
-std::uint64_t IncarnationNow(const ClockPort& clock) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          clock.wall_now().time_since_epoch())
-          .count());
-}
-
 }  // namespace
 
 /**
--- a/src/lacewingferry/app/session_front.h
+++ b/src/lacewingferry/app/session_front.h
@@ -34,8 +34,6 @@
   std::function<void(LinkId, const LinkTarget&)> open_link;
   std::function<void(LinkId, const std::vector<MemberRequest>&)> send;
   std::function<void(LinkId)> close_link;
-  /** Takes no more connections of clients. */
-  std::function<void()> stop_accepting;
 };
 
 /** Makes a front that listens at an address. Throws UserError if it can't. */
--- a/src/lacewingferry/app/session_proxy_program.cc
+++ b/src/lacewingferry/app/session_proxy_program.cc
@@ -12,7 +12,9 @@
 
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/fleet_peers.h"
+#include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/metrics_server.h"
+#include "lacewingferry/app/reload_settings.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/session_traffic.h"
 #include "lacewingferry/app/wait_until.h"
@@ -35,12 +37,6 @@
 /** Of a planned stop's time, open transactions get this part, as a divisor. */
 constexpr int kTransactionShare = 2;
 
-std::uint64_t RunNumber(const ClockPort& clock) {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                        clock.wall_now().time_since_epoch())
-                                        .count());
-}
-
 }  // namespace
 
 class SessionProxyProgram::Impl {
@@ -86,7 +82,7 @@
       stop_timer(this->control),
       traffic(this->TrafficParts()),
       client(this->ClientHooks(), this->ClientSettings(),
-             RunNumber(this->clock)),
+             IncarnationNow(this->clock)),
       peers(this->parts.settings.node, this->control, this->parts.hybrid,
             this->parts.events,
             [this](const NodeId& from, const PeerBody& body) {
@@ -198,16 +194,9 @@
 
 /** Only where control is found may change without a restart. */
 void SessionProxyProgram::Impl::Reload() {
-  try {
-    const SessionProxySettings next = this->parts.reload();
-    this->parts.settings.node.control = next.node.control;
-    this->parts.events.record(Event{EventCode::kSettingsReloaded});
-  } catch (const UserError& wrong) {
-    this->parts.events.record(
-        Event{EventCode::kSettingsReloaded,
-              EventLevel::kError,
-              {{"kept", "the settings before"}, {"reason", wrong.what()}}});
-  }
+  ReloadSettings(this->parts.events, [this] {
+    this->parts.settings.node.control = this->parts.reload().node.control;
+  });
 }
 
 /**
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -145,9 +145,9 @@
 void SessionTraffic::Arm() {
   const auto now = this->parts.clock.now();
   const auto next = this->gateway->NextWakeup(now);
-  if (!next || *next >= this->armed_for) return;
-  this->armed_for = *next;
-  WaitUntil(this->timer, now, *next);
+  if (next >= this->armed_for) return;
+  this->armed_for = next;
+  WaitUntil(this->timer, now, next);
   this->timer.async_wait([this](boost::system::error_code error) {
     if (error) return;
     this->armed_for = steady_clock::time_point::max();
--- a/src/lacewingferry/core/client_statement.h
+++ b/src/lacewingferry/core/client_statement.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lacewingferry/core/ids.h"
@@ -98,6 +99,14 @@
   bool elsewhere = false;
 };
 
+/** The answer to a statement that got no result. */
+inline ClientReply FailureReply(StatementError error, std::string text) {
+  ClientReply reply;
+  reply.error = error;
+  reply.error_text = std::move(text);
+  return reply;
+}
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_CORE_CLIENT_STATEMENT_H_
--- a/src/lacewingferry/decisions/gateway/client_session.h
+++ b/src/lacewingferry/decisions/gateway/client_session.h
@@ -21,8 +21,7 @@
   std::string host;
   std::shared_ptr<SessionState> state = std::make_shared<SessionState>();
   TransactionState transaction = TransactionState::kIdle;
-  /** Whether the open transaction may write, and whether it has. */
-  bool transaction_writes = false;
+  /** Whether the open transaction has written. */
   bool transaction_wrote = false;
   /** Whether the open transaction was rolled back while it rested; its next
    * statement is told. */
@@ -38,6 +37,12 @@
   std::deque<ClientStatement> queued;
   /** The newest commit of the session in each group. */
   std::map<DatabaseId, LogPosition> committed;
+
+  /** Whether nothing runs for it and its transaction is in a state. */
+  bool RestsIn(TransactionState state_of_transaction) const {
+    return this->running == nullptr &&
+           this->transaction == state_of_transaction;
+  }
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -14,13 +14,6 @@
  * see Gateway::OnStatement. */
 constexpr std::size_t kMostQueued = 64;
 
-ClientReply Failure(StatementError error, const char* text) {
-  ClientReply reply;
-  reply.error = error;
-  reply.error_text = text;
-  return reply;
-}
-
 bool Begins(const ClientStatement& statement) {
   return statement.kind == StatementKind::kBegin ||
          statement.kind == StatementKind::kBeginReadOnly;
@@ -36,11 +29,6 @@
 Gateway::Gateway(GatewayHooks gateway_hooks, GatewaySettings gateway_settings)
     : hooks(std::move(gateway_hooks)), settings(std::move(gateway_settings)) {}
 
-GroupTraffic* Gateway::Group(const DatabaseId& database) {
-  const auto found = this->groups.find(database);
-  return found == this->groups.end() ? nullptr : found->second.get();
-}
-
 GroupTraffic& Gateway::GroupFor(const DatabaseId& database) {
   auto& group = this->groups[database];
   if (group) return *group;
@@ -49,9 +37,8 @@
                              ClientReply reply) {
     this->OnEnded(now, run, std::move(reply));
   };
-  group_hooks.transaction_lost = [this](steady_clock::time_point now,
-                                        ClientId client) {
-    this->OnTransactionLost(now, client);
+  group_hooks.transaction_lost = [this](ClientId client) {
+    this->OnTransactionLost(client);
   };
   group_hooks.next_link = [this] { return ++this->last_link; };
   group = std::make_unique<GroupTraffic>(database, this->hooks, this->settings,
@@ -153,8 +140,8 @@
   }
   if (!this->FitsTransaction(*session, statement)) {
     this->Answer(now, session,
-                 Failure(StatementError::kMalformed,
-                         "the statement doesn't fit the transaction"));
+                 FailureReply(StatementError::kMalformed,
+                              "the statement doesn't fit the transaction"));
     return;
   }
   if (statement.kind == StatementKind::kRollback) {
@@ -175,11 +162,11 @@
                             const ClientStatement& statement) {
   if (!Ends(statement)) {
     const bool told = !std::exchange(session->lost, false);
-    this->Answer(
-        now, session,
-        told ? Failure(StatementError::kMalformed, "the transaction has failed")
-             : Failure(StatementError::kAborted,
-                       "the transaction was rolled back"));
+    this->Answer(now, session,
+                 told ? FailureReply(StatementError::kMalformed,
+                                     "the transaction has failed")
+                      : FailureReply(StatementError::kAborted,
+                                     "the transaction was rolled back"));
     return true;
   }
   session->lost = false;
@@ -187,9 +174,9 @@
   if (statement.kind == StatementKind::kRollback) {
     this->Answer(now, session, ClientReply());
   } else {
-    this->Answer(
-        now, session,
-        Failure(StatementError::kAborted, "the transaction was rolled back"));
+    this->Answer(now, session,
+                 FailureReply(StatementError::kAborted,
+                              "the transaction was rolled back"));
   }
   return true;
 }
@@ -217,8 +204,8 @@
     const Route* route = this->view->configuration.FindRoute(session->host);
     if (route == nullptr) {
       this->Answer(now, session,
-                   Failure(StatementError::kNoDatabase,
-                           "no route has this database name any more"));
+                   FailureReply(StatementError::kNoDatabase,
+                                "no route has this database name any more"));
       return;
     }
     session->route = *route;
@@ -226,7 +213,6 @@
   const RunPtr run = this->MakeRun(now, session, statement);
   session->running = run;
   if (Begins(statement)) {
-    session->transaction_writes = statement.kind == StatementKind::kBegin;
     session->transaction_wrote = false;
     session->transaction_database = session->route.database;
   }
@@ -240,7 +226,6 @@
   const Route& route = session->route;
   run->client = session->id;
   run->statement = statement;
-  run->timeout = route.statement_timeout;
   run->latency_objective = route.latency_objective;
   run->max_staleness = route.max_staleness;
   run->consistency = route.consistency;
@@ -253,7 +238,6 @@
   run->arrived = now;
   run->deadline = now + route.statement_timeout;
   run->in_transaction = session->transaction == TransactionState::kOpen;
-  run->transaction_wrote = session->transaction_wrote;
   const bool executes_write = statement.kind == StatementKind::kExecute &&
                               session->state->FindPrepared(statement)->writes;
   const bool commits_writes =
@@ -291,8 +275,7 @@
   }
 }
 
-void Gateway::OnTransactionLost(steady_clock::time_point /*now*/,
-                                ClientId client) {
+void Gateway::OnTransactionLost(ClientId client) {
   const auto found = this->sessions.find(client);
   if (found == this->sessions.end()) return;
   if (found->second->transaction == TransactionState::kOpen) {
@@ -312,9 +295,8 @@
     this->Serve(now, session, next);
     return;
   }
-  const bool rests = session->running == nullptr &&
-                     session->transaction == TransactionState::kIdle;
-  if ((this->draining || reply.elsewhere) && rests) {
+  const bool ends = this->draining || reply.elsewhere;
+  if (ends && session->RestsIn(TransactionState::kIdle)) {
     this->sessions.erase(session->id);
     this->hooks.close_client(session->id);
   }
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -74,7 +74,7 @@
 
   void OnTick(std::chrono::steady_clock::time_point now);
   /** When OnTick has to be called next. */
-  std::optional<std::chrono::steady_clock::time_point> NextWakeup(
+  std::chrono::steady_clock::time_point NextWakeup(
       std::chrono::steady_clock::time_point now) const;
 
   /** Ends sessions as they come to rest, from now on. */
@@ -116,8 +116,7 @@
                  const ClientStatement& statement) const;
   void OnEnded(std::chrono::steady_clock::time_point now, const RunPtr& run,
                ClientReply reply);
-  void OnTransactionLost(std::chrono::steady_clock::time_point now,
-                         ClientId client);
+  void OnTransactionLost(ClientId client);
   void FollowTransaction(std::chrono::steady_clock::time_point now,
                          const SessionPtr& session, const RunPtr& run,
                          const ClientReply& reply);
@@ -128,7 +127,6 @@
   void EndResting(std::chrono::steady_clock::time_point now,
                   std::chrono::milliseconds longest);
   void EndIdleTransactions(std::chrono::steady_clock::time_point now);
-  GroupTraffic* Group(const DatabaseId& database);
   GroupTraffic& GroupFor(const DatabaseId& database);
   GroupTraffic* OwnerOf(LinkId link);
 
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -28,8 +28,7 @@
 void Gateway::EndResting(steady_clock::time_point now, milliseconds longest) {
   for (const auto& item : this->sessions) {
     ClientSession& session = *item.second;
-    const bool rests = session.transaction == TransactionState::kOpen &&
-                       session.running == nullptr;
+    const bool rests = session.RestsIn(TransactionState::kOpen);
     if (!rests || now - session.rests_since <= longest) continue;
     this->GroupFor(session.transaction_database)
         .EndTransaction(now, session.id);
@@ -38,15 +37,15 @@
   }
 }
 
-std::optional<steady_clock::time_point> Gateway::NextWakeup(
+steady_clock::time_point Gateway::NextWakeup(
     steady_clock::time_point now) const {
-  std::optional<steady_clock::time_point> next = now + kSweepInterval;
+  steady_clock::time_point next = now + kSweepInterval;
   for (const auto& item : this->groups) {
     const auto due = item.second->NextWakeup(now);
-    if (due) next = std::min(*next, *due);
+    if (due) next = std::min(next, *due);
   }
   for (const Opening& opening : this->openings) {
-    next = std::min(*next, opening.limit);
+    next = std::min(next, opening.limit);
   }
   return next;
 }
@@ -55,9 +54,7 @@
   this->draining = true;
   std::vector<ClientId> resting;
   for (const auto& [id, session] : this->sessions) {
-    const bool rests = session->running == nullptr &&
-                       session->transaction == TransactionState::kIdle;
-    if (rests) resting.push_back(id);
+    if (session->RestsIn(TransactionState::kIdle)) resting.push_back(id);
   }
   for (const ClientId id : resting) {
     this->sessions.erase(id);
--- a/src/lacewingferry/decisions/gateway/gateway_view.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_view.cc
@@ -23,7 +23,6 @@
                                const ServiceConfiguration& configuration,
                                std::uint32_t proxies) {
   auto view = std::make_shared<GatewayView>();
-  view->revision = fleet.revision;
   view->configuration = configuration;
   for (const ServiceRule& rule : configuration.services) {
     GroupView& group = view->groups[rule.database];
--- a/src/lacewingferry/decisions/gateway/gateway_view.h
+++ b/src/lacewingferry/decisions/gateway/gateway_view.h
@@ -26,7 +26,6 @@
 
 /** The routes and groups at one moment. */
 struct GatewayView {
-  std::uint64_t revision = 0;
   ServiceConfiguration configuration;
   std::map<DatabaseId, GroupView> groups;
 };
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -147,9 +147,8 @@
       static_cast<std::size_t>(std::distance(this->waiting.begin(), place));
   const auto passed = now - run->arrived;
   if (!run->in_transaction && !run->least_position && this->Isolated(now)) {
-    ClientReply refusal;
-    refusal.error = StatementError::kBusy;
-    refusal.error_text = "this proxy has lost control";
+    ClientReply refusal =
+        FailureReply(StatementError::kBusy, "this proxy has lost control");
     refusal.elsewhere = true;
     this->Finish(now, run, std::move(refusal));
     return;
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -30,8 +30,7 @@
                      ClientReply)>
       ended;
   /** The connection of an open transaction broke between two statements. */
-  std::function<void(std::chrono::steady_clock::time_point, ClientId)>
-      transaction_lost;
+  std::function<void(ClientId)> transaction_lost;
   std::function<LinkId()> next_link;
 };
 
@@ -136,8 +135,7 @@
   void SendPinned(std::chrono::steady_clock::time_point now, const RunPtr& run);
   MemberRequest RequestFor(const RunPtr& run) const;
   void SendNext(LinkId link, Flight& flight);
-  void UnpinLost(std::chrono::steady_clock::time_point now, LinkId link,
-                 bool under_way);
+  void UnpinLost(LinkId link, bool under_way);
   void OnAnswerLost(std::chrono::steady_clock::time_point now,
                     const RunPtr& run);
   bool Acknowledge(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -100,7 +100,7 @@
   pool->Remove(link);
   this->link_members.erase(link);
   auto flight = this->flights.extract(link);
-  this->UnpinLost(now, link, !flight.empty());
+  this->UnpinLost(link, !flight.empty());
   if (!flight.empty() && flight.mapped().run != nullptr) {
     const RunPtr run = flight.mapped().run;
     run->links.erase(link);
@@ -113,15 +113,14 @@
 
 /** The transaction of a lost connection is rolled back; where it rested, its
  * session is told with the next statement. */
-void GroupTraffic::UnpinLost(steady_clock::time_point now, LinkId link,
-                             bool under_way) {
+void GroupTraffic::UnpinLost(LinkId link, bool under_way) {
   const auto found =
       std::find_if(this->pinned.begin(), this->pinned.end(),
                    [link](const auto& item) { return item.second == link; });
   if (found == this->pinned.end()) return;
   const ClientId client = found->first;
   this->pinned.erase(found);
-  if (!under_way) this->own_hooks.transaction_lost(now, client);
+  if (!under_way) this->own_hooks.transaction_lost(client);
 }
 
 /** Says what is true of a statement whose last connection broke. */
@@ -299,9 +298,7 @@
 
 void GroupTraffic::Fail(steady_clock::time_point now, const RunPtr& run,
                         StatementError error, std::string text) {
-  ClientReply reply;
-  reply.error = error;
-  reply.error_text = std::move(text);
+  ClientReply reply = FailureReply(error, std::move(text));
   const bool ends = run->statement.kind == StatementKind::kCommit;
   reply.state = run->in_transaction && !ends ? TransactionState::kFailed
                                              : TransactionState::kIdle;
--- a/src/lacewingferry/decisions/gateway/position_history.h
+++ b/src/lacewingferry/decisions/gateway/position_history.h
@@ -31,9 +31,6 @@
       std::chrono::steady_clock::time_point begun,
       std::chrono::milliseconds max_staleness) const;
 
-  /** The highest position known. */
-  const std::optional<LogPosition>& Newest() const { return this->newest; }
-
   /** When the newest position was asked for; none without one. */
   std::optional<std::chrono::steady_clock::time_point> NewestAsked() const;
 
@@ -53,6 +50,7 @@
 
   /** In the order of asking, with rising positions. */
   std::deque<Sample> samples;
+  /** The highest position known. */
   std::optional<LogPosition> newest;
   LogPosition term_start;
 };
--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -10,13 +10,6 @@
 /** A session may hold this many values and as many prepared statements. */
 constexpr std::size_t kMostSessionEntries = 1024;
 
-ClientReply Failure(StatementError error, std::string text) {
-  ClientReply reply;
-  reply.error = error;
-  reply.error_text = std::move(text);
-  return reply;
-}
-
 }  // namespace
 
 std::string PreparedStatement::SharedName() const {
@@ -29,22 +22,26 @@
                     this->prepared.size() >= kMostSessionEntries;
   switch (statement.kind) {
     case StatementKind::kSetValue:
-      if (full) return Failure(StatementError::kTooLarge, "too many values");
+      if (full) {
+        return FailureReply(StatementError::kTooLarge, "too many values");
+      }
       this->values[statement.name] = statement.argument;
       return ClientReply();
     case StatementKind::kPrepare:
-      if (full) return Failure(StatementError::kTooLarge, "too many names");
+      if (full) {
+        return FailureReply(StatementError::kTooLarge, "too many names");
+      }
       this->prepared[statement.name] =
           PreparedStatement{statement.prepares_write, statement.argument};
       return ClientReply();
     case StatementKind::kDeallocate:
       if (this->prepared.erase(statement.name) > 0) return ClientReply();
-      return Failure(StatementError::kUnknownPrepared, statement.name);
+      return FailureReply(StatementError::kUnknownPrepared, statement.name);
     case StatementKind::kExecute:
       if (this->FindPrepared(statement) != nullptr) return std::nullopt;
-      return Failure(StatementError::kUnknownPrepared, statement.name);
+      return FailureReply(StatementError::kUnknownPrepared, statement.name);
     case StatementKind::kMalformed:
-      return Failure(StatementError::kMalformed, "not a known statement");
+      return FailureReply(StatementError::kMalformed, "not a known statement");
     default:
       return std::nullopt;
   }
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -21,7 +21,6 @@
   ClientId client = 0;
   ClientStatement statement;
   /** What the statement runs under; a later route applies to later ones. */
-  std::chrono::milliseconds timeout{0};
   std::chrono::milliseconds latency_objective{0};
   std::chrono::milliseconds max_staleness{0};
   ReadConsistency consistency = ReadConsistency::kPrimary;
@@ -35,8 +34,6 @@
   std::chrono::steady_clock::time_point deadline;
   /** Whether it belongs to an open transaction. */
   bool in_transaction = false;
-  /** Whether the transaction, up to now, has written. */
-  bool transaction_wrote = false;
   /** Whether it may change data, by itself or by ending a transaction. */
   bool writes = false;
   /** Whether the member acknowledges something lasting with the answer. */
--- a/src/lacewingferry/decisions/roster/roster.cc
+++ b/src/lacewingferry/decisions/roster/roster.cc
@@ -28,6 +28,14 @@
   return found == this->members.end() ? nullptr : &found->second;
 }
 
+std::vector<MemberId> Roster::MembersOf(const DatabaseId& database) const {
+  std::vector<MemberId> group;
+  for (const auto& [id, member] : this->members) {
+    if (member.info.database == database) group.push_back(id);
+  }
+  return group;
+}
+
 bool Roster::Changes(const MemberAnnouncement& announcement) const {
   const MemberAnnouncement* known = this->Find(announcement.info.id);
   return known == nullptr || Substance(*known) != Substance(announcement);
--- a/src/lacewingferry/decisions/roster/roster.h
+++ b/src/lacewingferry/decisions/roster/roster.h
@@ -39,6 +39,9 @@
     return this->members;
   }
 
+  /** The members of one group, in the order of their identities. */
+  std::vector<MemberId> MembersOf(const DatabaseId& database) const;
+
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("members", self.members);
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -57,10 +57,6 @@
   if (leads) this->MakeKeepers(now);
 }
 
-void FleetControl::OnApplied(steady_clock::time_point /*now*/) {
-  this->changed = true;
-}
-
 void FleetControl::SetConfiguration(ServiceConfiguration next) {
   this->configuration = std::move(next);
 }
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -76,9 +76,9 @@
   /** Takes office or loses it. */
   void OnLeadership(std::chrono::steady_clock::time_point now, bool leader);
 
-  /** The state changed by a command of the log; with the configuration that is
-   * in force now, if it is another one. */
-  void OnApplied(std::chrono::steady_clock::time_point now);
+  /** The state changed by a command of the log; looked at in OnTick. */
+  void OnApplied() { this->changed = true; }
+  /** Takes the configuration that is in force now. */
   void SetConfiguration(ServiceConfiguration configuration);
 
   /** Takes a proxy's report. The caller has made sure that this process
--- a/src/lacewingferry/decisions/switchover/group_keeper.cc
+++ b/src/lacewingferry/decisions/switchover/group_keeper.cc
@@ -9,12 +9,6 @@
 
 using std::chrono::steady_clock;
 
-MemberRequest StatusRequest() {
-  MemberRequest request;
-  request.kind = MemberRequestKind::kStatus;
-  return request;
-}
-
 }  // namespace
 
 GroupKeeper::GroupKeeper(const SwitchoverContext& shared, DatabaseId group,
@@ -29,11 +23,7 @@
 }
 
 std::vector<MemberId> GroupKeeper::Members() const {
-  std::vector<MemberId> members;
-  for (const auto& [id, member] : this->context.roster.Members()) {
-    if (member.info.database == this->database) members.push_back(id);
-  }
-  return members;
+  return this->context.roster.MembersOf(this->database);
 }
 
 void GroupKeeper::OnChanged(steady_clock::time_point now) {
@@ -95,10 +85,9 @@
 void GroupKeeper::ReleaseReplicas(const DatabaseTerm& entry) {
   for (const MemberId& id : this->Members()) {
     if (id == entry.primary) continue;
-    MemberRequest request;
-    request.kind = MemberRequestKind::kResume;
     this->context.hooks.admin.ask(TargetOf(*this->context.roster.Find(id)),
-                                  request, this->context.settings.answer_limit,
+                                  AdminRequest(MemberRequestKind::kResume),
+                                  this->context.settings.answer_limit,
                                   [](const AdminAnswer&) {});
   }
 }
@@ -134,7 +123,8 @@
   for (const MemberId& id : this->Members()) {
     if (!this->asking.insert(id).second) continue;
     this->context.hooks.admin.ask(
-        TargetOf(*this->context.roster.Find(id)), StatusRequest(),
+        TargetOf(*this->context.roster.Find(id)),
+        AdminRequest(MemberRequestKind::kStatus),
         this->context.settings.answer_limit,
         [weak, id](const AdminAnswer& answer) {
           const auto keeper = weak.lock();
@@ -187,9 +177,10 @@
   this->next_replica_poll = now + this->context.settings.replica_interval;
   for (const MemberId& id : this->Members()) {
     if (id == entry.primary) continue;
-    this->context.hooks.admin.ask(
-        TargetOf(*this->context.roster.Find(id)), StatusRequest(),
-        this->context.settings.answer_limit, [](const AdminAnswer&) {});
+    this->context.hooks.admin.ask(TargetOf(*this->context.roster.Find(id)),
+                                  AdminRequest(MemberRequestKind::kStatus),
+                                  this->context.settings.answer_limit,
+                                  [](const AdminAnswer&) {});
   }
 }
 
@@ -208,7 +199,8 @@
   const std::weak_ptr<GroupKeeper> weak = this->weak_from_this();
   const steady_clock::time_point asked = this->context.hooks.now();
   this->context.hooks.admin.ask(
-      TargetOf(*primary), StatusRequest(), this->context.settings.answer_limit,
+      TargetOf(*primary), AdminRequest(MemberRequestKind::kStatus),
+      this->context.settings.answer_limit,
       [weak, asked, id = entry.primary](const AdminAnswer& answer) {
         const auto keeper = weak.lock();
         if (!keeper) return;
--- a/src/lacewingferry/decisions/switchover/succession_run.cc
+++ b/src/lacewingferry/decisions/switchover/succession_run.cc
@@ -9,13 +9,6 @@
 
 using std::chrono::steady_clock;
 
-MemberRequest AdminRequest(MemberRequestKind kind, std::uint64_t term) {
-  MemberRequest request;
-  request.kind = kind;
-  request.term = term;
-  return request;
-}
-
 }  // namespace
 
 SuccessionRun::SuccessionRun(const SwitchoverContext& shared,
@@ -24,7 +17,6 @@
     : context(shared),
       entry(database_entry),
       newest_member_term(database_entry.start.term),
-      began(now),
       next_round(now),
       promotion_limit(now + shared.settings.promotion_limit) {}
 
@@ -34,11 +26,11 @@
 }
 
 std::vector<MemberId> SuccessionRun::Replicas() const {
-  std::vector<MemberId> replicas;
-  for (const auto& [id, member] : this->context.roster.Members()) {
-    const bool ours = member.info.database == this->entry.database;
-    if (ours && id != this->entry.former_primary) replicas.push_back(id);
-  }
+  std::vector<MemberId> replicas =
+      this->context.roster.MembersOf(this->entry.database);
+  replicas.erase(
+      std::remove(replicas.begin(), replicas.end(), this->entry.former_primary),
+      replicas.end());
   return replicas;
 }
 
@@ -69,14 +61,14 @@
     this->Elect(now);
   } else if (this->entry.phase == TermPhase::kPromoting) {
     this->Promote(now);
-    this->AskChosen(now);
+    this->AskChosen();
   }
 }
 
 void SuccessionRun::Elect(steady_clock::time_point now) {
   // Where the former primary is lost, nothing is gained by waiting for the
   // leases before the replicas are paused.
-  if (!this->Planned()) this->PauseReplicas(now);
+  if (!this->Planned()) this->PauseReplicas();
   if (!this->freed) {
     this->Recall(now);
     if (this->context.hooks.free_at(this->Stamp()) > now) return;
@@ -90,7 +82,7 @@
     return;
   }
   if (this->ReplicasMayCatchUp(now)) return;
-  this->PauseReplicas(now);
+  this->PauseReplicas();
   this->TryChoose(now);
 }
 
@@ -123,7 +115,7 @@
   }
   this->former_asked = now;
   this->Ask(this->entry.former_primary,
-            AdminRequest(MemberRequestKind::kStatus, 0),
+            AdminRequest(MemberRequestKind::kStatus),
             [this](steady_clock::time_point, const MemberId&,
                    const AdminAnswer& answer) {
               const bool lives = answer.response == MemberResponse::kBusy ||
@@ -144,13 +136,13 @@
     const bool stays = replica != nullptr && !replica->info.leaving;
     if (stays && item.second >= *this->former_position) return false;
   }
-  this->WatchReplicas(now);
+  this->WatchReplicas();
   return true;
 }
 
-void SuccessionRun::WatchReplicas(steady_clock::time_point /*now*/) {
+void SuccessionRun::WatchReplicas() {
   for (const MemberId& replica : this->Replicas()) {
-    this->Ask(replica, AdminRequest(MemberRequestKind::kStatus, 0),
+    this->Ask(replica, AdminRequest(MemberRequestKind::kStatus),
               [this](steady_clock::time_point, const MemberId& id,
                      const AdminAnswer& answer) {
                 if (answer.response != MemberResponse::kAnswered) return;
@@ -159,7 +151,7 @@
   }
 }
 
-void SuccessionRun::PauseReplicas(steady_clock::time_point /*now*/) {
+void SuccessionRun::PauseReplicas() {
   for (const MemberId& replica : this->Replicas()) {
     if (this->paused.count(replica) > 0) continue;
     this->Ask(replica,
@@ -212,7 +204,7 @@
   if (this->entry.phase != TermPhase::kElecting || !this->freed) return;
   const auto chosen = ChooseSuccessor(this->Evidence());
   if (!chosen) return;
-  this->StopFormer(now);
+  this->StopFormer();
   this->Choose(now, chosen->id, chosen->received);
 }
 
@@ -224,7 +216,7 @@
 }
 
 /** The former primary would notice the new one by itself, but later. */
-void SuccessionRun::StopFormer(steady_clock::time_point /*now*/) {
+void SuccessionRun::StopFormer() {
   this->Ask(
       this->entry.former_primary,
       AdminRequest(MemberRequestKind::kStepDown, this->PauseTerm()),
@@ -279,8 +271,8 @@
   }
 }
 
-void SuccessionRun::AskChosen(steady_clock::time_point /*now*/) {
-  this->Ask(this->entry.primary, AdminRequest(MemberRequestKind::kStatus, 0),
+void SuccessionRun::AskChosen() {
+  this->Ask(this->entry.primary, AdminRequest(MemberRequestKind::kStatus),
             [this](steady_clock::time_point at, const MemberId&,
                    const AdminAnswer& answer) { this->OnChosen(at, answer); });
 }
--- a/src/lacewingferry/decisions/switchover/succession_run.h
+++ b/src/lacewingferry/decisions/switchover/succession_run.h
@@ -70,17 +70,17 @@
   void Recall(std::chrono::steady_clock::time_point now);
   void AskFormer(std::chrono::steady_clock::time_point now);
   bool ReplicasMayCatchUp(std::chrono::steady_clock::time_point now);
-  void WatchReplicas(std::chrono::steady_clock::time_point now);
-  void PauseReplicas(std::chrono::steady_clock::time_point now);
+  void WatchReplicas();
+  void PauseReplicas();
   bool FormerStays() const;
   void TryChoose(std::chrono::steady_clock::time_point now);
   void Choose(std::chrono::steady_clock::time_point now, const MemberId& member,
               const LogPosition& position);
-  void StopFormer(std::chrono::steady_clock::time_point now);
+  void StopFormer();
   void Promote(std::chrono::steady_clock::time_point now);
   void OnPromotion(std::chrono::steady_clock::time_point now,
                    PromotionResult result);
-  void AskChosen(std::chrono::steady_clock::time_point now);
+  void AskChosen();
   void OnChosen(std::chrono::steady_clock::time_point now,
                 const AdminAnswer& answer);
   void Supersede(std::chrono::steady_clock::time_point now, const char* reason);
@@ -108,7 +108,6 @@
   std::map<MemberId, LogPosition> received;
   std::map<MemberId, LogPosition> paused;
   LogPosition acknowledged;
-  std::chrono::steady_clock::time_point began;
   std::optional<std::chrono::steady_clock::time_point> freed;
   std::chrono::steady_clock::time_point next_round;
   std::chrono::steady_clock::time_point next_recall;
--- a/src/lacewingferry/decisions/switchover/switchover_context.h
+++ b/src/lacewingferry/decisions/switchover/switchover_context.h
@@ -4,6 +4,7 @@
 // Defines SwitchoverContext, what the keepers of all groups share.
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 
@@ -90,6 +91,16 @@
   return LinkTarget{member.info.database, member.info.id, member.info.endpoint};
 }
 
+/** A request of control to a member; the term matters to a pause and to a
+ * primary that steps down. */
+inline MemberRequest AdminRequest(MemberRequestKind kind,
+                                  std::uint64_t term = 0) {
+  MemberRequest request;
+  request.kind = kind;
+  request.term = term;
+  return request;
+}
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_SWITCHOVER_SWITCHOVER_CONTEXT_H_
--- a/tests/correctness/switchover_test.cc
+++ b/tests/correctness/switchover_test.cc
@@ -28,6 +28,16 @@
   CPPUNIT_ASSERT(!fleet.promoted_under_lease);
 }
 
+/** One replica receives nothing; then both members that have all are lost. */
+void LeaveOnlyTheDeafReplica(SwitchoverFleet& fleet) {
+  fleet.Start();
+  fleet.members[kSecond].receives = false;
+  RunWithCommits(fleet, milliseconds(500));
+  fleet.members[kThird].reachable = false;
+  fleet.members[kFirst].reachable = false;
+  fleet.Run(milliseconds(5000));
+}
+
 bool Steady(const SwitchoverFleet& fleet) {
   return fleet.Term()->phase == TermPhase::kSteady;
 }
@@ -91,12 +101,7 @@
 
   void MissingReplicaProvesNothing() {
     SwitchoverFleet fleet;
-    fleet.Start();
-    fleet.members[kSecond].receives = false;
-    RunWithCommits(fleet, milliseconds(500));
-    fleet.members[kThird].reachable = false;
-    fleet.members[kFirst].reachable = false;
-    fleet.Run(milliseconds(5000));
+    LeaveOnlyTheDeafReplica(fleet);
     CPPUNIT_ASSERT_EQUAL(0, fleet.promotions);
     fleet.members[kThird].reachable = true;
     fleet.Run(milliseconds(3000));
@@ -106,12 +111,7 @@
 
   void ComesBackToAPrimaryThatReturns() {
     SwitchoverFleet fleet;
-    fleet.Start();
-    fleet.members[kSecond].receives = false;
-    RunWithCommits(fleet, milliseconds(500));
-    fleet.members[kThird].reachable = false;
-    fleet.members[kFirst].reachable = false;
-    fleet.Run(milliseconds(5000));
+    LeaveOnlyTheDeafReplica(fleet);
     fleet.members[kFirst].reachable = true;
     fleet.Run(milliseconds(3000));
     CPPUNIT_ASSERT(Steady(fleet) && fleet.Term()->primary == kFirst);
