--- a/src/lacewingferry/decisions/consensus/voter_identity.cc
+++ b/src/lacewingferry/decisions/consensus/voter_identity.cc
@@ -37,14 +37,14 @@
 VoterId LoadOrCreateIdentity(const StoragePort& storage,
                              const LogCodecPort& codec,
                              std::mt19937_64& random) {
-  const VoterId stored = LoadIdentity(storage, codec);
+  VoterId stored = LoadIdentity(storage, codec);
   if (!stored.Empty()) return stored;
   return StoreIdentity(storage, codec, RandomIdentity(random));
 }
 
 VoterId StoreIdentity(const StoragePort& storage, const LogCodecPort& codec,
                       const VoterId& identity) {
-  const VoterId stored = LoadIdentity(storage, codec);
+  VoterId stored = LoadIdentity(storage, codec);
   if (!stored.Empty()) return stored;
   storage.replace(kIdentityFile, {codec.encode(IdentityRecord{identity})});
   return identity;
