--- a/tests/support/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -1,49 +1,36 @@
-#include "tests/support/platform_fleet.h"
+#include "standin/platform/platform_fleet.h"
 
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 #include "bench/processes/free_ports.h"
 #include "bench/processes/http_client.h"
 #include "bench/processes/poll_until.h"
 
-namespace lacewingferry::testing {
+namespace lacewingferry::standin {
 namespace {
 
-using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kCallTimeout{2000};
 constexpr char kGroup[] = "db";
-constexpr std::size_t kMembers = 3;
 constexpr int kOk = 200;
 
 std::string MakeFolder() {
   const auto base = std::filesystem::temp_directory_path() / "ferry-XXXXXX";
   std::string name = base.string();
   if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("no folder for a test: " + name);
+    throw std::runtime_error("no temporary folder: " + name);
   }
   return name;
 }
 
-std::string MustGetEnv(const char* name) {
-  const char* value = std::getenv(name);
-  if (value == nullptr) throw std::runtime_error(std::string(name) + " unset");
-  return value;
-}
-
-nlohmann::json Route(const char* kind, int staleness_ms) {
+nlohmann::json Route(const char* kind, milliseconds max_staleness) {
   return {{"name", kind},
           {"host", kind},
           {"prefix", "/"},
@@ -52,13 +39,13 @@
           {"slo_ms", 2000},
           {"priority", 1},
           {"service", kGroup},
-          {"max_staleness_ms", staleness_ms}};
+          {"max_staleness_ms", max_staleness.count()}};
 }
 
 }  // namespace
 
-PlatformFleet::PlatformFleet()
-    : folder(MakeFolder()), programs(MustGetEnv("FERRY_BINARY_DIR")) {
+PlatformFleet::PlatformFleet(std::string programs_folder)
+    : folder(MakeFolder()), programs(std::move(programs_folder)) {
   processes::FreePorts ports;
   for (std::uint16_t* port :
        {&this->peer_port, &this->metrics_port, &this->control_port,
@@ -66,7 +53,7 @@
         &this->member_port}) {
     *port = ports.Take();
   }
-  standin::PlatformStandinPlan plan;
+  PlatformStandinPlan plan;
   plan.group = kGroup;
   for (std::size_t i = 0; i < kMembers; ++i) {
     plan.members.push_back(
@@ -76,7 +63,7 @@
   for (std::size_t i = 0; i < kControls; ++i) {
     plan.control.push_back({this->ControlHost(i), this->control_port});
   }
-  this->standin = std::make_unique<standin::PlatformStandin>(plan);
+  this->standin = std::make_unique<PlatformStandin>(plan);
   for (std::size_t i = 0; i < kControls; ++i) this->StartControl(i, true);
   for (std::size_t i = 0; i < kProxies; ++i) this->StartProxy(i);
 }
@@ -84,6 +71,7 @@
 PlatformFleet::~PlatformFleet() {
   this->proxies.clear();
   this->controls.clear();
+  if (this->keeps_folder) return;
   std::error_code ignored;
   std::filesystem::remove_all(this->folder, ignored);
 }
@@ -171,7 +159,8 @@
   const nlohmann::json document = {
       {"version", version},
       {"routes",
-       {Route("primary", 0), Route("bounded", 1500), Route("session", 2500)}},
+       {Route("primary", milliseconds(0)), Route("bounded", milliseconds(1500)),
+        Route("session", milliseconds(2500))}},
       {"services",
        {{{"name", kGroup}, {"max_conns", 60}, {"sync_replicas", 1}}}},
       {"limits", {{"tx_idle_ms", 3000}}}};
@@ -218,66 +207,4 @@
   return text.str();
 }
 
-class LineClient::Impl {
- public:
-  explicit Impl(const Endpoint& proxy) : socket(this->io) {
-    this->socket.connect(
-        {boost::asio::ip::make_address(proxy.host), proxy.port});
-  }
-
-  void Write(const std::string& bytes) {
-    boost::system::error_code error;
-    boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
-  }
-
-  std::string ReadLine() {
-    boost::system::error_code error;
-    const std::size_t size = boost::asio::read_until(
-        this->socket, boost::asio::dynamic_buffer(this->input), "\r\n", error);
-    if (error) return "";
-    std::string line = this->input.substr(0, size - 2);
-    this->input.erase(0, size);
-    return line;
-  }
-
-  int next_id = 0;
-
- private:
-  boost::asio::io_context io;
-  tcp::socket socket;
-  std::string input;
-};
-
-LineClient::LineClient(const Endpoint& proxy, const std::string& database)
-    : impl(std::make_unique<Impl>(proxy)) {
-  if (database.empty()) return;
-  this->impl->Write("STARTUP " + database + " tester\r\n");
-  const std::string answer = this->impl->ReadLine();
-  if (answer.rfind("READY", 0) != 0) {
-    throw std::runtime_error("session refused: " + answer);
-  }
-}
-
-LineClient::~LineClient() = default;
-
-std::string LineClient::Ask(const std::string& text) {
-  this->impl->Write("QUERY c" + std::to_string(++this->impl->next_id) + " " +
-                    text + "\r\n");
-  std::string answer;
-  for (;;) {
-    const std::string line = this->impl->ReadLine();
-    if (line.empty()) return "";
-    if (!answer.empty()) answer += "|";
-    answer += line;
-    if (line.rfind("READY", 0) == 0) return answer;
-  }
-}
-
-std::string LineClient::SendRaw(const std::string& bytes) {
-  this->impl->Write(bytes);
-  return this->impl->ReadLine();
-}
-
-std::string LineClient::ReadLine() { return this->impl->ReadLine(); }
-
-}  // namespace lacewingferry::testing
+}  // namespace lacewingferry::standin
--- a/tests/support/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -1,8 +1,8 @@
-#ifndef TESTS_SUPPORT_PLATFORM_FLEET_H_
-#define TESTS_SUPPORT_PLATFORM_FLEET_H_
+#ifndef STANDIN_PLATFORM_PLATFORM_FLEET_H_
+#define STANDIN_PLATFORM_PLATFORM_FLEET_H_
 
 // Defines PlatformFleet, the programs of the platform as real processes before
-// the platform's stand-in.
+// its stand-in.
 
 #include <chrono>
 #include <cstdint>
@@ -15,25 +15,27 @@
 #include "lacewingferry/core/routing_view.h"
 #include "standin/platform/platform_standin.h"
 
-namespace lacewingferry::testing {
+namespace lacewingferry::standin {
 
-/** How long a test waits for something that has to happen. */
+/** How long is waited for something that has to happen. */
 constexpr std::chrono::milliseconds kFleetDeadline{30000};
 
 /** Three processes of control and two proxies, each at a loopback address of
- * its own, since all of a fleet listen at the same ports. The folder of the
- * programs is that of the environment variable FERRY_BINARY_DIR. */
+ * its own, since all of a fleet listen at the same ports. */
 class PlatformFleet {
  public:
-  PlatformFleet();
+  /** Starts the programs of a folder. Throws UserError if an address can't be
+   * used. */
+  explicit PlatformFleet(std::string programs);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
 
   static constexpr std::size_t kControls = 3;
   static constexpr std::size_t kProxies = 2;
+  static constexpr std::size_t kMembers = 3;
 
-  standin::PlatformStandin& Standin() { return *this->standin; }
+  PlatformStandin& Standin() { return *this->standin; }
   processes::ChildProcess& Control(std::size_t number) {
     return *this->controls.at(number);
   }
@@ -58,8 +60,10 @@
   /** Waits until both proxies take connections. */
   void AwaitReady();
 
-  /** The name of the folder with logs and disks. */
+  /** The name of the folder with logs and disks, which goes with the fleet
+   * unless it is to be kept. */
   const std::string& Folder() const { return this->folder; }
+  void KeepFolder() { this->keeps_folder = true; }
   /** What a process wrote to its standard output. */
   std::string LogOfProxy(std::size_t proxy) const;
 
@@ -72,6 +76,7 @@
   void StartProxy(std::size_t number);
 
   std::string folder;
+  bool keeps_folder = false;
   std::string programs;
   std::uint16_t peer_port = 0;
   std::uint16_t metrics_port = 0;
@@ -80,33 +85,11 @@
   std::uint16_t ready_port = 0;
   std::uint16_t promotion_port = 0;
   std::uint16_t member_port = 0;
-  std::unique_ptr<standin::PlatformStandin> standin;
+  std::unique_ptr<PlatformStandin> standin;
   std::map<std::size_t, std::unique_ptr<processes::ChildProcess>> controls;
   std::map<std::size_t, std::unique_ptr<processes::ChildProcess>> proxies;
 };
 
-/** A client that speaks the lines, and waits for each answer. */
-class LineClient {
- public:
-  /** Opens a session. Throws std::runtime_error if it is refused. */
-  LineClient(const Endpoint& proxy, const std::string& database);
-  ~LineClient();
-  LineClient(const LineClient&) = delete;
-  LineClient& operator=(const LineClient&) = delete;
-
-  /** Sends a statement; returns the lines of its answer up to READY, joined by
-   * "|", or an empty text when the connection ended. */
-  std::string Ask(const std::string& text);
-  /** Sends bytes as they are, and reads a line; empty at the end. */
-  std::string SendRaw(const std::string& bytes);
-  /** The next line; empty when the connection ended. */
-  std::string ReadLine();
-
- private:
-  class Impl;
-  std::unique_ptr<Impl> impl;
-};
-
-}  // namespace lacewingferry::testing
+}  // namespace lacewingferry::standin
 
-#endif  // TESTS_SUPPORT_PLATFORM_FLEET_H_
+#endif  // STANDIN_PLATFORM_PLATFORM_FLEET_H_
--- a/tests/correctness/processes_platform_test.cc
+++ b/tests/correctness/processes_platform_test.cc
@@ -1,14 +1,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <cstdlib>
 
 #include "bench/processes/http_client.h"
 #include "bench/processes/poll_until.h"
-#include "tests/support/platform_fleet.h"
+#include "standin/platform/line_client.h"
+#include "standin/platform/platform_fleet.h"
 
 namespace lacewingferry::testing {
 namespace {
 
+using standin::kFleetDeadline;
+using standin::LineClient;
+using standin::PlatformFleet;
 using std::chrono::milliseconds;
 
 bool Succeeded(const std::string& answer) {
@@ -43,7 +48,7 @@
 
  public:
   void ServesSessionsThroughAFailoverAndRestarts() {
-    PlatformFleet fleet;
+    PlatformFleet fleet(std::getenv("FERRY_BINARY_DIR"));
     fleet.PutConfiguration(3);
     fleet.AwaitReady();
     this->ServeACalmDay(fleet);
@@ -53,7 +58,7 @@
   }
 
   void RefusesBadInputAndLivesOn() {
-    PlatformFleet fleet;
+    PlatformFleet fleet(std::getenv("FERRY_BINARY_DIR"));
     fleet.PutConfiguration(3);
     fleet.AwaitReady();
     const Endpoint proxy = fleet.ClientAddress(0);
