--- a/bench/model/baseline_fleet.cc
+++ b/bench/model/baseline_fleet.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry::model {
 namespace {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -17,7 +17,7 @@
 #include "bench/model/event_queue.h"
 #include "bench/model/fake_member.h"
 #include "bench/model/network.h"
-#include "lacewingferry/decisions/traffic/request_record.h"
+#include "lacewingferry/decisions/execution/request_record.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry::model {
--- a/bench/model/role_statements.cc
+++ b/bench/model/role_statements.cc
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry::model {
 namespace {
--- a/bench/model/traffic_chaos.h
+++ b/bench/model/traffic_chaos.h
@@ -11,7 +11,7 @@
 
 #include "bench/model/fleet.h"
 #include "bench/model/history_checker.h"
-#include "lacewingferry/decisions/traffic/request_record.h"
+#include "lacewingferry/decisions/execution/request_record.h"
 
 namespace lacewingferry::model {
 
--- a/bench/routing_bench_main.cc
+++ b/bench/routing_bench_main.cc
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/read_routing.h"
+#include "lacewingferry/decisions/choice/read_routing.h"
 
 namespace {
 
--- a/src/lacewingferry/app/proxy_control.h
+++ b/src/lacewingferry/app/proxy_control.h
@@ -15,11 +15,11 @@
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/settings.h"
 #include "lacewingferry/decisions/configuration/configuration_holder.h"
+#include "lacewingferry/decisions/execution/control_calls.h"
+#include "lacewingferry/decisions/execution/member_sign.h"
 #include "lacewingferry/decisions/failover/proxy_failover.h"
 #include "lacewingferry/decisions/membership/membership_node.h"
 #include "lacewingferry/decisions/ownership/proxy_seats.h"
-#include "lacewingferry/decisions/traffic/control_calls.h"
-#include "lacewingferry/decisions/traffic/member_sign.h"
 #include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
--- a/src/lacewingferry/decisions/traffic/job.h
+++ b/src/lacewingferry/core/job.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_H_
+#ifndef LACEWINGFERRY_CORE_JOB_H_
+#define LACEWINGFERRY_CORE_JOB_H_
 
 // Defines Job, a request that waits for or runs on a connection of a member.
 
@@ -31,4 +31,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_H_
+#endif  // LACEWINGFERRY_CORE_JOB_H_
--- a/src/lacewingferry/decisions/traffic/breaker_events.cc
+++ b/src/lacewingferry/decisions/choice/breaker_events.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/breaker_events.h"
+#include "lacewingferry/decisions/choice/breaker_events.h"
 
 #include <utility>
 
--- a/src/lacewingferry/decisions/traffic/breaker_events.h
+++ b/src/lacewingferry/decisions/choice/breaker_events.h
@@ -1,10 +1,10 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_BREAKER_EVENTS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_BREAKER_EVENTS_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_BREAKER_EVENTS_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_BREAKER_EVENTS_H_
 
 // Defines BreakerEvents, a BreakerHook that writes to the log.
 
 #include "lacewingferry/core/ids.h"
-#include "lacewingferry/decisions/traffic/replica_guards.h"
+#include "lacewingferry/decisions/choice/replica_guards.h"
 #include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
@@ -14,4 +14,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_BREAKER_EVENTS_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_BREAKER_EVENTS_H_
--- a/src/lacewingferry/decisions/traffic/circuit_breaker.cc
+++ b/src/lacewingferry/decisions/choice/circuit_breaker.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/circuit_breaker.h"
+#include "lacewingferry/decisions/choice/circuit_breaker.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/circuit_breaker.h
+++ b/src/lacewingferry/decisions/choice/circuit_breaker.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_CIRCUIT_BREAKER_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_CIRCUIT_BREAKER_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_CIRCUIT_BREAKER_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_CIRCUIT_BREAKER_H_
 
 // Defines CircuitBreaker, which tells when a member is left alone for a while
 // and when one request may try it again.
@@ -58,4 +58,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_CIRCUIT_BREAKER_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_CIRCUIT_BREAKER_H_
--- a/src/lacewingferry/decisions/traffic/member_choice.cc
+++ b/src/lacewingferry/decisions/choice/member_choice.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/member_choice.h"
+#include "lacewingferry/decisions/choice/member_choice.h"
 
 #include <utility>
 
--- a/src/lacewingferry/decisions/traffic/member_choice.h
+++ b/src/lacewingferry/decisions/choice/member_choice.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_CHOICE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_CHOICE_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_CHOICE_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_CHOICE_H_
 
 // Defines MemberChoice, which chooses the member for a request and learns from
 // the outcomes.
@@ -10,8 +10,8 @@
 #include <optional>
 
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/traffic/read_routing.h"
-#include "lacewingferry/decisions/traffic/replica_guards.h"
+#include "lacewingferry/decisions/choice/read_routing.h"
+#include "lacewingferry/decisions/choice/replica_guards.h"
 
 namespace lacewingferry {
 
@@ -58,4 +58,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_CHOICE_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_CHOICE_H_
--- a/src/lacewingferry/decisions/traffic/member_time.cc
+++ b/src/lacewingferry/decisions/choice/member_time.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/member_time.h"
+#include "lacewingferry/decisions/choice/member_time.h"
 
 #include <utility>
 
--- a/src/lacewingferry/decisions/traffic/member_time.h
+++ b/src/lacewingferry/decisions/choice/member_time.h
@@ -1,12 +1,12 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_TIME_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_TIME_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_TIME_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_TIME_H_
 
 // Defines WithMemberTime, which lets an answer tell how long the member took.
 
 #include <chrono>
 #include <functional>
 
-#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/core/job.h"
 
 namespace lacewingferry {
 
@@ -19,4 +19,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_TIME_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_MEMBER_TIME_H_
--- a/src/lacewingferry/decisions/traffic/read_routing.cc
+++ b/src/lacewingferry/decisions/choice/read_routing.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/read_routing.h"
+#include "lacewingferry/decisions/choice/read_routing.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/read_routing.h
+++ b/src/lacewingferry/decisions/choice/read_routing.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_READ_ROUTING_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_READ_ROUTING_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_READ_ROUTING_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_READ_ROUTING_H_
 
 // Defines RouteTable, the choice of the member that serves a request and of
 // the proxy that owns a connection to it.
@@ -12,7 +12,7 @@
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/core/statement.h"
-#include "lacewingferry/decisions/traffic/member_set.h"
+#include "lacewingferry/decisions/choice/member_set.h"
 
 namespace lacewingferry {
 
@@ -96,4 +96,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_READ_ROUTING_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_READ_ROUTING_H_
--- a/src/lacewingferry/decisions/traffic/replica_guards.h
+++ b/src/lacewingferry/decisions/choice/replica_guards.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GUARDS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GUARDS_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_REPLICA_GUARDS_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_REPLICA_GUARDS_H_
 
 // Defines ReplicaGuards, which keep reads of one proxy away from replicas that
 // fail, are much slower than the others, or have just returned.
@@ -13,9 +13,9 @@
 
 #include "lacewingferry/core/outcome.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/traffic/circuit_breaker.h"
-#include "lacewingferry/decisions/traffic/member_set.h"
-#include "lacewingferry/decisions/traffic/slow_start.h"
+#include "lacewingferry/decisions/choice/circuit_breaker.h"
+#include "lacewingferry/decisions/choice/member_set.h"
+#include "lacewingferry/decisions/choice/slow_start.h"
 
 namespace lacewingferry {
 
@@ -104,4 +104,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GUARDS_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_REPLICA_GUARDS_H_
--- a/src/lacewingferry/decisions/traffic/slow_start.cc
+++ b/src/lacewingferry/decisions/choice/slow_start.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/slow_start.h"
+#include "lacewingferry/decisions/choice/slow_start.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/slow_start.h
+++ b/src/lacewingferry/decisions/choice/slow_start.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_SLOW_START_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_SLOW_START_H_
+#ifndef LACEWINGFERRY_DECISIONS_CHOICE_SLOW_START_H_
+#define LACEWINGFERRY_DECISIONS_CHOICE_SLOW_START_H_
 
 // Defines SlowStart, the growing part of the reads that a member gets after it
 // has returned.
@@ -39,4 +39,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_SLOW_START_H_
+#endif  // LACEWINGFERRY_DECISIONS_CHOICE_SLOW_START_H_
--- a/src/lacewingferry/decisions/traffic/admission.cc
+++ b/src/lacewingferry/decisions/execution/admission.cc
@@ -1,6 +1,6 @@
-#include "lacewingferry/decisions/traffic/admission.h"
+#include "lacewingferry/decisions/execution/admission.h"
 
-#include "lacewingferry/decisions/traffic/statement_check.h"
+#include "lacewingferry/decisions/execution/statement_check.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/traffic/admission.h
+++ b/src/lacewingferry/decisions/execution/admission.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_ADMISSION_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_ADMISSION_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_ADMISSION_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_ADMISSION_H_
 
 // Defines the checks by which an executor refuses a request before it runs.
 
@@ -8,10 +8,10 @@
 #include <cstdint>
 #include <optional>
 
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/load_estimate.h"
-#include "lacewingferry/decisions/traffic/transaction_table.h"
+#include "lacewingferry/decisions/execution/transaction_table.h"
+#include "lacewingferry/decisions/limits/load_estimate.h"
 
 namespace lacewingferry {
 
@@ -46,4 +46,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_ADMISSION_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_ADMISSION_H_
--- a/src/lacewingferry/decisions/traffic/answer_gate.cc
+++ b/src/lacewingferry/decisions/execution/answer_gate.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/answer_gate.h"
+#include "lacewingferry/decisions/execution/answer_gate.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/answer_gate.h
+++ b/src/lacewingferry/decisions/execution/answer_gate.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_ANSWER_GATE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_ANSWER_GATE_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_ANSWER_GATE_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_ANSWER_GATE_H_
 
 // Defines AnswerGate, which tells whether this proxy may still speak for a
 // primary of a term.
@@ -42,4 +42,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_ANSWER_GATE_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_ANSWER_GATE_H_
--- a/src/lacewingferry/decisions/traffic/connection_pool.cc
+++ b/src/lacewingferry/decisions/execution/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/connection_pool.h"
+#include "lacewingferry/decisions/execution/connection_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/connection_pool.h
+++ b/src/lacewingferry/decisions/execution/connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_CONNECTION_POOL_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_CONNECTION_POOL_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_CONNECTION_POOL_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_CONNECTION_POOL_H_
 
 // Defines ConnectionPool, this proxy's own connections to one member.
 
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/decisions/execution/member_sign.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry {
@@ -136,4 +136,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_CONNECTION_POOL_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_CONNECTION_POOL_H_
--- a/src/lacewingferry/decisions/traffic/control_calls.cc
+++ b/src/lacewingferry/decisions/execution/control_calls.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/control_calls.h"
+#include "lacewingferry/decisions/execution/control_calls.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/lacewingferry/decisions/traffic/control_calls.h
+++ b/src/lacewingferry/decisions/execution/control_calls.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_CONTROL_CALLS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_CONTROL_CALLS_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_CONTROL_CALLS_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_CONTROL_CALLS_H_
 
 // Defines ControlCalls, the statements of control (fence, promote, follow,
 // status) that wait for a connection of a member.
@@ -49,4 +49,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_CONTROL_CALLS_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_CONTROL_CALLS_H_
--- a/src/lacewingferry/decisions/traffic/flight.cc
+++ b/src/lacewingferry/decisions/execution/flight.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/flight.h"
+#include "lacewingferry/decisions/execution/flight.h"
 
 #include <utility>
 
--- a/src/lacewingferry/decisions/traffic/flight.h
+++ b/src/lacewingferry/decisions/execution/flight.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_FLIGHT_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_FLIGHT_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_FLIGHT_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_FLIGHT_H_
 
 // Defines Flight, the SQL that one step of a request sends and where its parts
 // stand in the result.
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "lacewingferry/core/statement.h"
-#include "lacewingferry/decisions/traffic/request_record.h"
+#include "lacewingferry/decisions/execution/request_record.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry {
@@ -68,4 +68,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_FLIGHT_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_FLIGHT_H_
--- a/src/lacewingferry/decisions/traffic/job_run.cc
+++ b/src/lacewingferry/decisions/execution/job_run.cc
@@ -1,11 +1,11 @@
-#include "lacewingferry/decisions/traffic/job_run.h"
+#include "lacewingferry/decisions/execution/job_run.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/execution/loss_outcome.h"
 #include "lacewingferry/decisions/session/read_judgement.h"
-#include "lacewingferry/decisions/traffic/loss_outcome.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/traffic/job_run.h
+++ b/src/lacewingferry/decisions/execution/job_run.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_RUN_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_RUN_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_JOB_RUN_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_JOB_RUN_H_
 
 // Defines JobRun, the steps of one request on one connection.
 
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/log_position.h"
-#include "lacewingferry/decisions/traffic/flight.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/flight.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 
@@ -147,4 +147,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_RUN_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_JOB_RUN_H_
--- a/src/lacewingferry/decisions/traffic/loss_outcome.cc
+++ b/src/lacewingferry/decisions/execution/loss_outcome.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/loss_outcome.h"
+#include "lacewingferry/decisions/execution/loss_outcome.h"
 
 namespace lacewingferry {
 
--- a/src/lacewingferry/decisions/traffic/loss_outcome.h
+++ b/src/lacewingferry/decisions/execution/loss_outcome.h
@@ -1,11 +1,11 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_LOSS_OUTCOME_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_LOSS_OUTCOME_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_LOSS_OUTCOME_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_LOSS_OUTCOME_H_
 
 // Defines what is known of a request whose connection was lost during one of
 // its flights.
 
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/traffic/flight.h"
+#include "lacewingferry/decisions/execution/flight.h"
 
 namespace lacewingferry {
 
@@ -15,4 +15,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_LOSS_OUTCOME_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_LOSS_OUTCOME_H_
--- a/src/lacewingferry/decisions/traffic/member_executor.cc
+++ b/src/lacewingferry/decisions/execution/member_executor.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/member_executor.h"
+#include "lacewingferry/decisions/execution/member_executor.h"
 
 #include <algorithm>
 #include <string>
--- a/src/lacewingferry/decisions/traffic/member_executor.h
+++ b/src/lacewingferry/decisions/execution/member_executor.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_EXECUTOR_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_EXECUTOR_H_
 
 // Defines MemberExecutor, which runs requests on a proxy's own connections to
 // one member.
@@ -10,12 +10,12 @@
 #include <optional>
 #include <string>
 
-#include "lacewingferry/decisions/traffic/admission.h"
-#include "lacewingferry/decisions/traffic/control_calls.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/job_queue.h"
-#include "lacewingferry/decisions/traffic/member_runs.h"
-#include "lacewingferry/decisions/traffic/queue_bound.h"
+#include "lacewingferry/core/job.h"
+#include "lacewingferry/decisions/execution/admission.h"
+#include "lacewingferry/decisions/execution/control_calls.h"
+#include "lacewingferry/decisions/execution/member_runs.h"
+#include "lacewingferry/decisions/limits/job_queue.h"
+#include "lacewingferry/decisions/limits/queue_bound.h"
 
 namespace lacewingferry {
 
@@ -116,4 +116,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_EXECUTOR_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_EXECUTOR_H_
--- a/src/lacewingferry/decisions/traffic/member_runs.cc
+++ b/src/lacewingferry/decisions/execution/member_runs.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/member_runs.h"
+#include "lacewingferry/decisions/execution/member_runs.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/member_runs.h
+++ b/src/lacewingferry/decisions/execution/member_runs.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_RUNS_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_RUNS_H_
 
 // Defines MemberRuns, what runs on a proxy's own connections to one member and
 // the answers that it holds back.
@@ -13,18 +13,18 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/traffic/admission.h"
-#include "lacewingferry/decisions/traffic/connection_pool.h"
-#include "lacewingferry/decisions/traffic/control_calls.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/job_run.h"
-#include "lacewingferry/decisions/traffic/load_estimate.h"
-#include "lacewingferry/decisions/traffic/member_sign.h"
-#include "lacewingferry/decisions/traffic/pending_answers.h"
-#include "lacewingferry/decisions/traffic/status_polls.h"
-#include "lacewingferry/decisions/traffic/transaction_table.h"
-#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/decisions/execution/admission.h"
+#include "lacewingferry/decisions/execution/connection_pool.h"
+#include "lacewingferry/decisions/execution/control_calls.h"
+#include "lacewingferry/decisions/execution/job_run.h"
+#include "lacewingferry/decisions/execution/member_sign.h"
+#include "lacewingferry/decisions/execution/pending_answers.h"
+#include "lacewingferry/decisions/execution/status_polls.h"
+#include "lacewingferry/decisions/execution/transaction_table.h"
+#include "lacewingferry/decisions/execution/write_confirmer.h"
+#include "lacewingferry/decisions/limits/load_estimate.h"
 #include "lacewingferry/ports/event_port.h"
 #include "lacewingferry/ports/member_port.h"
 
@@ -188,4 +188,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_RUNS_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_RUNS_H_
--- a/src/lacewingferry/decisions/traffic/member_sign.h
+++ b/src/lacewingferry/decisions/execution/member_sign.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_SIGN_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_SIGN_H_
 
 // Defines MemberSign, what the traffic to a member shows of its health.
 
@@ -29,4 +29,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_SIGN_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_SIGN_H_
--- a/src/lacewingferry/decisions/traffic/member_status.cc
+++ b/src/lacewingferry/decisions/execution/member_status.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 #include <charconv>
 #include <string>
--- a/src/lacewingferry/decisions/traffic/member_status.h
+++ b/src/lacewingferry/decisions/execution/member_status.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_STATUS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_STATUS_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_STATUS_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_STATUS_H_
 
 // Defines MemberStatus, one row of what a member says of itself and, at the
 // primary, of its replicas.
@@ -36,4 +36,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_MEMBER_STATUS_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_MEMBER_STATUS_H_
--- a/src/lacewingferry/decisions/traffic/pending_answers.cc
+++ b/src/lacewingferry/decisions/execution/pending_answers.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/pending_answers.h"
+#include "lacewingferry/decisions/execution/pending_answers.h"
 
 #include <utility>
 #include <vector>
--- a/src/lacewingferry/decisions/traffic/pending_answers.h
+++ b/src/lacewingferry/decisions/execution/pending_answers.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_PENDING_ANSWERS_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_PENDING_ANSWERS_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_PENDING_ANSWERS_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_PENDING_ANSWERS_H_
 
 // Defines PendingAnswers, the answers of a primary that are held back until
 // they may leave.
@@ -11,9 +11,9 @@
 #include <map>
 #include <optional>
 
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/log_position.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/decisions/execution/write_confirmer.h"
 
 namespace lacewingferry {
 
@@ -77,4 +77,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_PENDING_ANSWERS_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_PENDING_ANSWERS_H_
--- a/src/lacewingferry/decisions/traffic/request_record.cc
+++ b/src/lacewingferry/decisions/execution/request_record.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/request_record.h"
+#include "lacewingferry/decisions/execution/request_record.h"
 
 #include <array>
 #include <cstdint>
--- a/src/lacewingferry/decisions/traffic/request_record.h
+++ b/src/lacewingferry/decisions/execution/request_record.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_REQUEST_RECORD_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_REQUEST_RECORD_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_REQUEST_RECORD_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_REQUEST_RECORD_H_
 
 // Defines RequestRecordSql, the table in the callers' own database that makes
 // an identified request run at most once.
@@ -53,4 +53,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_REQUEST_RECORD_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_REQUEST_RECORD_H_
--- a/src/lacewingferry/decisions/traffic/statement_check.cc
+++ b/src/lacewingferry/decisions/execution/statement_check.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/statement_check.h"
+#include "lacewingferry/decisions/execution/statement_check.h"
 
 #include <algorithm>
 #include <array>
--- a/src/lacewingferry/decisions/traffic/statement_check.h
+++ b/src/lacewingferry/decisions/execution/statement_check.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_STATEMENT_CHECK_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_STATEMENT_CHECK_H_
 
 // Defines which statements a caller may not send, because they would change
 // a transaction or a connection that is not the caller's own.
@@ -16,4 +16,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_STATEMENT_CHECK_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_STATEMENT_CHECK_H_
--- a/src/lacewingferry/decisions/traffic/status_polls.cc
+++ b/src/lacewingferry/decisions/execution/status_polls.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/status_polls.h"
+#include "lacewingferry/decisions/execution/status_polls.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/transaction_name.cc
+++ b/src/lacewingferry/decisions/execution/transaction_name.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/transaction_name.h"
+#include "lacewingferry/decisions/execution/transaction_name.h"
 
 #include <charconv>
 #include <string>
--- a/src/lacewingferry/decisions/traffic/transaction_name.h
+++ b/src/lacewingferry/decisions/execution/transaction_name.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_TRANSACTION_NAME_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_TRANSACTION_NAME_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_TRANSACTION_NAME_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_TRANSACTION_NAME_H_
 
 // Defines TransactionName, which tells any proxy where a transaction runs.
 
@@ -26,4 +26,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_TRANSACTION_NAME_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_TRANSACTION_NAME_H_
--- a/src/lacewingferry/decisions/traffic/transaction_table.cc
+++ b/src/lacewingferry/decisions/execution/transaction_table.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/transaction_table.h"
+#include "lacewingferry/decisions/execution/transaction_table.h"
 
 #include <algorithm>
 #include <string>
--- a/src/lacewingferry/decisions/traffic/write_confirmer.cc
+++ b/src/lacewingferry/decisions/execution/write_confirmer.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/decisions/execution/write_confirmer.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/lacewingferry/decisions/traffic/write_confirmer.h
+++ b/src/lacewingferry/decisions/execution/write_confirmer.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_WRITE_CONFIRMER_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_WRITE_CONFIRMER_H_
+#ifndef LACEWINGFERRY_DECISIONS_EXECUTION_WRITE_CONFIRMER_H_
+#define LACEWINGFERRY_DECISIONS_EXECUTION_WRITE_CONFIRMER_H_
 
 // Defines WriteConfirmer, which knows up to where a majority of the members
 // holds a database's log.
@@ -9,7 +9,7 @@
 
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/log_position.h"
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 
@@ -58,4 +58,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_WRITE_CONFIRMER_H_
+#endif  // LACEWINGFERRY_DECISIONS_EXECUTION_WRITE_CONFIRMER_H_
--- a/src/lacewingferry/decisions/failover/member_command_sql.cc
+++ b/src/lacewingferry/decisions/failover/member_command_sql.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "lacewingferry/core/errors.h"
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/failover/primary_observer.h
+++ b/src/lacewingferry/decisions/failover/primary_observer.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "lacewingferry/core/messages/failover_messages.h"
-#include "lacewingferry/decisions/traffic/member_sign.h"
+#include "lacewingferry/decisions/execution/member_sign.h"
 
 namespace lacewingferry {
 
--- a/src/lacewingferry/decisions/traffic/forward_inbox.h
+++ b/src/lacewingferry/decisions/forwarding/forward_inbox.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_INBOX_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_INBOX_H_
+#ifndef LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_INBOX_H_
+#define LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_INBOX_H_
 
 // Defines ForwardInbox, which recognises requests of other proxies that come
 // more than once.
@@ -68,4 +68,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_INBOX_H_
+#endif  // LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_INBOX_H_
--- a/src/lacewingferry/decisions/traffic/forward_table.cc
+++ b/src/lacewingferry/decisions/forwarding/forward_table.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/forward_table.h"
+#include "lacewingferry/decisions/forwarding/forward_table.h"
 
 #include <algorithm>
 #include <set>
--- a/src/lacewingferry/decisions/traffic/forward_table.h
+++ b/src/lacewingferry/decisions/forwarding/forward_table.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_TABLE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_TABLE_H_
+#ifndef LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_TABLE_H_
+#define LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_TABLE_H_
 
 // Defines ForwardTable, the requests that other proxies run for this one.
 
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "lacewingferry/core/ids.h"
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/messages/forward_messages.h"
-#include "lacewingferry/decisions/traffic/job.h"
 
 namespace lacewingferry {
 
@@ -77,4 +77,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_FORWARD_TABLE_H_
+#endif  // LACEWINGFERRY_DECISIONS_FORWARDING_FORWARD_TABLE_H_
--- a/src/lacewingferry/decisions/traffic/age_proof.cc
+++ b/src/lacewingferry/decisions/freshness/age_proof.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/age_proof.h"
+#include "lacewingferry/decisions/freshness/age_proof.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/age_proof.h
+++ b/src/lacewingferry/decisions/freshness/age_proof.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_AGE_PROOF_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_AGE_PROOF_H_
+#ifndef LACEWINGFERRY_DECISIONS_FRESHNESS_AGE_PROOF_H_
+#define LACEWINGFERRY_DECISIONS_FRESHNESS_AGE_PROOF_H_
 
 // Defines AgeProof, what the proxy that received a read can prove of the age
 // of a replica's data.
@@ -8,7 +8,7 @@
 #include <optional>
 
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/traffic/primary_samples.h"
+#include "lacewingferry/decisions/freshness/primary_samples.h"
 
 namespace lacewingferry {
 
@@ -42,4 +42,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_AGE_PROOF_H_
+#endif  // LACEWINGFERRY_DECISIONS_FRESHNESS_AGE_PROOF_H_
--- a/src/lacewingferry/decisions/traffic/apply_rate.cc
+++ b/src/lacewingferry/decisions/freshness/apply_rate.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/apply_rate.h"
+#include "lacewingferry/decisions/freshness/apply_rate.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/traffic/position_outbox.cc
+++ b/src/lacewingferry/decisions/freshness/position_outbox.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/position_outbox.h"
+#include "lacewingferry/decisions/freshness/position_outbox.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/position_outbox.h
+++ b/src/lacewingferry/decisions/freshness/position_outbox.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_OUTBOX_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_OUTBOX_H_
+#ifndef LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_OUTBOX_H_
+#define LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_OUTBOX_H_
 
 // Defines PositionOutbox, the questions and answers about primaries' positions
 // that wait to be sent.
@@ -58,4 +58,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_OUTBOX_H_
+#endif  // LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_OUTBOX_H_
--- a/src/lacewingferry/decisions/traffic/position_sampler.cc
+++ b/src/lacewingferry/decisions/freshness/position_sampler.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/position_sampler.h"
+#include "lacewingferry/decisions/freshness/position_sampler.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/position_sampler.h
+++ b/src/lacewingferry/decisions/freshness/position_sampler.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_SAMPLER_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_SAMPLER_H_
+#ifndef LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_SAMPLER_H_
+#define LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_SAMPLER_H_
 
 // Defines PositionSampler, which learns where a database's primary stands and
 // tells it to the proxies that ask.
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "lacewingferry/core/messages/position_messages.h"
-#include "lacewingferry/decisions/traffic/primary_samples.h"
+#include "lacewingferry/decisions/freshness/primary_samples.h"
 
 namespace lacewingferry {
 
@@ -112,4 +112,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_POSITION_SAMPLER_H_
+#endif  // LACEWINGFERRY_DECISIONS_FRESHNESS_POSITION_SAMPLER_H_
--- a/src/lacewingferry/decisions/traffic/primary_samples.cc
+++ b/src/lacewingferry/decisions/freshness/primary_samples.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/primary_samples.h"
+#include "lacewingferry/decisions/freshness/primary_samples.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/lacewingferry/decisions/traffic/replica_gate.cc
+++ b/src/lacewingferry/decisions/freshness/replica_gate.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/replica_gate.h"
+#include "lacewingferry/decisions/freshness/replica_gate.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/traffic/replica_gate.h
+++ b/src/lacewingferry/decisions/freshness/replica_gate.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GATE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GATE_H_
+#ifndef LACEWINGFERRY_DECISIONS_FRESHNESS_REPLICA_GATE_H_
+#define LACEWINGFERRY_DECISIONS_FRESHNESS_REPLICA_GATE_H_
 
 // Defines ReplicaGate, which holds reads until a replica is known to have the
 // data that they need.
@@ -10,8 +10,8 @@
 #include <list>
 #include <optional>
 
-#include "lacewingferry/decisions/traffic/apply_rate.h"
-#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/core/job.h"
+#include "lacewingferry/decisions/freshness/apply_rate.h"
 
 namespace lacewingferry {
 
@@ -91,4 +91,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_REPLICA_GATE_H_
+#endif  // LACEWINGFERRY_DECISIONS_FRESHNESS_REPLICA_GATE_H_
--- a/src/lacewingferry/decisions/traffic/attempt_history.cc
+++ b/src/lacewingferry/decisions/limits/attempt_history.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/attempt_history.h"
+#include "lacewingferry/decisions/limits/attempt_history.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/attempt_history.h
+++ b/src/lacewingferry/decisions/limits/attempt_history.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_ATTEMPT_HISTORY_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_ATTEMPT_HISTORY_H_
+#ifndef LACEWINGFERRY_DECISIONS_LIMITS_ATTEMPT_HISTORY_H_
+#define LACEWINGFERRY_DECISIONS_LIMITS_ATTEMPT_HISTORY_H_
 
 // Defines AttemptHistory, what the attempts to run a request have shown so
 // far, and so what may be told of it.
@@ -8,7 +8,7 @@
 
 #include "lacewingferry/core/outcome.h"
 #include "lacewingferry/core/statement.h"
-#include "lacewingferry/decisions/traffic/retry_budget.h"
+#include "lacewingferry/decisions/limits/retry_budget.h"
 
 namespace lacewingferry {
 
@@ -53,4 +53,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_ATTEMPT_HISTORY_H_
+#endif  // LACEWINGFERRY_DECISIONS_LIMITS_ATTEMPT_HISTORY_H_
--- a/src/lacewingferry/decisions/traffic/fair_queue.cc
+++ b/src/lacewingferry/decisions/limits/fair_queue.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/fair_queue.h"
+#include "lacewingferry/decisions/limits/fair_queue.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/lacewingferry/decisions/traffic/fair_queue.h
+++ b/src/lacewingferry/decisions/limits/fair_queue.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_FAIR_QUEUE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_FAIR_QUEUE_H_
+#ifndef LACEWINGFERRY_DECISIONS_LIMITS_FAIR_QUEUE_H_
+#define LACEWINGFERRY_DECISIONS_LIMITS_FAIR_QUEUE_H_
 
 // Defines FairQueue, waiting requests that are served in turn by customer and
 // by session.
@@ -14,7 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/core/job.h"
 
 namespace lacewingferry {
 
@@ -83,4 +83,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_FAIR_QUEUE_H_
+#endif  // LACEWINGFERRY_DECISIONS_LIMITS_FAIR_QUEUE_H_
--- a/src/lacewingferry/decisions/traffic/job_queue.cc
+++ b/src/lacewingferry/decisions/limits/job_queue.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/job_queue.h"
+#include "lacewingferry/decisions/limits/job_queue.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/lacewingferry/decisions/traffic/job_queue.h
+++ b/src/lacewingferry/decisions/limits/job_queue.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_QUEUE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_QUEUE_H_
+#ifndef LACEWINGFERRY_DECISIONS_LIMITS_JOB_QUEUE_H_
+#define LACEWINGFERRY_DECISIONS_LIMITS_JOB_QUEUE_H_
 
 // Defines JobQueue, the requests that wait for a connection of one member.
 
@@ -9,8 +9,8 @@
 #include <optional>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/fair_queue.h"
-#include "lacewingferry/decisions/traffic/job.h"
+#include "lacewingferry/core/job.h"
+#include "lacewingferry/decisions/limits/fair_queue.h"
 
 namespace lacewingferry {
 
@@ -47,4 +47,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_JOB_QUEUE_H_
+#endif  // LACEWINGFERRY_DECISIONS_LIMITS_JOB_QUEUE_H_
--- a/src/lacewingferry/decisions/traffic/load_estimate.cc
+++ b/src/lacewingferry/decisions/limits/load_estimate.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/load_estimate.h"
+#include "lacewingferry/decisions/limits/load_estimate.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/lacewingferry/decisions/traffic/load_estimate.h
+++ b/src/lacewingferry/decisions/limits/load_estimate.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
+#ifndef LACEWINGFERRY_DECISIONS_LIMITS_LOAD_ESTIMATE_H_
+#define LACEWINGFERRY_DECISIONS_LIMITS_LOAD_ESTIMATE_H_
 
 // Defines LoadEstimate, how long a new request will take, from the times of
 // earlier ones.
@@ -42,4 +42,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_LOAD_ESTIMATE_H_
+#endif  // LACEWINGFERRY_DECISIONS_LIMITS_LOAD_ESTIMATE_H_
--- a/src/lacewingferry/decisions/traffic/queue_bound.cc
+++ b/src/lacewingferry/decisions/limits/queue_bound.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/queue_bound.h"
+#include "lacewingferry/decisions/limits/queue_bound.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/queue_bound.h
+++ b/src/lacewingferry/decisions/limits/queue_bound.h
@@ -1,5 +1,5 @@
-#ifndef LACEWINGFERRY_DECISIONS_TRAFFIC_QUEUE_BOUND_H_
-#define LACEWINGFERRY_DECISIONS_TRAFFIC_QUEUE_BOUND_H_
+#ifndef LACEWINGFERRY_DECISIONS_LIMITS_QUEUE_BOUND_H_
+#define LACEWINGFERRY_DECISIONS_LIMITS_QUEUE_BOUND_H_
 
 // Defines QueueBound, how long a request may be expected to wait where more is
 // asked for than can be served.
@@ -41,4 +41,4 @@
 
 }  // namespace lacewingferry
 
-#endif  // LACEWINGFERRY_DECISIONS_TRAFFIC_QUEUE_BOUND_H_
+#endif  // LACEWINGFERRY_DECISIONS_LIMITS_QUEUE_BOUND_H_
--- a/src/lacewingferry/decisions/traffic/retry_budget.cc
+++ b/src/lacewingferry/decisions/limits/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/retry_budget.h"
+#include "lacewingferry/decisions/limits/retry_budget.h"
 
 #include <algorithm>
 
--- a/src/lacewingferry/decisions/traffic/retry_schedule.cc
+++ b/src/lacewingferry/decisions/limits/retry_schedule.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/retry_schedule.h"
+#include "lacewingferry/decisions/limits/retry_schedule.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/lacewingferry/decisions/session/read_judgement.h
+++ b/src/lacewingferry/decisions/session/read_judgement.h
@@ -10,7 +10,7 @@
 
 #include "lacewingferry/core/log_position.h"
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/traffic/member_status.h"
+#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "lacewingferry/decisions/traffic/age_proof.h"
-#include "lacewingferry/decisions/traffic/breaker_events.h"
-#include "lacewingferry/decisions/traffic/transaction_name.h"
+#include "lacewingferry/decisions/choice/breaker_events.h"
+#include "lacewingferry/decisions/execution/transaction_name.h"
+#include "lacewingferry/decisions/freshness/age_proof.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -10,16 +10,16 @@
 #include <memory>
 #include <optional>
 
+#include "lacewingferry/core/job.h"
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/traffic/attempt_history.h"
-#include "lacewingferry/decisions/traffic/forward_inbox.h"
-#include "lacewingferry/decisions/traffic/forward_table.h"
-#include "lacewingferry/decisions/traffic/job.h"
-#include "lacewingferry/decisions/traffic/member_choice.h"
+#include "lacewingferry/decisions/choice/member_choice.h"
+#include "lacewingferry/decisions/forwarding/forward_inbox.h"
+#include "lacewingferry/decisions/forwarding/forward_table.h"
+#include "lacewingferry/decisions/limits/attempt_history.h"
+#include "lacewingferry/decisions/limits/retry_budget.h"
+#include "lacewingferry/decisions/limits/retry_schedule.h"
 #include "lacewingferry/decisions/traffic/owned_members.h"
-#include "lacewingferry/decisions/traffic/retry_budget.h"
-#include "lacewingferry/decisions/traffic/retry_schedule.h"
 #include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
 namespace lacewingferry {
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -7,8 +7,8 @@
 #include <utility>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/member_time.h"
-#include "lacewingferry/decisions/traffic/transaction_name.h"
+#include "lacewingferry/decisions/choice/member_time.h"
+#include "lacewingferry/decisions/execution/transaction_name.h"
 
 namespace lacewingferry {
 namespace {
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -14,11 +14,11 @@
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/core/seat_table.h"
-#include "lacewingferry/decisions/traffic/answer_gate.h"
-#include "lacewingferry/decisions/traffic/control_calls.h"
-#include "lacewingferry/decisions/traffic/member_executor.h"
-#include "lacewingferry/decisions/traffic/position_sampler.h"
-#include "lacewingferry/decisions/traffic/replica_gate.h"
+#include "lacewingferry/decisions/execution/answer_gate.h"
+#include "lacewingferry/decisions/execution/control_calls.h"
+#include "lacewingferry/decisions/execution/member_executor.h"
+#include "lacewingferry/decisions/freshness/position_sampler.h"
+#include "lacewingferry/decisions/freshness/replica_gate.h"
 #include "lacewingferry/decisions/traffic/traffic_hooks.h"
 
 namespace lacewingferry {
--- a/src/lacewingferry/decisions/traffic/traffic_hooks.h
+++ b/src/lacewingferry/decisions/traffic/traffic_hooks.h
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "lacewingferry/core/messages/peer_message.h"
-#include "lacewingferry/decisions/traffic/job_run.h"
-#include "lacewingferry/decisions/traffic/member_sign.h"
-#include "lacewingferry/decisions/traffic/transaction_table.h"
+#include "lacewingferry/decisions/execution/job_run.h"
+#include "lacewingferry/decisions/execution/member_sign.h"
+#include "lacewingferry/decisions/execution/transaction_table.h"
 #include "lacewingferry/ports/event_port.h"
 #include "lacewingferry/ports/member_port.h"
 
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "lacewingferry/decisions/freshness/position_outbox.h"
 #include "lacewingferry/decisions/traffic/database_traffic.h"
-#include "lacewingferry/decisions/traffic/position_outbox.h"
 
 namespace lacewingferry {
 
--- a/tests/correctness/counted_members_test.cc
+++ b/tests/correctness/counted_members_test.cc
@@ -6,7 +6,7 @@
 
 #include "bench/model/failover_trial.h"
 #include "lacewingferry/adapters/msgpack/log_codec.h"
-#include "lacewingferry/decisions/traffic/write_confirmer.h"
+#include "lacewingferry/decisions/execution/write_confirmer.h"
 
 namespace lacewingferry {
 namespace {
--- a/tests/correctness/fair_queue_test.cc
+++ b/tests/correctness/fair_queue_test.cc
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "lacewingferry/decisions/traffic/job_queue.h"
+#include "lacewingferry/decisions/limits/job_queue.h"
 
 namespace lacewingferry {
 namespace {
--- a/tests/correctness/forward_inbox_test.cc
+++ b/tests/correctness/forward_inbox_test.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/forward_inbox.h"
+#include "lacewingferry/decisions/forwarding/forward_inbox.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/correctness/held_answer_test.cc
+++ b/tests/correctness/held_answer_test.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/answer_gate.h"
-#include "lacewingferry/decisions/traffic/pending_answers.h"
+#include "lacewingferry/decisions/execution/answer_gate.h"
+#include "lacewingferry/decisions/execution/pending_answers.h"
 
 namespace lacewingferry {
 namespace {
--- a/tests/correctness/position_history_test.cc
+++ b/tests/correctness/position_history_test.cc
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-#include "lacewingferry/decisions/traffic/position_sampler.h"
+#include "lacewingferry/decisions/freshness/position_sampler.h"
 
 namespace lacewingferry {
 namespace {
--- a/tests/correctness/replica_guards_test.cc
+++ b/tests/correctness/replica_guards_test.cc
@@ -1,4 +1,4 @@
-#include "lacewingferry/decisions/traffic/replica_guards.h"
+#include "lacewingferry/decisions/choice/replica_guards.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/correctness/sessionless_read_test.cc
+++ b/tests/correctness/sessionless_read_test.cc
@@ -5,7 +5,7 @@
 
 #include "lacewingferry/adapters/token/session_token_codec.h"
 #include "lacewingferry/app/caller_api.h"
-#include "lacewingferry/decisions/traffic/read_routing.h"
+#include "lacewingferry/decisions/choice/read_routing.h"
 
 namespace lacewingferry {
 namespace {
