A proxy's first metrics page has its gauges

Cause: gauges were kept by the traffic thread's timer only, so a page that was asked for in the first 250 ms had none.

Now the gauges are kept once before the thread starts.

--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -53,7 +53,9 @@
       gateway(std::make_unique<Gateway>(this->MakeGatewayHooks(),
                                         this->parts.settings)),
       front(this->parts.make_front(this->io, this->parts.listen,
-                                   this->FrontHooks())) {}
+                                   this->FrontHooks())) {
+  this->KeepGauges(this->parts.clock.now());
+}
 
 SessionTraffic::~SessionTraffic() { this->Stop(); }
 
