--- a/bench/model/baseline_fleet.cc
+++ b/bench/model/baseline_fleet.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include "lacewingferry/decisions/execution/member_status.h"
+#include "lacewingferry/core/group_member_state.h"
 
 namespace lacewingferry::model {
 namespace {
@@ -17,12 +17,15 @@
 /** The pause after a member turned a connection away. */
 constexpr milliseconds kRetryPause{10};
 
-SqlBatch MakeBatch(const StatementRequest& request) {
-  if (request.kind == RequestKind::kRead) {
-    return SqlBatch{{request.statement, {"STATUS", {}}}};
-  }
-  return SqlBatch{
-      {{"BEGIN", {}}, request.statement, {"COMMIT", {}}, {"STATUS", {}}}};
+MemberBatch MakeBatch(const StatementRequest& request) {
+  MemberStatement caller;
+  caller.caller = request.statement;
+  const MemberStatement state{MemberStatementKind::kState};
+  if (request.kind == RequestKind::kRead) return MemberBatch{{caller, state}};
+  return MemberBatch{{{MemberStatementKind::kBegin},
+                      caller,
+                      {MemberStatementKind::kCommit},
+                      state}};
 }
 
 }  // namespace
@@ -54,18 +57,18 @@
 }
 
 void BaselineFleet::Boot(Proxy& proxy) {
-  proxy.events =
-      MemberEvents{[this, &proxy](ConnectionId id) {
-                     Pool& pool = *proxy.owner.at(id);
-                     --pool.opening;
-                     this->Rest(proxy, pool, id);
-                   },
-                   [this, &proxy](ConnectionId id, ConnectionFailure) {
-                     this->OnLost(proxy, id);
-                   },
-                   [this, &proxy](ConnectionId id, const BatchResult& result) {
-                     this->OnCompleted(proxy, id, result);
-                   }};
+  proxy.events = MemberEvents{
+      [this, &proxy](ConnectionId id) {
+        Pool& pool = *proxy.owner.at(id);
+        --pool.opening;
+        this->Rest(proxy, pool, id);
+      },
+      [this, &proxy](ConnectionId id, ConnectionFailure) {
+        this->OnLost(proxy, id);
+      },
+      [this, &proxy](ConnectionId id, const MemberBatchResult& result) {
+        this->OnCompleted(proxy, id, result);
+      }};
   proxy.port = this->group.PortFor(proxy.zone, &proxy.events);
 }
 
@@ -152,20 +155,20 @@
 }
 
 void BaselineFleet::OnCompleted(Proxy& proxy, ConnectionId id,
-                                const BatchResult& result) {
+                                const MemberBatchResult& result) {
   const Running done = proxy.running.at(id);
   proxy.running.erase(id);
   const bool read = done.job.request.kind == RequestKind::kRead;
-  if (result.sqlstate.empty()) {
+  if (!result.error) {
     Answered answer;
-    answer.result = result.results.at(read ? 0 : 1);
+    answer.result = result.results.at(read ? 0 : 1).rows;
     answer.served_by = done.pool->member.id;
     answer.served_by_replica = done.pool != &proxy.pools.front();
-    answer.position =
-        SelfStatus(ParseMemberStatus(result.results.back())).applied;
+    answer.position = SelfState(result.results.back().state).applied;
     this->Reply(done.job, answer);
   } else {
-    this->Reply(done.job, StatementFailed{result.sqlstate, result.message});
+    this->Reply(done.job,
+                StatementFailed{result.error->code, result.error->message});
   }
   this->Rest(proxy, *done.pool, id);
 }
--- a/bench/model/baseline_fleet.h
+++ b/bench/model/baseline_fleet.h
@@ -68,7 +68,8 @@
   void Run(Proxy& proxy, Pool& pool, ConnectionId id);
   void Rest(Proxy& proxy, Pool& pool, ConnectionId id);
   void OnLost(Proxy& proxy, ConnectionId id);
-  void OnCompleted(Proxy& proxy, ConnectionId id, const BatchResult& result);
+  void OnCompleted(Proxy& proxy, ConnectionId id,
+                   const MemberBatchResult& result);
   void Reply(const Waiting& job, const Outcome& outcome);
 
   EventQueue& queue;
--- a/bench/model/failover_fleet.cc
+++ b/bench/model/failover_fleet.cc
@@ -4,8 +4,8 @@
 #include <utility>
 #include <variant>
 
-#include "bench/model/role_statements.h"
 #include "bench/model/scaled_time.h"
+#include "lacewingferry/decisions/failover/member_command_statement.h"
 #include "lacewingferry/decisions/ownership/slot_owners.h"
 
 namespace lacewingferry::model {
@@ -15,7 +15,6 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kWriteTimeout{1500};
-const char kStatus[] = "STATUS";
 
 }  // namespace
 
@@ -101,7 +100,6 @@
   TrafficSettings traffic;
   traffic.node = proxy.info.id;
   traffic.zone = proxy.info.zone;
-  traffic.status_sql = kStatus;
   traffic.incarnation = incarnation << 32U;
   proxy.shard = std::make_unique<TrafficShard>(this->TrafficHooksOf(proxy),
                                                traffic, 0, 1);
@@ -115,19 +113,19 @@
   settings.lease = this->options.holder_lease;
   proxy.failover = std::make_unique<ProxyFailover>(this->FailoverHooksOf(proxy),
                                                    std::move(settings));
-  proxy.events =
-      MemberEvents{[this, &proxy](ConnectionId id) {
-                     proxy.shard->OnOpened(this->Local(proxy), id);
-                     this->Arm(proxy);
-                   },
-                   [this, &proxy](ConnectionId id, ConnectionFailure failure) {
-                     proxy.shard->OnLost(this->Local(proxy), id, failure);
-                     this->Arm(proxy);
-                   },
-                   [this, &proxy](ConnectionId id, const BatchResult& result) {
-                     proxy.shard->OnCompleted(this->Local(proxy), id, result);
-                     this->Arm(proxy);
-                   }};
+  proxy.events = MemberEvents{
+      [this, &proxy](ConnectionId id) {
+        proxy.shard->OnOpened(this->Local(proxy), id);
+        this->Arm(proxy);
+      },
+      [this, &proxy](ConnectionId id, ConnectionFailure failure) {
+        proxy.shard->OnLost(this->Local(proxy), id, failure);
+        this->Arm(proxy);
+      },
+      [this, &proxy](ConnectionId id, const MemberBatchResult& result) {
+        proxy.shard->OnCompleted(this->Local(proxy), id, result);
+        this->Arm(proxy);
+      }};
   this->PublishView(proxy);
   this->Arm(proxy);
 }
@@ -184,17 +182,18 @@
 void FailoverFleet::RunCommand(Proxy& proxy, steady_clock::time_point now,
                                const MemberCommand& command,
                                ProxyFailoverHooks::CommandHook on_result) {
-  MemberCommandResult result = ResultOf(command, std::nullopt);
+  MemberCommandResult result = ReadMemberCommandResult(command, std::nullopt);
   if (this->options.instead_of_command &&
       this->options.instead_of_command(this->group, command, result)) {
     on_result(now, result);
     return;
   }
   proxy.shard->RunControlStatement(
-      now, command.database, command.member.id, RoleStatementOf(command),
+      now, command.database, command.member.id, BuildMemberCommand(command),
       now + command.timeout,
-      [this, &proxy, command, on_result](const std::optional<ResultSet>& rows) {
-        on_result(this->Local(proxy), ResultOf(command, rows));
+      [this, &proxy, command,
+       on_result](const std::optional<MemberResult>& answer) {
+        on_result(this->Local(proxy), ReadMemberCommandResult(command, answer));
       });
 }
 
--- a/bench/model/failover_fleet_members.cc
+++ b/bench/model/failover_fleet_members.cc
@@ -1,5 +1,4 @@
 #include "bench/model/failover_fleet.h"
-#include "bench/model/role_statements.h"
 
 namespace lacewingferry::model {
 namespace {
@@ -49,7 +48,7 @@
     const FakeMember& member = this->group.Member(info.id);
     if (!member.alive || this->group.Stalled(info.id)) continue;
     const MemberAnnouncement announcement =
-        AnnouncementOf(member, this->next_announcement++);
+        member.Announcement(this->next_announcement++);
     for (std::size_t i = 0; i < FailoverControl::kReplicas; ++i) {
       this->network.Deliver(info.zone, this->options.places.zones[i],
                             [this, i, announcement] {
--- a/bench/model/fake_group.cc
+++ b/bench/model/fake_group.cc
@@ -16,12 +16,26 @@
 /** Separates the digest from the answer. */
 constexpr char kFieldEnd = '\x1f';
 
-std::string RecordKey(const SqlStatement& statement) {
-  return kRecordPrefix + statement.parameters.at(0).value_or("");
+std::string RecordKey(const MemberStatement& statement) {
+  return kRecordPrefix + statement.request_id.Value();
+}
+
+/** The codes that the members of PostgreSQL give. */
+MemberError NotPrimary() { return {MemberErrorKind::kNotPrimary, "25006", ""}; }
+
+MemberError Rejected(const std::string& code) {
+  return {MemberErrorKind::kRejected, code, ""};
 }
 
 }  // namespace
 
+bool HasCallerStatement(const MemberBatch& batch) {
+  return std::any_of(batch.statements.begin(), batch.statements.end(),
+                     [](const MemberStatement& statement) {
+                       return statement.kind == MemberStatementKind::kCaller;
+                     });
+}
+
 FakeGroup::FakeGroup(EventQueue& event_queue, Network& zone_network,
                      FakeGroupOptions group_options)
     : queue(event_queue),
@@ -45,7 +59,7 @@
       [this, zone, events](ConnectionId id, const MemberInfo& info) {
         this->Open(zone, events, id, info);
       },
-      [this, events](ConnectionId id, const SqlBatch& batch) {
+      [this, events](ConnectionId id, const MemberBatch& batch) {
         this->Execute(events, id, batch);
       },
       [this, events](ConnectionId id) { this->Close(events, id); }};
@@ -113,7 +127,7 @@
 }
 
 void FakeGroup::Execute(const MemberEvents* events, ConnectionId id,
-                        const SqlBatch& batch) {
+                        const MemberBatch& batch) {
   const auto found = this->sessions.find({events, id});
   if (found == this->sessions.end()) return;
   const SessionPtr session = found->second;
@@ -218,19 +232,19 @@
   Session& session = *running->session;
   if (!session.open) return;
   while (running->next < running->batch.statements.size()) {
-    const SqlStatement& statement = running->batch.statements[running->next];
+    const MemberStatement& statement = running->batch.statements[running->next];
     if (this->Blocked(session, statement)) {
       this->queue.After(kLockPoll,
                         [this, running] { this->RunBatch(running); });
       return;
     }
-    ResultSet rows;
-    running->result.sqlstate = this->RunStatement(session, statement, rows);
-    if (!running->result.sqlstate.empty()) {
+    MemberResult result;
+    running->result.error = this->RunStatement(session, statement, result);
+    if (running->result.error) {
       session.failed = session.in_transaction;
       break;
     }
-    running->result.results.push_back(std::move(rows));
+    running->result.results.push_back(std::move(result));
     ++running->next;
   }
   this->Answer(running);
@@ -246,8 +260,8 @@
 }
 
 bool FakeGroup::Blocked(const Session& session,
-                        const SqlStatement& statement) const {
-  if (statement.sql != this->options.record.claim) return false;
+                        const MemberStatement& statement) const {
+  if (statement.kind != MemberStatementKind::kClaimRecord) return false;
   const std::string key = RecordKey(statement);
   for (const auto& entry : this->sessions) {
     const Session& other = *entry.second;
@@ -259,99 +273,109 @@
   return false;
 }
 
-std::string FakeGroup::RunStatement(Session& session,
-                                    const SqlStatement& statement,
-                                    ResultSet& rows) {
+std::optional<MemberError> FakeGroup::RunStatement(
+    Session& session, const MemberStatement& statement, MemberResult& result) {
   FakeMember& member = this->members.at(session.member);
-  const std::string& sql = statement.sql;
-  if (sql == "ROLLBACK") {
+  if (statement.kind == MemberStatementKind::kRollback) {
     this->RollBack(session);
-    return "";
-  }
-  if (session.failed) return "25P02";
-  if (sql == "BEGIN" || sql == "COMMIT") return this->RunControl(session, sql);
-  if (sql == "STATUS") {
-    rows = this->options.status ? this->options.status(member)
-                                : member.StatusRows();
-    return "";
+    return std::nullopt;
   }
-  if (sql == "GET") {
-    const auto found = member.state.find(*statement.parameters.at(0));
-    if (found != member.state.end()) rows.rows.push_back({found->second});
-    return "";
+  if (session.failed) return Rejected("25P02");
+  switch (statement.kind) {
+    case MemberStatementKind::kCaller:
+      return this->RunCaller(session, statement.caller, result.rows);
+    case MemberStatementKind::kBegin:
+      session.in_transaction = true;
+      return std::nullopt;
+    case MemberStatementKind::kCommit:
+      return this->RunCommit(session);
+    case MemberStatementKind::kState:
+      result.state =
+          this->options.state ? this->options.state(member) : member.State();
+      return std::nullopt;
+    case MemberStatementKind::kFence:
+    case MemberStatementKind::kPromote:
+    case MemberStatementKind::kFollow:
+      result.role = this->ChangeRole(member, statement);
+      return std::nullopt;
+    default:
+      return this->RunRecord(session, statement, result);
   }
-  if (sql == "PUT" || sql == "PUTNEW") {
+}
+
+std::optional<MemberError> FakeGroup::RunCaller(Session& session,
+                                                const SqlStatement& statement,
+                                                ResultSet& rows) {
+  if (statement.sql == "PUT" || statement.sql == "PUTNEW") {
     return this->RunPut(session, statement, rows);
   }
-  if (auto role_rows = this->RunRoleStatement(member, statement)) {
-    rows = std::move(*role_rows);
-    return "";
-  }
-  return this->RunRecord(session, statement, rows);
+  if (statement.sql != "GET") return Rejected("42601");
+  const FakeMember& member = this->members.at(session.member);
+  const auto found = member.state.find(*statement.parameters.at(0));
+  if (found != member.state.end()) rows.rows.push_back({found->second});
+  return std::nullopt;
 }
 
-std::string FakeGroup::RunControl(Session& session, const std::string& sql) {
-  if (sql == "BEGIN") {
-    session.in_transaction = true;
-    return "";
-  }
+std::optional<MemberError> FakeGroup::RunCommit(Session& session) {
   FakeMember& member = this->members.at(session.member);
   const bool demoted =
       session.demoted || (!session.puts.empty() && !member.primary);
   if (demoted) {
     this->RollBack(session);
-    return "25006";
+    return NotPrimary();
   }
   this->CommitOpen(session, member);
-  return "";
+  return std::nullopt;
 }
 
-std::string FakeGroup::RunPut(Session& session, const SqlStatement& statement,
-                              ResultSet& rows) {
+std::optional<MemberError> FakeGroup::RunPut(Session& session,
+                                             const SqlStatement& statement,
+                                             ResultSet& rows) {
   FakeMember& member = this->members.at(session.member);
-  if (!member.primary || session.demoted) return "25006";
+  if (!member.primary || session.demoted) return NotPrimary();
   const std::string& key = *statement.parameters.at(0);
-  if (statement.sql == "PUTNEW" && member.state.count(key) > 0) return "23505";
+  if (statement.sql == "PUTNEW" && member.state.count(key) > 0) {
+    return Rejected("23505");
+  }
   session.puts.emplace_back(key, *statement.parameters.at(1));
   rows.affected_rows = 1;
   if (!session.in_transaction) this->CommitOpen(session, member);
-  return "";
+  return std::nullopt;
 }
 
-std::string FakeGroup::RunRecord(Session& session,
-                                 const SqlStatement& statement,
-                                 ResultSet& rows) {
-  const RequestRecordSql& record = this->options.record;
+std::optional<MemberError> FakeGroup::RunRecord(
+    Session& session, const MemberStatement& statement, MemberResult& result) {
   FakeMember& member = this->members.at(session.member);
-  if (statement.sql == record.find) {
-    const auto found = member.state.find(RecordKey(statement));
-    if (found == member.state.end()) return "";
+  const std::string key = RecordKey(statement);
+  if (statement.kind == MemberStatementKind::kFindRecord) {
+    const auto found = member.state.find(key);
+    if (found == member.state.end()) return std::nullopt;
     const std::size_t end = found->second.find(kFieldEnd);
-    rows.rows.push_back(
-        {found->second.substr(0, end), found->second.substr(end + 1)});
-    return "";
+    result.record = RequestRecord{found->second.substr(0, end),
+                                  found->second.substr(end + 1)};
+    return std::nullopt;
   }
-  if (!member.primary || session.demoted) return "25006";
-  if (statement.sql == record.create) {
+  if (!this->options.keeps_records) return std::nullopt;
+  if (!member.primary || session.demoted) return NotPrimary();
+  if (statement.kind == MemberStatementKind::kCreateRecords) {
     session.puts.emplace_back(kRecordTable, "");
     this->CommitOpen(session, member);
-    return "";
+    return std::nullopt;
   }
-  const std::string key = RecordKey(statement);
-  if (statement.sql == record.claim) {
-    if (member.state.count(kRecordTable) == 0) return "42P01";
-    if (member.state.count(key) > 0) return "23505";
-    session.puts.emplace_back(
-        key, *statement.parameters.at(1) + std::string(1, kFieldEnd));
-    return "";
-  }
-  if (statement.sql == record.store) {
+  if (statement.kind == MemberStatementKind::kStoreAnswer) {
     for (auto& put : session.puts) {
-      if (put.first == key) put.second += *statement.parameters.at(1);
+      if (put.first == key) put.second += statement.answer;
     }
-    return "";
+    return std::nullopt;
+  }
+  if (member.state.count(kRecordTable) == 0) {
+    return MemberError{MemberErrorKind::kNoRecords, "42P01", ""};
+  }
+  if (member.state.count(key) > 0) {
+    return MemberError{MemberErrorKind::kRecordTaken, "23505", ""};
   }
-  return "42601";
+  session.puts.emplace_back(key, statement.digest + std::string(1, kFieldEnd));
+  return std::nullopt;
 }
 
 void FakeGroup::RollBack(Session& session) {
@@ -361,28 +385,21 @@
   session.puts.clear();
 }
 
-std::optional<ResultSet> FakeGroup::RunRoleStatement(
-    FakeMember& member, const SqlStatement& statement) {
-  const bool fence = statement.sql == "FENCE";
-  const bool promote = statement.sql == "PROMOTE";
-  if (!fence && !promote && statement.sql != "FOLLOW") return std::nullopt;
-  const std::uint64_t term = std::stoull(*statement.parameters.at(0));
-  bool accepted = false;
-  if (fence) {
-    accepted = this->Fence(member.info.id, term);
-  } else if (promote) {
-    accepted = member.Promote(term);
+RoleAnswer FakeGroup::ChangeRole(FakeMember& member,
+                                 const MemberStatement& statement) {
+  RoleAnswer answer;
+  if (statement.kind == MemberStatementKind::kFence) {
+    answer.accepted = this->Fence(member.info.id, statement.term);
+  } else if (statement.kind == MemberStatementKind::kPromote) {
+    answer.accepted = member.Promote(statement.term);
   } else {
-    const MemberId primary(*statement.parameters.at(1));
-    accepted = this->Follow(member.info.id, term, primary);
+    // The model's endpoints carry the member's name as the host.
+    answer.accepted = this->Follow(member.info.id, statement.term,
+                                   MemberId(statement.primary_log.host));
   }
-  const LogPosition end = member.Durable();
-  ResultSet rows;
-  rows.rows.push_back({SqlValue(accepted ? "t" : "f"),
-                       SqlValue(std::to_string(member.term)),
-                       SqlValue(std::to_string(end.term)),
-                       SqlValue(std::to_string(end.offset))});
-  return rows;
+  answer.term = member.term;
+  answer.position = member.Durable();
+  return answer;
 }
 
 void FakeGroup::CommitOpen(Session& session, FakeMember& member) {
--- a/bench/model/fake_group.h
+++ b/bench/model/fake_group.h
@@ -17,7 +17,6 @@
 #include "bench/model/event_queue.h"
 #include "bench/model/fake_member.h"
 #include "bench/model/network.h"
-#include "lacewingferry/decisions/execution/request_record.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry::model {
@@ -27,9 +26,9 @@
   /** The time that a member takes to accept a connection. */
   std::chrono::nanoseconds connect_delay{std::chrono::milliseconds(10)};
   /** The time that a batch holds its connection at the member. */
-  std::function<std::chrono::nanoseconds(const SqlBatch&)> service_time;
+  std::function<std::chrono::nanoseconds(const MemberBatch&)> service_time;
   /** What a member adds to that; empty for nothing. */
-  std::function<std::chrono::nanoseconds(const MemberId&, const SqlBatch&)>
+  std::function<std::chrono::nanoseconds(const MemberId&, const MemberBatch&)>
       member_delay;
   /** The time from an entry's arrival at a replica until reads see it. */
   std::function<std::chrono::nanoseconds(const MemberId&)> apply_lag;
@@ -39,12 +38,15 @@
   std::function<void(const MemberId&, const FakeEntry&)> on_commit;
   /** The time until a member notices that a proxy has died. */
   std::chrono::nanoseconds notice_delay{0};
-  /** The statements on the table of identified requests. */
-  RequestRecordSql record;
-  /** The rows of STATUS; empty for the member's true state. */
-  std::function<ResultSet(const FakeMember&)> status;
+  /** Whether members record identified requests. */
+  bool keeps_records = true;
+  /** What a member says of the group; empty for its true state. */
+  std::function<std::vector<GroupMemberState>(const FakeMember&)> state;
 };
 
+/** Whether a batch holds a caller's own statement. */
+bool HasCallerStatement(const MemberBatch& batch);
+
 /** Members that replicate asynchronously, and the connections of proxies to
  * them. */
 class FakeGroup {
@@ -107,34 +109,38 @@
             ConnectionId id, const MemberInfo& info);
   void Accept(const SessionPtr& session);
   void Execute(const MemberEvents* events, ConnectionId id,
-               const SqlBatch& batch);
+               const MemberBatch& batch);
   void Close(const MemberEvents* events, ConnectionId id);
   void End(const SessionPtr& session);
   void ReportLost(const SessionPtr& session, ConnectionFailure failure);
   /** A batch on its way through a member. */
   struct RunningBatch {
     SessionPtr session;
-    SqlBatch batch;
+    MemberBatch batch;
     std::size_t next = 0;
-    BatchResult result;
+    MemberBatchResult result;
   };
   using RunningBatchPtr = std::shared_ptr<RunningBatch>;
 
   void RunBatch(const RunningBatchPtr& running);
   void Answer(const RunningBatchPtr& running);
-  bool Blocked(const Session& session, const SqlStatement& statement) const;
-  /** Runs a statement; returns an error code, empty for success. */
-  std::string RunStatement(Session& session, const SqlStatement& statement,
-                           ResultSet& rows);
-  std::string RunControl(Session& session, const std::string& sql);
-  std::string RunRecord(Session& session, const SqlStatement& statement,
-                        ResultSet& rows);
-  std::string RunPut(Session& session, const SqlStatement& statement,
-                     ResultSet& rows);
+  bool Blocked(const Session& session, const MemberStatement& statement) const;
+  /** Runs a statement; none for success. */
+  std::optional<MemberError> RunStatement(Session& session,
+                                          const MemberStatement& statement,
+                                          MemberResult& result);
+  std::optional<MemberError> RunCaller(Session& session,
+                                       const SqlStatement& statement,
+                                       ResultSet& rows);
+  std::optional<MemberError> RunPut(Session& session,
+                                    const SqlStatement& statement,
+                                    ResultSet& rows);
+  std::optional<MemberError> RunCommit(Session& session);
+  std::optional<MemberError> RunRecord(Session& session,
+                                       const MemberStatement& statement,
+                                       MemberResult& result);
   void RollBack(Session& session);
-  /** Runs FENCE, PROMOTE and FOLLOW; none for another statement. */
-  std::optional<ResultSet> RunRoleStatement(FakeMember& member,
-                                            const SqlStatement& statement);
+  RoleAnswer ChangeRole(FakeMember& member, const MemberStatement& statement);
   /** Runs an action at a member, after its stall if there is one. */
   void WhenAwake(const MemberId& id, std::function<void()> action);
   void CommitOpen(Session& session, FakeMember& member);
--- a/bench/model/fake_member.cc
+++ b/bench/model/fake_member.cc
@@ -4,24 +4,6 @@
 #include <utility>
 
 namespace lacewingferry::model {
-namespace {
-
-std::vector<SqlValue> StatusRow(const MemberId& id, bool self, bool primary,
-                                std::uint64_t term, const LogPosition& durable,
-                                const LogPosition& applied) {
-  const auto text = [](std::uint64_t n) { return SqlValue(std::to_string(n)); };
-  return {SqlValue(id.Value()),
-          SqlValue(self ? "t" : "f"),
-          SqlValue(primary ? "primary" : "replica"),
-          text(term),
-          text(durable.term),
-          text(durable.offset),
-          text(applied.term),
-          text(applied.offset)};
-}
-
-}  // namespace
-
 LogPosition FakeMember::Durable() const {
   return this->log.empty() ? LogPosition{} : this->log.back().position;
 }
@@ -102,15 +84,27 @@
   }
 }
 
-ResultSet FakeMember::StatusRows() const {
-  ResultSet rows;
-  rows.rows.push_back(StatusRow(this->info.id, true, this->primary, this->term,
-                                this->Durable(), this->Applied()));
-  for (const auto& entry : this->replicas) {
-    rows.rows.push_back(StatusRow(entry.first, false, false, entry.second.term,
-                                  entry.second.durable, entry.second.applied));
+std::vector<GroupMemberState> FakeMember::State() const {
+  std::vector<GroupMemberState> rows;
+  rows.push_back({this->info.id, true, this->primary, this->term,
+                  this->Durable(), this->Applied()});
+  for (const auto& [replica, report] : this->replicas) {
+    rows.push_back(
+        {replica, false, false, report.term, report.durable, report.applied});
   }
   return rows;
 }
 
+MemberAnnouncement FakeMember::Announcement(std::uint64_t sequence) const {
+  MemberAnnouncement announcement;
+  announcement.info = this->info;
+  announcement.primary = this->primary;
+  announcement.term = this->term;
+  // The model's endpoints carry the member's name as the host.
+  announcement.replication_endpoint = Endpoint{this->info.id.Value(), 1};
+  announcement.position = this->Durable();
+  announcement.sequence = sequence;
+  return announcement;
+}
+
 }  // namespace lacewingferry::model
--- a/bench/model/fake_member.h
+++ b/bench/model/fake_member.h
@@ -10,7 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/group_member_state.h"
 #include "lacewingferry/core/log_position.h"
+#include "lacewingferry/core/messages/membership_messages.h"
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/core/statement.h"
 #include "lacewingferry/ports/member_port.h"
@@ -31,15 +33,11 @@
 };
 
 /**
- * A member's log, state and term. The statements that it knows:
+ * A member's log, state and term. The callers' statements that it knows:
  *
- *   BEGIN, COMMIT, ROLLBACK
- *   PUT $1 $2             sets a key; 25006 where the member is no primary
- *   PUTNEW $1 $2          the same, but 23505 if the key is set
- *   GET $1                one row with the value; no row for a missing key
- *   STATUS                the rows that ParseMemberStatus reads
- *   FENCE $1, PROMOTE $1  changes of role in a term; one row: accepted, term,
- *   FOLLOW $1 $2          and the end of the log as term and offset
+ *   PUT $1 $2     sets a key; fails where the member is no primary
+ *   PUTNEW $1 $2  the same, but fails with 23505 if the key is set
+ *   GET $1        one row with the value; no row for a missing key
  */
 struct FakeMember {
   MemberInfo info;
@@ -79,7 +77,10 @@
   void ApplyTo(std::size_t count);
 
   /** The rows of STATUS. */
-  ResultSet StatusRows() const;
+  std::vector<GroupMemberState> State() const;
+
+  /** What the member says of itself to control now. */
+  MemberAnnouncement Announcement(std::uint64_t sequence) const;
 };
 
 }  // namespace lacewingferry::model
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -12,7 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr char kStatus[] = "STATUS";
 /** The numbers of two runs of a proxy are this far apart. */
 constexpr std::uint64_t kIncarnationStep = 1ULL << 32U;
 
@@ -127,7 +126,7 @@
           shard.OnLost(this->queue.Now(), id, failure);
         });
       },
-      [this, &proxy](ConnectionId id, const BatchResult& result) {
+      [this, &proxy](ConnectionId id, const MemberBatchResult& result) {
         this->Wake(proxy, [this, id, result](TrafficShard& shard) {
           shard.OnCompleted(this->queue.Now(), id, result);
         });
@@ -157,9 +156,7 @@
   TrafficSettings settings;
   settings.node = proxy.info.id;
   settings.zone = proxy.info.zone;
-  settings.status_sql = kStatus;
   settings.first_lease = this->options.first_lease;
-  settings.request_record = this->options.record;
   settings.transactions = this->options.transactions;
   settings.incarnation = ++this->boots * kIncarnationStep;
   settings.needs_seats = this->options.seats;
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -32,7 +32,6 @@
   FakeGroupOptions group;
   /** Told the signs that each proxy sees; may be empty. */
   MemberSignHook observe;
-  RequestRecordSql record;
   TransactionLimits transactions;
   /** The end of a starting proxy's lease. */
   std::chrono::steady_clock::time_point first_lease =
--- a/bench/model/overload.cc
+++ b/bench/model/overload.cc
@@ -50,13 +50,9 @@
   static FleetOptions WithService(const OverloadOptions& load_options) {
     FleetOptions made = load_options.fleet;
     const auto service = load_options.service;
-    made.group.service_time = [service](const SqlBatch& batch) {
-      for (const SqlStatement& statement : batch.statements) {
-        if (statement.sql == "PUT" || statement.sql == "GET") {
-          return std::chrono::nanoseconds(service);
-        }
-      }
-      return std::chrono::nanoseconds(0);
+    made.group.service_time = [service](const MemberBatch& batch) {
+      return HasCallerStatement(batch) ? std::chrono::nanoseconds(service)
+                                       : std::chrono::nanoseconds(0);
     };
     return made;
   }
--- a/bench/model/planned_run.cc
+++ b/bench/model/planned_run.cc
@@ -27,13 +27,6 @@
 constexpr milliseconds kDrainCheck{50};
 constexpr milliseconds kRest{3000};
 
-bool IsWork(const SqlBatch& batch) {
-  for (const SqlStatement& statement : batch.statements) {
-    if (statement.sql == "GET" || statement.sql == "PUT") return true;
-  }
-  return false;
-}
-
 /** One run: the fleet and its callers. */
 class PlannedRun {
  public:
@@ -80,8 +73,8 @@
       port.open(id, info);
     };
     noting.execute = [this, port, members](ConnectionId id,
-                                           const SqlBatch& batch) {
-      if (IsWork(batch)) {
+                                           const MemberBatch& batch) {
+      if (HasCallerStatement(batch)) {
         this->history.uses.push_back(
             {(*members)[id].Value(), this->queue.Now()});
       }
--- a/bench/model/read_scenario.cc
+++ b/bench/model/read_scenario.cc
@@ -49,7 +49,9 @@
   /** The options of the proxies, whose members lag as the scenario says. */
   FleetOptions Options() {
     FleetOptions options = this->scenario.fleet;
-    options.group.service_time = [](const SqlBatch&) { return kServiceTime; };
+    options.group.service_time = [](const MemberBatch&) {
+      return kServiceTime;
+    };
     options.group.apply_lag = [this](const MemberId& member) {
       const auto known = this->lags.try_emplace(
           member, this->seed * 100 + this->lags.size(), this->scenario.most_lag,
--- a/bench/model/slow_member_trial.cc
+++ b/bench/model/slow_member_trial.cc
@@ -18,13 +18,6 @@
 /** The callers' last requests end within this. */
 constexpr seconds kRunOut{5};
 
-bool OfCaller(const SqlBatch& batch) {
-  return std::any_of(batch.statements.begin(), batch.statements.end(),
-                     [](const SqlStatement& statement) {
-                       return statement.sql == "PUT" || statement.sql == "GET";
-                     });
-}
-
 class Trial {
  public:
   explicit Trial(const SlowMemberOptions& trial_options)
@@ -61,8 +54,8 @@
   FleetOptions FleetWithService() {
     FleetOptions made = this->options.fleet;
     made.group.member_delay = [this](const MemberId& member,
-                                     const SqlBatch& batch) {
-      if (!OfCaller(batch)) return nanoseconds(0);
+                                     const MemberBatch& batch) {
+      if (!HasCallerStatement(batch)) return nanoseconds(0);
       if (this->InTrouble()) ++this->result.attempts;
       const nanoseconds service = this->options.service;
       if (!this->options.slowness) return service;
--- a/bench/model/traffic_chaos.cc
+++ b/bench/model/traffic_chaos.cc
@@ -75,16 +75,14 @@
     FleetOptions made = KraanwaterOptions();
     made.proxies_per_zone = 2;
     made.first_lease = steady_clock::time_point::min();
-    made.group.service_time = [](const SqlBatch&) { return milliseconds(2); };
+    made.group.service_time = [](const MemberBatch&) {
+      return milliseconds(2);
+    };
     made.group.apply_lag = [](const MemberId& member) {
       return member == MemberId("member-1") ? kShortLag : kLongLag;
     };
     made.seats = chaos_options.seats;
-    if (!chaos_options.identifiers) {
-      made.record.claim = "GET";
-      made.record.store = "GET";
-    }
-    made.group.record = made.record;
+    made.group.keeps_records = chaos_options.identifiers;
     if (chaos_options.adjust) chaos_options.adjust(made);
     return made;
   }
--- a/src/lacewingferry/adapters/libpq/member_connections.cc
+++ b/src/lacewingferry/adapters/libpq/member_connections.cc
@@ -7,8 +7,11 @@
 namespace lacewingferry {
 
 MemberConnections::MemberConnections(boost::asio::io_context& context,
-                                     std::string database_user)
-    : io(context), user(std::move(database_user)) {}
+                                     MemberDialect members_dialect,
+                                     EventPort event_log)
+    : io(context),
+      dialect(std::move(members_dialect)),
+      log(std::move(event_log)) {}
 
 MemberConnections::~MemberConnections() {
   for (auto& entry : this->connections) entry.second->Close();
@@ -17,7 +20,7 @@
 MemberPort MemberConnections::Port() {
   return MemberPort{
       [this](ConnectionId id, const MemberInfo& info) { this->Open(id, info); },
-      [this](ConnectionId id, const SqlBatch& batch) {
+      [this](ConnectionId id, const MemberBatch& batch) {
         this->Execute(id, batch);
       },
       [this](ConnectionId id) { this->Close(id); }};
@@ -30,19 +33,25 @@
 void MemberConnections::Open(ConnectionId id, const MemberInfo& info) {
   PgConnectionHooks hooks;
   hooks.opened = [this, id] { this->events.opened(id); };
-  hooks.completed = [this, id](const BatchResult& result) {
+  hooks.completed = [this, id](const MemberBatchResult& result) {
     this->events.completed(id, result);
   };
+  hooks.unreadable = [this, member = info.id](const std::string& reason) {
+    this->log.record(Event{EventCode::kMemberAnswerUnreadable,
+                           EventLevel::kWarning,
+                           {{"member", member.Value()}, {"reason", reason}}});
+  };
   hooks.lost = [this, id](ConnectionFailure failure) {
     this->connections.erase(id);
     this->events.lost(id, failure);
   };
-  auto connection = std::make_shared<PgConnection>(this->io, std::move(hooks));
+  auto connection =
+      std::make_shared<PgConnection>(this->io, this->dialect, std::move(hooks));
   this->connections.emplace(id, connection);
-  connection->Open(info, this->user);
+  connection->Open(info);
 }
 
-void MemberConnections::Execute(ConnectionId id, const SqlBatch& batch) {
+void MemberConnections::Execute(ConnectionId id, const MemberBatch& batch) {
   const auto found = this->connections.find(id);
   if (found != this->connections.end()) found->second->Execute(batch);
 }
--- a/src/lacewingferry/adapters/libpq/member_connections.h
+++ b/src/lacewingferry/adapters/libpq/member_connections.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "lacewingferry/core/settings.h"
+#include "lacewingferry/ports/event_port.h"
 #include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry {
@@ -18,8 +20,9 @@
  * the thread that runs the io_context. */
 class MemberConnections {
  public:
-  /** user is the database role that the connections use. */
-  MemberConnections(boost::asio::io_context& io, std::string user);
+  /** The dialect is that of all members. */
+  MemberConnections(boost::asio::io_context& io, MemberDialect dialect,
+                    EventPort log);
   ~MemberConnections();
 
   /** The port; valid as long as this object. */
@@ -30,11 +33,12 @@
 
  private:
   void Open(ConnectionId id, const MemberInfo& info);
-  void Execute(ConnectionId id, const SqlBatch& batch);
+  void Execute(ConnectionId id, const MemberBatch& batch);
   void Close(ConnectionId id);
 
   boost::asio::io_context& io;
-  std::string user;
+  MemberDialect dialect;
+  EventPort log;
   MemberEvents events;
   std::unordered_map<ConnectionId, std::shared_ptr<PgConnection>> connections;
 };
--- a/src/lacewingferry/adapters/libpq/pg_connection.cc
+++ b/src/lacewingferry/adapters/libpq/pg_connection.cc
@@ -7,6 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "lacewingferry/adapters/libpq/member_sql.h"
+#include "lacewingferry/core/errors.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -14,6 +17,8 @@
 
 /** A member that doesn't complete a connection in this time is unreachable. */
 constexpr std::chrono::seconds kConnectTimeout{2};
+/** PostgreSQL's code of an internal error, for one that came without a code. */
+constexpr char kUnknownFailure[] = "XX000";
 
 std::uint64_t AffectedRows(const PGresult* result) {
   // libpq declares the argument of PQcmdTuples without const.
@@ -58,22 +63,24 @@
 }  // namespace
 
 PgConnection::PgConnection(boost::asio::io_context& context,
+                           MemberDialect member_dialect,
                            PgConnectionHooks connection_hooks)
     : io(context),
       descriptor(context),
       connect_timer(context),
+      dialect(std::move(member_dialect)),
       hooks(std::move(connection_hooks)) {}
 
 PgConnection::~PgConnection() { this->Close(); }
 
-void PgConnection::Open(const MemberInfo& info, const std::string& user) {
+void PgConnection::Open(const MemberInfo& info) {
   const std::string port = std::to_string(info.endpoint.port);
   const char* keys[] = {"host",       "port",    "user",
                         "dbname",     "sslmode", "application_name",
                         "gssencmode", nullptr};
   const char* values[] = {info.endpoint.host.c_str(),
                           port.c_str(),
-                          user.c_str(),
+                          this->dialect.user.c_str(),
                           info.database.Value().c_str(),
                           "disable",
                           "lacewingferry",
@@ -141,13 +148,17 @@
   opened();
 }
 
-void PgConnection::Execute(const SqlBatch& batch) {
+void PgConnection::Execute(const MemberBatch& batch) {
   if (this->connection == nullptr) return;
-  this->result = BatchResult{};
+  this->result = MemberBatchResult{};
+  this->unreadable.clear();
+  this->kinds.clear();
   this->executing = true;
   bool sent = true;
-  for (const SqlStatement& statement : batch.statements) {
-    sent = sent && SendStatement(this->connection, statement);
+  for (const MemberStatement& statement : batch.statements) {
+    this->kinds.push_back(statement.kind);
+    sent = sent && SendStatement(this->connection,
+                                 BuildMemberSql(this->dialect, statement));
   }
   sent = sent && PQpipelineSync(this->connection) == 1;
   if (!sent) {
@@ -194,11 +205,17 @@
     this->ReportLost(ConnectionFailure::kLost);
     return;
   }
+  if (complete && !this->unreadable.empty()) {
+    // What the statements did is unknown, as if their answer had been lost.
+    this->hooks.unreadable(this->unreadable);
+    this->ReportLost(ConnectionFailure::kLost);
+    return;
+  }
   this->WaitReadable();
   if (!complete) return;
   this->executing = false;
   // The receiver may send the next batch or close this connection.
-  const BatchResult whole = std::move(this->result);
+  const MemberBatchResult whole = std::move(this->result);
   const auto completed = this->hooks.completed;
   completed(whole);
 }
@@ -222,16 +239,37 @@
   const ExecStatusType status = PQresultStatus(next);
   if (status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK ||
       status == PGRES_EMPTY_QUERY) {
-    this->result.results.push_back(ReadRows(next));
+    this->TakeRows(next);
     return;
   }
-  if (status == PGRES_PIPELINE_ABORTED || !this->result.sqlstate.empty()) {
-    return;
+  if (status == PGRES_PIPELINE_ABORTED || this->result.error) return;
+  this->TakeError(next);
+}
+
+MemberStatementKind PgConnection::KindOfNext() const {
+  const std::size_t place = this->result.results.size();
+  return place < this->kinds.size() ? this->kinds[place]
+                                    : MemberStatementKind::kCaller;
+}
+
+void PgConnection::TakeRows(const PGresult* next) {
+  const MemberStatementKind kind = this->KindOfNext();
+  try {
+    this->result.results.push_back(ReadMemberResult(kind, ReadRows(next)));
+  } catch (const DecodeError& error) {
+    this->result.results.emplace_back();
+    this->unreadable = error.what();
   }
+}
+
+void PgConnection::TakeError(const PGresult* next) {
   const char* sqlstate = PQresultErrorField(next, PG_DIAG_SQLSTATE);
   const char* message = PQresultErrorField(next, PG_DIAG_MESSAGE_PRIMARY);
-  this->result.sqlstate = sqlstate == nullptr ? "XX000" : sqlstate;
-  this->result.message = message == nullptr ? "no message" : message;
+  MemberError error;
+  error.code = sqlstate == nullptr ? kUnknownFailure : sqlstate;
+  error.message = message == nullptr ? "no message" : message;
+  error.kind = ClassifyMemberError(this->KindOfNext(), error.code);
+  this->result.error = std::move(error);
 }
 
 void PgConnection::ReportLost(ConnectionFailure failure) {
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -8,7 +8,7 @@
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/configured_view.h"
-#include "lacewingferry/decisions/failover/member_command_sql.h"
+#include "lacewingferry/decisions/failover/member_command_statement.h"
 
 namespace lacewingferry {
 namespace {
@@ -160,21 +160,22 @@
     const MemberCommand& command,
     const ProxyFailoverHooks::CommandHook& on_result) {
   this->hooks.run_statement(
-      command.database, command.member.id,
-      BuildMemberCommand(this->settings.dialect, command),
+      command.database, command.member.id, BuildMemberCommand(command),
       this->hooks.now() + command.timeout,
-      [this, command, on_result](const std::optional<ResultSet>& rows) {
-        on_result(this->hooks.now(), ReadMemberCommandResult(command, rows));
+      [this, command, on_result](const std::optional<MemberResult>& result) {
+        on_result(this->hooks.now(), ReadMemberCommandResult(command, result));
       });
 }
 
 void ProxyControl::Probe(const MemberInfo& member,
                          const PrimaryObserverHooks::SightHook& on_sight) {
+  MemberStatement state;
+  state.kind = MemberStatementKind::kState;
   this->hooks.run_statement(
-      member.database, member.id, {this->settings.dialect.status, {}},
-      this->hooks.now() + kProbeTimeout,
-      [this, id = member.id, on_sight](const std::optional<ResultSet>& rows) {
-        if (rows) {
+      member.database, member.id, state, this->hooks.now() + kProbeTimeout,
+      [this, id = member.id,
+       on_sight](const std::optional<MemberResult>& result) {
+        if (result) {
           on_sight(this->hooks.now(), MemberSight::kAnswers);
         } else if (this->last_signs[id] == MemberSign::kRefused) {
           on_sight(this->hooks.now(), MemberSight::kRefuses);
--- a/src/lacewingferry/app/proxy_control.h
+++ b/src/lacewingferry/app/proxy_control.h
@@ -34,7 +34,7 @@
   std::function<void(const SeatTablePtr&)> publish_seats;
   /** Runs a statement on a connection of a member; the reply comes back on
    * the control thread. */
-  std::function<void(const DatabaseId&, const MemberId&, const SqlStatement&,
+  std::function<void(const DatabaseId&, const MemberId&, const MemberStatement&,
                      std::chrono::steady_clock::time_point deadline,
                      ControlReply)>
       run_statement;
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -57,7 +57,7 @@
   void OnPeerMessage(PeerMessage message);
   ProxyControlHooks ControlHooks();
   void RunStatement(const DatabaseId& database, const MemberId& member,
-                    const SqlStatement& statement,
+                    const MemberStatement& statement,
                     std::chrono::steady_clock::time_point deadline,
                     const ControlReply& reply);
   void SendPeer(const std::string& url, const PeerBody& body);
@@ -126,7 +126,6 @@
   TrafficSettings traffic;
   traffic.node = this->settings.node;
   traffic.zone = this->settings.zone;
-  traffic.status_sql = this->settings.dialect.status;
   traffic.incarnation = this->incarnation;
   traffic.needs_seats = true;
   const TrafficThreadHooks hooks{
@@ -141,9 +140,9 @@
         });
       }};
   for (std::size_t i = 0; i < this->settings.traffic_threads; ++i) {
-    this->threads.push_back(std::make_unique<TrafficThread>(
-        hooks, traffic, this->settings.dialect.user, i,
-        this->settings.traffic_threads));
+    this->threads.push_back(
+        std::make_unique<TrafficThread>(hooks, traffic, this->settings.dialect,
+                                        i, this->settings.traffic_threads));
   }
 }
 
@@ -275,7 +274,7 @@
   };
   hooks.run_statement = [this](const DatabaseId& database,
                                const MemberId& member,
-                               const SqlStatement& statement,
+                               const MemberStatement& statement,
                                std::chrono::steady_clock::time_point deadline,
                                const ControlReply& reply) {
     this->RunStatement(database, member, statement, deadline, reply);
@@ -311,12 +310,12 @@
 
 void ProxyProgram::Impl::RunStatement(
     const DatabaseId& database, const MemberId& member,
-    const SqlStatement& statement,
+    const MemberStatement& statement,
     std::chrono::steady_clock::time_point deadline, const ControlReply& reply) {
   this->ThreadOf(database).RunControlStatement(
       database, member, statement, deadline,
-      [this, reply](const std::optional<ResultSet>& rows) {
-        this->RunOnControl([reply, rows] { reply(rows); });
+      [this, reply](const std::optional<MemberResult>& result) {
+        this->RunOnControl([reply, result] { reply(result); });
       });
 }
 
--- a/src/lacewingferry/app/traffic_thread.cc
+++ b/src/lacewingferry/app/traffic_thread.cc
@@ -31,13 +31,13 @@
 
 TrafficThread::TrafficThread(TrafficThreadHooks thread_hooks,
                              const TrafficSettings& settings,
-                             const std::string& database_user,
-                             std::size_t index, std::size_t count)
+                             const MemberDialect& dialect, std::size_t index,
+                             std::size_t count)
     : hooks(std::move(thread_hooks)),
       work(boost::asio::make_work_guard(this->io)),
       timer(this->io),
       armed_for(kNotArmed),
-      connections(this->io, database_user),
+      connections(this->io, dialect, this->hooks.events),
       shard(MakeHooks(this->connections.Port(), this->hooks.events,
                       this->hooks.observe,
                       [this](const NodeId& node, const PeerBody& body) {
@@ -71,7 +71,7 @@
         this->shard.OnLost(this->hooks.clock.now(), id, failure);
         this->ArmTimer();
       },
-      [this](ConnectionId id, const BatchResult& result) {
+      [this](ConnectionId id, const MemberBatchResult& result) {
         this->shard.OnCompleted(this->hooks.clock.now(), id, result);
         this->ArmTimer();
       }};
@@ -165,7 +165,7 @@
 
 void TrafficThread::RunControlStatement(const DatabaseId& database,
                                         const MemberId& member,
-                                        const SqlStatement& statement,
+                                        const MemberStatement& statement,
                                         steady_clock::time_point deadline,
                                         ControlReply reply) {
   this->Post([this, database, member, statement, deadline,
--- a/src/lacewingferry/app/traffic_thread.h
+++ b/src/lacewingferry/app/traffic_thread.h
@@ -32,7 +32,7 @@
 class TrafficThread {
  public:
   TrafficThread(TrafficThreadHooks hooks, const TrafficSettings& settings,
-                const std::string& database_user, std::size_t index,
+                const MemberDialect& dialect, std::size_t index,
                 std::size_t count);
   ~TrafficThread();
   TrafficThread(const TrafficThread&) = delete;
@@ -68,7 +68,7 @@
 
   /** Runs a statement of control; the reply comes on this thread. */
   void RunControlStatement(const DatabaseId& database, const MemberId& member,
-                           const SqlStatement& statement,
+                           const MemberStatement& statement,
                            std::chrono::steady_clock::time_point deadline,
                            ControlReply reply);
 
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -40,6 +40,8 @@
       return "announcement_rejected";
     case EventCode::kConnectionOpened:
       return "connection_opened";
+    case EventCode::kMemberAnswerUnreadable:
+      return "member_answer_unreadable";
     case EventCode::kConnectionLost:
       return "connection_lost";
     case EventCode::kRequestRefused:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -24,6 +24,7 @@
   kAnnouncementRejected = 2003,
   kConnectionOpened = 3001,
   kConnectionLost = 3002,
+  kMemberAnswerUnreadable = 3003,
   kRequestRefused = 3101,
   kRequestUnknown = 3102,
   kRequestServed = 3103,
--- a/src/lacewingferry/decisions/execution/connection_pool.cc
+++ b/src/lacewingferry/decisions/execution/connection_pool.cc
@@ -91,7 +91,7 @@
 }
 
 void ConnectionPool::Send(steady_clock::time_point now, ConnectionId id,
-                          const SqlBatch& batch) {
+                          const MemberBatch& batch) {
   this->entries.at(id) = Entry{State::kBusy, now, false};
   this->hooks.port.execute(id, batch);
 }
--- a/src/lacewingferry/decisions/execution/connection_pool.h
+++ b/src/lacewingferry/decisions/execution/connection_pool.h
@@ -64,7 +64,7 @@
 
   /** Sends a batch and marks the connection busy. */
   void Send(std::chrono::steady_clock::time_point now, ConnectionId id,
-            const SqlBatch& batch);
+            const MemberBatch& batch);
 
   /** Gives a clean connection back; closes it above the limit. */
   void GiveBack(ConnectionId id);
--- a/src/lacewingferry/decisions/execution/control_calls.h
+++ b/src/lacewingferry/decisions/execution/control_calls.h
@@ -9,17 +9,17 @@
 #include <functional>
 #include <optional>
 
-#include "lacewingferry/core/statement.h"
+#include "lacewingferry/core/member_statement.h"
 
 namespace lacewingferry {
 
-/** Receives the rows of a control statement; none if the member could not be
+/** Receives the result of a control statement; none if the member could not be
  * reached in time or rejected the statement. */
-using ControlReply = std::function<void(const std::optional<ResultSet>&)>;
+using ControlReply = std::function<void(const std::optional<MemberResult>&)>;
 
 /** A statement of control with the time until which it is of use. */
 struct ControlCall {
-  SqlStatement statement;
+  MemberStatement statement;
   std::chrono::steady_clock::time_point deadline;
   ControlReply reply;
 };
--- a/src/lacewingferry/decisions/execution/flight.cc
+++ b/src/lacewingferry/decisions/execution/flight.cc
@@ -2,130 +2,146 @@
 
 #include <utility>
 
+#include "lacewingferry/decisions/execution/request_record.h"
+
 namespace lacewingferry {
 namespace {
 
-std::size_t Append(Flight& flight, SqlStatement statement) {
+std::size_t Append(Flight& flight, MemberStatement statement) {
   flight.batch.statements.push_back(std::move(statement));
   return flight.batch.statements.size() - 1;
 }
 
-void AppendClaim(const StatementRequest& request, const FlightSql& sql,
-                 const std::string& digest, Flight& flight) {
-  flight.identifier =
-      Append(flight, {sql.record.claim, {request.request_id.Value(), digest}});
+std::size_t Append(Flight& flight, MemberStatementKind kind) {
+  MemberStatement statement;
+  statement.kind = kind;
+  return Append(flight, std::move(statement));
 }
 
-void AppendRead(const StatementRequest& request, const FlightSql& sql,
-                Flight& flight) {
-  flight.status_before = Append(flight, {sql.status, {}});
-  flight.statement = Append(flight, request.statement);
-  flight.status_after = Append(flight, {sql.status, {}});
+std::size_t AppendCaller(const StatementRequest& request, Flight& flight) {
+  MemberStatement statement;
+  statement.caller = request.statement;
+  return Append(flight, std::move(statement));
 }
 
-void AppendWrite(const StatementRequest& request, const FlightSql& sql,
+void AppendClaim(const StatementRequest& request, const std::string& digest,
                  Flight& flight) {
-  Append(flight, {"BEGIN", {}});
-  flight.statement = Append(flight, request.statement);
-  flight.commit = Append(flight, {"COMMIT", {}});
-  flight.status_after = Append(flight, {sql.status, {}});
+  MemberStatement claim;
+  claim.kind = MemberStatementKind::kClaimRecord;
+  claim.request_id = request.request_id;
+  claim.digest = digest;
+  flight.identifier = Append(flight, std::move(claim));
+}
+
+void AppendRead(const StatementRequest& request, Flight& flight) {
+  flight.status_before = Append(flight, MemberStatementKind::kState);
+  flight.statement = AppendCaller(request, flight);
+  flight.status_after = Append(flight, MemberStatementKind::kState);
+}
+
+void AppendWrite(const StatementRequest& request, Flight& flight) {
+  Append(flight, MemberStatementKind::kBegin);
+  flight.statement = AppendCaller(request, flight);
+  flight.commit = Append(flight, MemberStatementKind::kCommit);
+  flight.status_after = Append(flight, MemberStatementKind::kState);
 }
 
 // The state stands after the row of the identifier: a row that another
 // transaction holds is waited for, and the term has to be the one in which the
 // wait ended.
-void AppendClaimedWrite(const StatementRequest& request, const FlightSql& sql,
-                        Flight& flight) {
-  Append(flight, {"BEGIN", {}});
-  AppendClaim(request, sql, StatementDigest(request.statement), flight);
-  flight.status_before = Append(flight, {sql.status, {}});
-  flight.statement = Append(flight, request.statement);
+void AppendClaimedWrite(const StatementRequest& request, Flight& flight) {
+  Append(flight, MemberStatementKind::kBegin);
+  AppendClaim(request, StatementDigest(request.statement), flight);
+  flight.status_before = Append(flight, MemberStatementKind::kState);
+  flight.statement = AppendCaller(request, flight);
 }
 
-void AppendStore(const StatementRequest& request, const FlightSql& sql,
-                 const std::string& answer, Flight& flight) {
-  Append(flight, {sql.record.store, {request.request_id.Value(), answer}});
-  flight.commit = Append(flight, {"COMMIT", {}});
-  flight.status_after = Append(flight, {sql.status, {}});
+void AppendStore(const StatementRequest& request, const std::string& answer,
+                 Flight& flight) {
+  MemberStatement store;
+  store.kind = MemberStatementKind::kStoreAnswer;
+  store.request_id = request.request_id;
+  store.answer = answer;
+  Append(flight, std::move(store));
+  flight.commit = Append(flight, MemberStatementKind::kCommit);
+  flight.status_after = Append(flight, MemberStatementKind::kState);
 }
 
-void AppendFind(const StatementRequest& request, const FlightSql& sql,
-                Flight& flight) {
-  Append(flight, {"ROLLBACK", {}});
-  flight.identifier =
-      Append(flight, {sql.record.find, {request.request_id.Value()}});
-  flight.status_after = Append(flight, {sql.status, {}});
+void AppendFind(const StatementRequest& request, Flight& flight) {
+  Append(flight, MemberStatementKind::kRollback);
+  MemberStatement find;
+  find.kind = MemberStatementKind::kFindRecord;
+  find.request_id = request.request_id;
+  flight.identifier = Append(flight, std::move(find));
+  flight.status_after = Append(flight, MemberStatementKind::kState);
 }
 
-void AppendVoid(const StatementRequest& request, const FlightSql& sql,
-                Flight& flight) {
-  Append(flight, {"BEGIN", {}});
-  AppendClaim(request, sql, kVoidDigest, flight);
-  flight.status_before = Append(flight, {sql.status, {}});
-  flight.commit = Append(flight, {"COMMIT", {}});
-  flight.status_after = Append(flight, {sql.status, {}});
+void AppendVoid(const StatementRequest& request, Flight& flight) {
+  Append(flight, MemberStatementKind::kBegin);
+  AppendClaim(request, kVoidDigest, flight);
+  flight.status_before = Append(flight, MemberStatementKind::kState);
+  flight.commit = Append(flight, MemberStatementKind::kCommit);
+  flight.status_after = Append(flight, MemberStatementKind::kState);
 }
 
-void AppendBegin(const StatementRequest& request, const FlightSql& sql,
-                 Flight& flight) {
-  Append(flight, {"BEGIN", {}});
+void AppendBegin(const StatementRequest& request, Flight& flight) {
+  Append(flight, MemberStatementKind::kBegin);
   if (!request.request_id.Empty()) {
-    AppendClaim(request, sql, kTransactionDigest, flight);
+    AppendClaim(request, kTransactionDigest, flight);
   }
-  flight.status_before = Append(flight, {sql.status, {}});
+  flight.status_before = Append(flight, MemberStatementKind::kState);
 }
 
-void AppendCommit(const StatementRequest& request, const FlightSql& sql,
-                  Flight& flight) {
+void AppendCommit(const StatementRequest& request, Flight& flight) {
   if (!request.request_id.Empty()) {
-    AppendClaim(request, sql, kTransactionDigest, flight);
+    AppendClaim(request, kTransactionDigest, flight);
   }
-  flight.commit = Append(flight, {"COMMIT", {}});
-  flight.status_after = Append(flight, {sql.status, {}});
+  flight.commit = Append(flight, MemberStatementKind::kCommit);
+  flight.status_after = Append(flight, MemberStatementKind::kState);
 }
 
 }  // namespace
 
 Flight BuildFlight(FlightKind kind, const StatementRequest& request,
-                   const FlightSql& sql, const std::string& answer) {
+                   const std::string& answer) {
   Flight flight;
   flight.kind = kind;
   switch (kind) {
     case FlightKind::kRead:
-      AppendRead(request, sql, flight);
+      AppendRead(request, flight);
       break;
     case FlightKind::kWrite:
-      AppendWrite(request, sql, flight);
+      AppendWrite(request, flight);
       break;
     case FlightKind::kClaim:
-      AppendClaimedWrite(request, sql, flight);
+      AppendClaimedWrite(request, flight);
       break;
     case FlightKind::kStore:
-      AppendStore(request, sql, answer, flight);
+      AppendStore(request, answer, flight);
       break;
     case FlightKind::kFind:
-      AppendFind(request, sql, flight);
+      AppendFind(request, flight);
       break;
     case FlightKind::kCreateTable:
-      Append(flight, {"ROLLBACK", {}});
-      flight.status_before = Append(flight, {sql.status, {}});
-      Append(flight, {sql.record.create, {}});
+      Append(flight, MemberStatementKind::kRollback);
+      flight.status_before = Append(flight, MemberStatementKind::kState);
+      Append(flight, MemberStatementKind::kCreateRecords);
       break;
     case FlightKind::kVoid:
-      AppendVoid(request, sql, flight);
+      AppendVoid(request, flight);
       break;
     case FlightKind::kBegin:
-      AppendBegin(request, sql, flight);
+      AppendBegin(request, flight);
       break;
     case FlightKind::kStatement:
-      flight.statement = Append(flight, request.statement);
+      flight.statement = AppendCaller(request, flight);
       break;
     case FlightKind::kCommit:
-      AppendCommit(request, sql, flight);
+      AppendCommit(request, flight);
       break;
     case FlightKind::kRollback:
     case FlightKind::kCleanUp:
-      Append(flight, {"ROLLBACK", {}});
+      Append(flight, MemberStatementKind::kRollback);
       break;
   }
   return flight;
--- a/src/lacewingferry/decisions/execution/flight.h
+++ b/src/lacewingferry/decisions/execution/flight.h
@@ -1,16 +1,15 @@
 #ifndef LACEWINGFERRY_DECISIONS_EXECUTION_FLIGHT_H_
 #define LACEWINGFERRY_DECISIONS_EXECUTION_FLIGHT_H_
 
-// Defines Flight, the SQL that one step of a request sends and where its parts
-// stand in the result.
+// Defines Flight, the statements that one step of a request sends and where its
+// parts stand in the result.
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
 
+#include "lacewingferry/core/member_statement.h"
 #include "lacewingferry/core/statement.h"
-#include "lacewingferry/decisions/execution/request_record.h"
-#include "lacewingferry/ports/member_port.h"
 
 namespace lacewingferry {
 
@@ -44,7 +43,7 @@
   static constexpr std::size_t kNoPlace = static_cast<std::size_t>(-1);
 
   FlightKind kind = FlightKind::kRead;
-  SqlBatch batch;
+  MemberBatch batch;
   /** The caller's own statement. */
   std::size_t statement = kNoPlace;
   /** The row that records the identifier, or the search for it. */
@@ -55,16 +54,10 @@
   std::size_t status_after = kNoPlace;
 };
 
-/** The SQL that differs between kinds of members. */
-struct FlightSql {
-  std::string status;
-  RequestRecordSql record;
-};
-
 /** Builds the flight of a kind for a request. answer is the text to store and
  * is used by kStore only. */
 Flight BuildFlight(FlightKind kind, const StatementRequest& request,
-                   const FlightSql& sql, const std::string& answer = "");
+                   const std::string& answer = "");
 
 }  // namespace lacewingferry
 
--- a/src/lacewingferry/decisions/execution/job_run.cc
+++ b/src/lacewingferry/decisions/execution/job_run.cc
@@ -10,11 +10,6 @@
 namespace lacewingferry {
 namespace {
 
-/** Codes of PostgreSQL's list of errors. */
-constexpr char kUniqueViolation[] = "23505";
-constexpr char kUndefinedTable[] = "42P01";
-constexpr char kReadOnlyTransaction[] = "25006";
-
 constexpr char kNotThePrimary[] = "the member is not the primary of this term";
 
 FlightKind FirstFlight(const StatementRequest& request) {
@@ -34,7 +29,8 @@
   return request.request_id.Empty() ? FlightKind::kWrite : FlightKind::kClaim;
 }
 
-const ResultSet& ResultAt(const BatchResult& result, std::size_t place) {
+const MemberResult& ResultAt(const MemberBatchResult& result,
+                             std::size_t place) {
   if (place >= result.results.size()) {
     throw DecodeError("the member answered " +
                       std::to_string(result.results.size()) +
@@ -43,11 +39,12 @@
   return result.results[place];
 }
 
-/** The member's rows at a place; none if the batch ended before it. */
-std::vector<MemberStatus> StatusAt(const BatchResult& result,
-                                   std::size_t place) {
+/** What the member said of the group at a place; nothing if the batch ended
+ * before it. */
+std::vector<GroupMemberState> StateAt(const MemberBatchResult& result,
+                                      std::size_t place) {
   if (place >= result.results.size()) return {};
-  return ParseMemberStatus(result.results[place]);
+  return result.results[place].state;
 }
 
 }  // namespace
@@ -57,8 +54,7 @@
     : job(std::move(run_job)),
       context(std::move(run_context)),
       settings(run_settings),
-      flight(BuildFlight(FirstFlight(this->job.request), this->job.request,
-                         run_settings->sql)) {}
+      flight(BuildFlight(FirstFlight(this->job.request), this->job.request)) {}
 
 std::optional<Outcome> JobRun::OnLost() const {
   if (!this->undecided) return std::nullopt;
@@ -82,25 +78,24 @@
   return UnknownOutcome{"the commit took longer than the time limit"};
 }
 
-RunStep JobRun::OnResult(const BatchResult& result) {
+RunStep JobRun::OnResult(const MemberBatchResult& result) {
   if (std::exchange(this->abandoned, false)) {
     return this->Continue(FlightKind::kCleanUp);
   }
   if (this->flight.kind == FlightKind::kCleanUp) {
     RunStep step;
-    step.fate = result.sqlstate.empty() ? ConnectionFate::kReusable
-                                        : ConnectionFate::kClose;
+    step.fate =
+        result.error ? ConnectionFate::kClose : ConnectionFate::kReusable;
     return step;
   }
-  return result.sqlstate.empty() ? this->OnSuccess(result)
-                                 : this->OnFailure(result);
+  return result.error ? this->OnFailure(result) : this->OnSuccess(result);
 }
 
 bool JobRun::CommitSent() const {
   return std::holds_alternative<UnknownOutcome>(LossOutcome(this->flight.kind));
 }
 
-RunStep JobRun::OnSuccess(const BatchResult& result) {
+RunStep JobRun::OnSuccess(const MemberBatchResult& result) {
   switch (this->flight.kind) {
     case FlightKind::kRead:
       return this->OnRead(result);
@@ -109,7 +104,7 @@
     case FlightKind::kFind:
       return this->OnFound(result);
     case FlightKind::kCreateTable: {
-      const auto rows = StatusAt(result, this->flight.status_before);
+      const auto rows = StateAt(result, this->flight.status_before);
       RunStep step = this->Continue(FirstFlight(this->job.request));
       step.status = rows;
       return step;
@@ -128,8 +123,7 @@
 }
 
 RunStep JobRun::Continue(FlightKind kind, const std::string& answer) {
-  this->flight =
-      BuildFlight(kind, this->job.request, this->settings->sql, answer);
+  this->flight = BuildFlight(kind, this->job.request, answer);
   RunStep step;
   step.next = this->flight.batch;
   return step;
@@ -150,19 +144,20 @@
   return step;
 }
 
-RunStep JobRun::Hold(Outcome answer, const std::vector<MemberStatus>& rows) {
+RunStep JobRun::Hold(Outcome answer,
+                     const std::vector<GroupMemberState>& rows) {
   this->undecided = false;
   RunStep step;
   step.fate = ConnectionFate::kReusable;
   step.held =
-      HeldAnswer{std::move(answer), SelfStatus(rows).durable,
+      HeldAnswer{std::move(answer), SelfState(rows).durable,
                  UnknownOutcome{"no majority holds the write in its term"}};
   step.status = rows;
   return step;
 }
 
-bool JobRun::Leads(const std::vector<MemberStatus>& rows) const {
-  const MemberStatus& self = SelfStatus(rows);
+bool JobRun::Leads(const std::vector<GroupMemberState>& rows) const {
+  const GroupMemberState& self = SelfState(rows);
   return self.primary && self.term == this->context.term;
 }
 
@@ -172,12 +167,12 @@
   return answer;
 }
 
-RunStep JobRun::OnRead(const BatchResult& result) {
-  const auto before = StatusAt(result, this->flight.status_before);
-  const auto after = StatusAt(result, this->flight.status_after);
+RunStep JobRun::OnRead(const MemberBatchResult& result) {
+  const auto before = StateAt(result, this->flight.status_before);
+  const auto after = StateAt(result, this->flight.status_after);
   ReadEvidence evidence;
-  evidence.before = SelfStatus(before);
-  evidence.after = SelfStatus(after);
+  evidence.before = SelfState(before);
+  evidence.after = SelfState(after);
   evidence.primary = this->context.primary;
   evidence.view_term = this->context.term;
   evidence.group_size = this->context.group_size;
@@ -195,7 +190,7 @@
     return refused;
   }
   Answered answer = this->MakeAnswer();
-  answer.result = ResultAt(result, this->flight.statement);
+  answer.result = ResultAt(result, this->flight.statement).rows;
   answer.served_by_replica = !this->context.primary;
   answer.position = verdict.position;
   if (!this->context.primary) answer.applied = evidence.before.applied;
@@ -216,8 +211,8 @@
   return step;
 }
 
-RunStep JobRun::OnCommitted(const BatchResult& result) {
-  const auto rows = StatusAt(result, this->flight.status_after);
+RunStep JobRun::OnCommitted(const MemberBatchResult& result) {
+  const auto rows = StateAt(result, this->flight.status_after);
   if (!this->Leads(rows)) {
     return this->Finish(
         UnknownOutcome{"the primary was replaced during the commit"},
@@ -225,20 +220,20 @@
   }
   Answered answer = this->MakeAnswer();
   if (this->flight.statement != Flight::kNoPlace) {
-    answer.result = ResultAt(result, this->flight.statement);
+    answer.result = ResultAt(result, this->flight.statement).rows;
   } else {
     answer.result = std::move(this->claimed_rows);
   }
-  answer.position = SelfStatus(rows).durable;
+  answer.position = SelfState(rows).durable;
   return this->Hold(std::move(answer), rows);
 }
 
-RunStep JobRun::OnClaimed(const BatchResult& result) {
-  const auto rows = StatusAt(result, this->flight.status_before);
+RunStep JobRun::OnClaimed(const MemberBatchResult& result) {
+  const auto rows = StateAt(result, this->flight.status_before);
   if (!this->Leads(rows)) {
     return this->CleanUp(NotRun{RefusalCode::kNoPrimary, kNotThePrimary});
   }
-  this->claimed_rows = ResultAt(result, this->flight.statement);
+  this->claimed_rows = ResultAt(result, this->flight.statement).rows;
   const auto& encode = this->settings->codec.encode;
   RunStep step = this->Continue(
       FlightKind::kStore, encode ? encode(this->claimed_rows) : std::string());
@@ -246,30 +241,29 @@
   return step;
 }
 
-RunStep JobRun::OnFound(const BatchResult& result) {
-  const auto status = StatusAt(result, this->flight.status_after);
+RunStep JobRun::OnFound(const MemberBatchResult& result) {
+  const auto status = StateAt(result, this->flight.status_after);
   if (!this->Leads(status)) {
     return this->Finish(NotRun{RefusalCode::kNoPrimary, kNotThePrimary},
                         ConnectionFate::kReusable);
   }
-  const ResultSet& found = ResultAt(result, this->flight.identifier);
-  if (found.rows.empty()) {
+  const auto& found = ResultAt(result, this->flight.identifier).record;
+  if (!found) {
     // The row that stood in the way was rolled back or expired meanwhile.
     return this->Finish(
         NotRun{RefusalCode::kMemberUnreachable, "the identifier was released"},
         ConnectionFate::kReusable);
   }
-  const std::string digest = found.rows[0].at(0).value_or("");
   const StatementRequest& request = this->job.request;
   const bool transaction = request.kind != RequestKind::kWrite;
   const std::string own = transaction ? std::string(kTransactionDigest)
                                       : StatementDigest(request.statement);
-  if (digest == kVoidDigest) {
+  if (found->digest == kVoidDigest) {
     return this->Hold(NotRun{RefusalCode::kTransactionAborted,
                              "the identifier was given up; use a new one"},
                       status);
   }
-  if (digest != own) {
+  if (found->digest != own) {
     return this->Finish(
         NotRun{RefusalCode::kInvalidRequest,
                "the identifier belongs to a different statement"},
@@ -277,16 +271,17 @@
   }
   Answered answer = this->MakeAnswer();
   answer.repeated = true;
-  answer.position = SelfStatus(status).durable;
+  answer.position = SelfState(status).durable;
   const auto& decode = this->settings->codec.decode;
-  const SqlValue& stored = found.rows[0].at(1);
-  if (decode && stored && !stored->empty()) answer.result = decode(*stored);
+  if (decode && found->answer && !found->answer->empty()) {
+    answer.result = decode(*found->answer);
+  }
   return this->Hold(std::move(answer), status);
 }
 
-RunStep JobRun::OnVoided(const BatchResult& result) {
-  const auto before = StatusAt(result, this->flight.status_before);
-  const auto after = StatusAt(result, this->flight.status_after);
+RunStep JobRun::OnVoided(const MemberBatchResult& result) {
+  const auto before = StateAt(result, this->flight.status_before);
+  const auto after = StateAt(result, this->flight.status_after);
   if (!this->Leads(before) || !this->Leads(after)) {
     return this->Finish(NotRun{RefusalCode::kNoPrimary, kNotThePrimary},
                         ConnectionFate::kReusable);
@@ -296,8 +291,8 @@
                     after);
 }
 
-RunStep JobRun::OnBegun(const BatchResult& result) {
-  const auto rows = StatusAt(result, this->flight.status_before);
+RunStep JobRun::OnBegun(const MemberBatchResult& result) {
+  const auto rows = StateAt(result, this->flight.status_before);
   if (!this->Leads(rows)) {
     return this->CleanUp(NotRun{RefusalCode::kNoPrimary, kNotThePrimary});
   }
@@ -308,29 +303,29 @@
   return step;
 }
 
-RunStep JobRun::OnStatement(const BatchResult& result) {
+RunStep JobRun::OnStatement(const MemberBatchResult& result) {
   Answered answer = this->MakeAnswer();
-  answer.result = ResultAt(result, this->flight.statement);
+  answer.result = ResultAt(result, this->flight.statement).rows;
   answer.transaction = this->job.request.transaction;
   return this->Finish(answer, ConnectionFate::kPinned);
 }
 
 // An identifier's row that can't be written for any other reason than the two
 // named is held by an earlier attempt, which must not be called not run.
-RunStep JobRun::OnIdentifierFailure(const BatchResult& result) {
-  if (result.sqlstate == kUniqueViolation) {
+RunStep JobRun::OnIdentifierFailure(const MemberBatchResult& result) {
+  if (result.error->kind == MemberErrorKind::kRecordTaken) {
     return this->Continue(FlightKind::kFind);
   }
   const bool restartable = this->flight.kind != FlightKind::kCommit;
-  if (result.sqlstate == kUndefinedTable && restartable &&
+  if (result.error->kind == MemberErrorKind::kNoRecords && restartable &&
       !std::exchange(this->created_table, true)) {
     return this->Continue(FlightKind::kCreateTable);
   }
   return this->CleanUp(UnknownOutcome{"the identifier could not be recorded: " +
-                                      result.message});
+                                      result.error->message});
 }
 
-RunStep JobRun::OnFailure(const BatchResult& result) {
+RunStep JobRun::OnFailure(const MemberBatchResult& result) {
   const std::size_t failed_at = result.results.size();
   const bool committed = this->flight.commit != Flight::kNoPlace &&
                          failed_at > this->flight.commit;
@@ -338,13 +333,14 @@
     return this->CleanUp(
         UnknownOutcome{"the member did not tell its state after the commit"});
   }
-  if (result.sqlstate == kReadOnlyTransaction) {
-    return this->CleanUp(NotRun{RefusalCode::kNoPrimary, result.message});
+  if (result.error->kind == MemberErrorKind::kNotPrimary) {
+    return this->CleanUp(
+        NotRun{RefusalCode::kNoPrimary, result.error->message});
   }
   if (failed_at == this->flight.identifier) {
     return this->OnIdentifierFailure(result);
   }
-  const auto rows = StatusAt(result, this->flight.status_before);
+  const auto rows = StateAt(result, this->flight.status_before);
   const bool replaced =
       this->context.primary && !rows.empty() && !this->Leads(rows);
   if (replaced) {
@@ -354,9 +350,10 @@
                              this->flight.kind != FlightKind::kVoid;
   if (!own_statement) {
     return this->CleanUp(
-        NotRun{RefusalCode::kMemberUnreachable, result.message});
+        NotRun{RefusalCode::kMemberUnreachable, result.error->message});
   }
-  return this->CleanUp(StatementFailed{result.sqlstate, result.message});
+  return this->CleanUp(
+      StatementFailed{result.error->code, result.error->message});
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/execution/job_run.h
+++ b/src/lacewingferry/decisions/execution/job_run.h
@@ -9,11 +9,12 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/group_member_state.h"
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/job.h"
 #include "lacewingferry/core/log_position.h"
 #include "lacewingferry/decisions/execution/flight.h"
-#include "lacewingferry/decisions/execution/member_status.h"
+#include "lacewingferry/decisions/execution/request_record.h"
 
 namespace lacewingferry {
 
@@ -37,7 +38,6 @@
 
 /** What doesn't differ between the runs of an executor. */
 struct RunSettings {
-  FlightSql sql;
   AnswerCodec codec;
 };
 
@@ -63,13 +63,13 @@
  * held may come with either. */
 struct RunStep {
   /** Another flight on the same connection. */
-  std::optional<SqlBatch> next;
+  std::optional<MemberBatch> next;
   std::optional<ConnectionFate> fate;
   /** The request's outcome, to be told now. */
   std::optional<Outcome> outcome;
   std::optional<HeldAnswer> held;
   /** What the member said of the group. */
-  std::vector<MemberStatus> status;
+  std::vector<GroupMemberState> status;
 };
 
 /**
@@ -90,12 +90,12 @@
   JobRun(Job job, RunContext context, const RunSettings* settings);
 
   /** The first flight. */
-  const SqlBatch& Start() const { return this->flight.batch; }
+  const MemberBatch& Start() const { return this->flight.batch; }
 
   /** Takes the result of the flight that was sent last. Throws DecodeError
    * for an answer of another form; the caller then treats the connection as
    * lost. */
-  RunStep OnResult(const BatchResult& result);
+  RunStep OnResult(const MemberBatchResult& result);
 
   /** What is known of the request if the connection is lost now; none if its
    * outcome was told. */
@@ -116,22 +116,22 @@
   bool Undecided() const { return this->undecided; }
 
  private:
-  RunStep OnSuccess(const BatchResult& result);
-  RunStep OnFailure(const BatchResult& result);
-  RunStep OnIdentifierFailure(const BatchResult& result);
-  RunStep OnRead(const BatchResult& result);
-  RunStep OnCommitted(const BatchResult& result);
-  RunStep OnClaimed(const BatchResult& result);
-  RunStep OnFound(const BatchResult& result);
-  RunStep OnVoided(const BatchResult& result);
-  RunStep OnBegun(const BatchResult& result);
-  RunStep OnStatement(const BatchResult& result);
+  RunStep OnSuccess(const MemberBatchResult& result);
+  RunStep OnFailure(const MemberBatchResult& result);
+  RunStep OnIdentifierFailure(const MemberBatchResult& result);
+  RunStep OnRead(const MemberBatchResult& result);
+  RunStep OnCommitted(const MemberBatchResult& result);
+  RunStep OnClaimed(const MemberBatchResult& result);
+  RunStep OnFound(const MemberBatchResult& result);
+  RunStep OnVoided(const MemberBatchResult& result);
+  RunStep OnBegun(const MemberBatchResult& result);
+  RunStep OnStatement(const MemberBatchResult& result);
 
   RunStep Continue(FlightKind kind, const std::string& answer = "");
   RunStep Finish(Outcome outcome, ConnectionFate fate);
   RunStep CleanUp(Outcome outcome);
-  RunStep Hold(Outcome answer, const std::vector<MemberStatus>& rows);
-  bool Leads(const std::vector<MemberStatus>& rows) const;
+  RunStep Hold(Outcome answer, const std::vector<GroupMemberState>& rows);
+  bool Leads(const std::vector<GroupMemberState>& rows) const;
   Answered MakeAnswer() const;
 
   Job job;
--- a/src/lacewingferry/decisions/execution/member_executor.cc
+++ b/src/lacewingferry/decisions/execution/member_executor.cc
@@ -40,7 +40,6 @@
 
 MemberExecutor::MemberExecutor(ExecutorHooks hooks, ExecutorSettings settings)
     : may_answer(hooks.may_answer),
-      status_sql(settings.run.sql.status),
       runs(std::move(hooks), std::move(settings)) {}
 
 void MemberExecutor::Configure(steady_clock::time_point now,
@@ -97,7 +96,7 @@
 }
 
 void MemberExecutor::OnCompleted(steady_clock::time_point now, ConnectionId id,
-                                 const BatchResult& result) {
+                                 const MemberBatchResult& result) {
   this->runs.OnCompleted(now, id, result);
   this->Dispatch(now);
 }
@@ -153,7 +152,7 @@
     call.reply(std::nullopt);
     return;
   }
-  const bool changes_role = call.statement.sql != this->status_sql;
+  const bool changes_role = call.statement.kind != MemberStatementKind::kState;
   this->control_calls.Push(std::move(call));
   this->Dispatch(now);
   if (changes_role && !this->control_calls.Empty()) {
--- a/src/lacewingferry/decisions/execution/member_executor.h
+++ b/src/lacewingferry/decisions/execution/member_executor.h
@@ -70,7 +70,7 @@
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
 
   /** Does what is due. */
   void OnTick(std::chrono::steady_clock::time_point now);
@@ -104,7 +104,6 @@
   std::optional<Job> NextJob(std::chrono::steady_clock::time_point now);
 
   PendingAnswers::GateHook may_answer;
-  std::string status_sql;
   ExecutorRole role;
   MemberRuns runs;
   JobQueue queue;
--- a/src/lacewingferry/decisions/execution/member_runs.cc
+++ b/src/lacewingferry/decisions/execution/member_runs.cc
@@ -125,7 +125,7 @@
   Active& running = this->active[id];
   running = Active{};
   running.since = now;
-  const SqlBatch batch{{call.statement}};
+  const MemberBatch batch{{call.statement}};
   running.control = std::move(call);
   this->pool.Send(now, id, batch);
 }
@@ -135,11 +135,13 @@
   this->active[id].since = now;
   this->status_wanted = false;
   this->polls.OnSent(now);
-  this->pool.Send(now, id, SqlBatch{{{this->settings.run.sql.status, {}}}});
+  MemberStatement state;
+  state.kind = MemberStatementKind::kState;
+  this->pool.Send(now, id, MemberBatch{{state}});
 }
 
 void MemberRuns::OnCompleted(steady_clock::time_point now, ConnectionId id,
-                             const BatchResult& result) {
+                             const MemberBatchResult& result) {
   const auto found = this->active.find(id);
   if (found == this->active.end()) return;
   this->pool.OnCompleted(now, id);
@@ -157,7 +159,7 @@
 }
 
 void MemberRuns::OnRunResult(steady_clock::time_point now, ConnectionId id,
-                             const BatchResult& result) {
+                             const MemberBatchResult& result) {
   const auto asked_at = this->active.at(id).since;
   JobRun& running = *this->active.at(id).run;
   RunStep step = running.OnResult(result);
@@ -250,7 +252,7 @@
 }
 
 void MemberRuns::OnControlResult(steady_clock::time_point now, ConnectionId id,
-                                 const BatchResult& result) {
+                                 const MemberBatchResult& result) {
   const ControlCall call = *this->active.at(id).control;
   this->EndActive(now, id, ConnectionFate::kReusable);
   call.reply(result.results.empty() ? std::nullopt
@@ -258,7 +260,7 @@
 }
 
 void MemberRuns::OnPollResult(steady_clock::time_point now, ConnectionId id,
-                              const BatchResult& result) {
+                              const MemberBatchResult& result) {
   this->polls.OnEnded();
   const auto asked_at = this->active.at(id).since;
   std::optional<Job> next = std::move(this->active.at(id).next);
@@ -268,15 +270,15 @@
       in_transaction ? ConnectionFate::kPinned : ConnectionFate::kReusable);
   if (next) this->StartRun(now, id, std::move(*next));
   if (!result.results.empty()) {
-    this->TakeStatus(now, asked_at, ParseMemberStatus(result.results.front()));
+    this->TakeStatus(now, asked_at, result.results.front().state);
   }
 }
 
 void MemberRuns::TakeStatus(steady_clock::time_point now,
                             steady_clock::time_point asked_at,
-                            const std::vector<MemberStatus>& rows) {
+                            const std::vector<GroupMemberState>& rows) {
   if (this->hooks.on_status) {
-    this->hooks.on_status(asked_at, SelfStatus(rows));
+    this->hooks.on_status(asked_at, SelfState(rows));
   }
   if (!this->role.primary) return;
   this->confirmer.OnStatus(rows);
--- a/src/lacewingferry/decisions/execution/member_runs.h
+++ b/src/lacewingferry/decisions/execution/member_runs.h
@@ -44,7 +44,7 @@
   MemberSignHook observe;
   /** Told what the member says of itself, and when it was asked. */
   std::function<void(std::chrono::steady_clock::time_point asked_at,
-                     const MemberStatus&)>
+                     const GroupMemberState&)>
       on_status;
   /** How old a replica's data is if it includes a position. */
   AgeHook age_of;
@@ -112,7 +112,7 @@
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
 
   /** Does what is due. */
   void OnTick(std::chrono::steady_clock::time_point now);
@@ -150,7 +150,7 @@
 
   static std::chrono::steady_clock::time_point HungAt(const Active& running);
   void OnRunResult(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
   void NoteTransaction(std::chrono::steady_clock::time_point now,
                        ConnectionId id, const JobRun& run, const RunStep& step);
   void EndActive(std::chrono::steady_clock::time_point now, ConnectionId id,
@@ -159,12 +159,12 @@
   void HoldAnswer(std::chrono::steady_clock::time_point now, const JobRun& run,
                   HeldAnswer held);
   void OnControlResult(std::chrono::steady_clock::time_point now,
-                       ConnectionId id, const BatchResult& result);
+                       ConnectionId id, const MemberBatchResult& result);
   void OnPollResult(std::chrono::steady_clock::time_point now, ConnectionId id,
-                    const BatchResult& result);
+                    const MemberBatchResult& result);
   void TakeStatus(std::chrono::steady_clock::time_point now,
                   std::chrono::steady_clock::time_point asked_at,
-                  const std::vector<MemberStatus>& rows);
+                  const std::vector<GroupMemberState>& rows);
   /** Forgets a transaction whose commit was sent; else notes its abort. */
   void EndTransaction(const TransactionId& id, const Active& by);
   void FailActive(ConnectionId id);
--- a/src/lacewingferry/decisions/execution/request_record.h
+++ b/src/lacewingferry/decisions/execution/request_record.h
@@ -1,8 +1,8 @@
 #ifndef LACEWINGFERRY_DECISIONS_EXECUTION_REQUEST_RECORD_H_
 #define LACEWINGFERRY_DECISIONS_EXECUTION_REQUEST_RECORD_H_
 
-// Defines RequestRecordSql, the table in the callers' own database that makes
-// an identified request run at most once.
+// Defines what is recorded of an identified request so that it runs at most
+// once: the digest of what it asks for, and how its answer is stored.
 
 #include <functional>
 #include <string>
@@ -11,28 +11,6 @@
 
 namespace lacewingferry {
 
-/**
- * The statements on the table of identified requests. A request's row is
- * written in the same transaction as its effects and lives and dies with
- * them. digest tells whether a resend asks for the same; answer is what the
- * first run answered.
- */
-struct RequestRecordSql {
-  std::string create =
-      "CREATE TABLE IF NOT EXISTS ferry_requests ("
-      "request_id TEXT PRIMARY KEY, digest TEXT NOT NULL, answer TEXT)";
-  /** Parameters: request_id, digest. Fails while another row of the
-   * identifier is committed, and waits while one is uncommitted. */
-  std::string claim =
-      "INSERT INTO ferry_requests (request_id, digest) VALUES ($1, $2)";
-  /** Parameters: request_id, answer. */
-  std::string store =
-      "UPDATE ferry_requests SET answer = $2 WHERE request_id = $1";
-  /** Parameter: request_id. Columns: digest, answer. */
-  std::string find =
-      "SELECT digest, answer FROM ferry_requests WHERE request_id = $1";
-};
-
 /** Writes and reads the answer column. Both may be empty: then a resend is
  * told that the request ran, without its rows. */
 struct AnswerCodec {
--- a/src/lacewingferry/decisions/execution/write_confirmer.cc
+++ b/src/lacewingferry/decisions/execution/write_confirmer.cc
@@ -15,11 +15,11 @@
  * follows another primary and doesn't count. A member with several rows, after
  * it connected anew, counts once, with the lowest.
  */
-LogPosition MajorityPosition(const std::vector<MemberStatus>& rows,
+LogPosition MajorityPosition(const std::vector<GroupMemberState>& rows,
                              std::uint64_t term, std::uint32_t group_size,
                              const std::vector<MemberId>& members) {
   std::map<MemberId, LogPosition> known;
-  for (const MemberStatus& row : rows) {
+  for (const GroupMemberState& row : rows) {
     if (row.term != term) continue;
     if (std::find(members.begin(), members.end(), row.member) ==
         members.end()) {
@@ -50,8 +50,8 @@
   this->confirmed = LogPosition{};
 }
 
-void WriteConfirmer::OnStatus(const std::vector<MemberStatus>& rows) {
-  const MemberStatus& self = SelfStatus(rows);
+void WriteConfirmer::OnStatus(const std::vector<GroupMemberState>& rows) {
+  const GroupMemberState& self = SelfState(rows);
   if (!self.primary || self.term != this->term) return;
   this->newest = std::max(this->newest, self.durable);
   this->confirmed = std::max(
--- a/src/lacewingferry/decisions/execution/write_confirmer.h
+++ b/src/lacewingferry/decisions/execution/write_confirmer.h
@@ -7,9 +7,9 @@
 #include <cstdint>
 #include <vector>
 
+#include "lacewingferry/core/group_member_state.h"
 #include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/log_position.h"
-#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 
@@ -34,7 +34,7 @@
   void SetTerm(std::uint64_t current) { this->term = current; }
 
   /** Takes the primary's rows; those of another term change nothing. */
-  void OnStatus(const std::vector<MemberStatus>& rows);
+  void OnStatus(const std::vector<GroupMemberState>& rows);
 
   /** Whether no promotion can lose the position any longer. */
   bool Covers(const LogPosition& position) const {
--- a/src/lacewingferry/decisions/session/read_judgement.h
+++ b/src/lacewingferry/decisions/session/read_judgement.h
@@ -8,17 +8,17 @@
 #include <cstdint>
 #include <optional>
 
+#include "lacewingferry/core/group_member_state.h"
 #include "lacewingferry/core/log_position.h"
 #include "lacewingferry/core/outcome.h"
-#include "lacewingferry/decisions/execution/member_status.h"
 
 namespace lacewingferry {
 
 /** What is known once the batch [status, statement, status] has come back. */
 struct ReadEvidence {
   /** The member's own rows before and after the statement. */
-  MemberStatus before;
-  MemberStatus after;
+  GroupMemberState before;
+  GroupMemberState after;
   /** Whether the proxy holds the member to be the primary of view_term. */
   bool primary = false;
   std::uint64_t view_term = 0;
--- a/src/lacewingferry/decisions/traffic/database_traffic.cc
+++ b/src/lacewingferry/decisions/traffic/database_traffic.cc
@@ -384,7 +384,7 @@
 
 void DatabaseTraffic::OnCompleted(steady_clock::time_point present,
                                   ConnectionId connection,
-                                  const BatchResult& result) {
+                                  const MemberBatchResult& result) {
   this->now = present;
   this->owned.OnCompleted(present, connection, result);
 }
--- a/src/lacewingferry/decisions/traffic/database_traffic.h
+++ b/src/lacewingferry/decisions/traffic/database_traffic.h
@@ -92,7 +92,7 @@
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
 
   /** Does what is due. */
   void OnTick(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -62,7 +62,7 @@
   };
   executor_hooks.observe = this->hooks.observe;
   executor_hooks.on_status = [this, member](steady_clock::time_point asked_at,
-                                            const MemberStatus& status) {
+                                            const GroupMemberState& status) {
     this->OnStatus(member, asked_at, status);
   };
   executor_hooks.age_of = [this](const LogPosition& position) {
@@ -70,10 +70,7 @@
   };
   Owned made;
   ExecutorSettings executor_settings{
-      RunSettings{
-          FlightSql{this->settings.status_sql, this->settings.request_record},
-          this->hooks.codec},
-      this->settings.transactions,
+      RunSettings{this->hooks.codec}, this->settings.transactions,
       std::hash<MemberId>()(member) ^ std::hash<NodeId>()(this->settings.node) ^
           this->settings.incarnation};
   made.executor = std::make_unique<MemberExecutor>(
@@ -196,7 +193,7 @@
  */
 void OwnedMembers::OnStatus(const MemberId& member,
                             steady_clock::time_point asked_at,
-                            const MemberStatus& status) {
+                            const GroupMemberState& status) {
   if (member != this->primary) {
     this->owned.at(member).gate->OnApplied(asked_at, this->now, status.applied);
     return;
@@ -287,7 +284,8 @@
 }
 
 void OwnedMembers::OnCompleted(steady_clock::time_point present,
-                               ConnectionId id, const BatchResult& result) {
+                               ConnectionId id,
+                               const MemberBatchResult& result) {
   this->now = present;
   MemberExecutor* executor = this->Find(id);
   if (executor != nullptr) executor->OnCompleted(present, id, result);
--- a/src/lacewingferry/decisions/traffic/owned_members.h
+++ b/src/lacewingferry/decisions/traffic/owned_members.h
@@ -85,7 +85,7 @@
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
 
   void OnTick(std::chrono::steady_clock::time_point now);
   std::optional<std::chrono::steady_clock::time_point> NextWakeup() const;
@@ -111,7 +111,7 @@
   void ConfigureMember(const RoutedMember& member);
   void OnStatus(const MemberId& member,
                 std::chrono::steady_clock::time_point asked_at,
-                const MemberStatus& status);
+                const GroupMemberState& status);
   ReplyHook WithAgeAtReceipt(const Job& job) const;
   bool AskPrimary(std::chrono::steady_clock::time_point now);
   void Settle(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/decisions/traffic/traffic_hooks.h
+++ b/src/lacewingferry/decisions/traffic/traffic_hooks.h
@@ -35,10 +35,8 @@
 struct TrafficSettings {
   NodeId node;
   AvailabilityZone zone;
-  std::string status_sql;
   /** Differs between the runs of a process. */
   std::uint64_t incarnation = 0;
-  RequestRecordSql request_record{};
   TransactionLimits transactions{};
   /** Whether no connection is opened before a SeatTable allows it. */
   bool needs_seats = false;
--- a/src/lacewingferry/decisions/traffic/traffic_shard.cc
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.cc
@@ -189,7 +189,7 @@
 }
 
 void TrafficShard::OnCompleted(steady_clock::time_point now, ConnectionId id,
-                               const BatchResult& result) {
+                               const MemberBatchResult& result) {
   this->present = now;
   this->OnConnection(id, [&](DatabaseTraffic& traffic) {
     traffic.OnCompleted(now, id, result);
@@ -250,7 +250,7 @@
 void TrafficShard::RunControlStatement(steady_clock::time_point now,
                                        const DatabaseId& database,
                                        const MemberId& member,
-                                       SqlStatement statement,
+                                       MemberStatement statement,
                                        steady_clock::time_point deadline,
                                        ControlReply reply) {
   this->present = now;
--- a/src/lacewingferry/decisions/traffic/traffic_shard.h
+++ b/src/lacewingferry/decisions/traffic/traffic_shard.h
@@ -44,7 +44,7 @@
   void OnLost(std::chrono::steady_clock::time_point now, ConnectionId id,
               ConnectionFailure failure);
   void OnCompleted(std::chrono::steady_clock::time_point now, ConnectionId id,
-                   const BatchResult& result);
+                   const MemberBatchResult& result);
 
   /** Takes the end of the proxy's one lease, by its own clock, for all its
    * databases. Whoever calls this has to see to it that every change of term
@@ -78,7 +78,7 @@
    * deadline. */
   void RunControlStatement(std::chrono::steady_clock::time_point now,
                            const DatabaseId& database, const MemberId& member,
-                           SqlStatement statement,
+                           MemberStatement statement,
                            std::chrono::steady_clock::time_point deadline,
                            ControlReply reply);
   void OnTick(std::chrono::steady_clock::time_point now);
--- a/src/lacewingferry/ports/member_port.h
+++ b/src/lacewingferry/ports/member_port.h
@@ -2,37 +2,19 @@
 #define LACEWINGFERRY_PORTS_MEMBER_PORT_H_
 
 // Defines the port to the backend servers: connections that run batches of
-// SQL statements.
+// statements.
 
 #include <cstdint>
 #include <functional>
-#include <string>
-#include <vector>
 
+#include "lacewingferry/core/member_statement.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/core/statement.h"
 
 namespace lacewingferry {
 
 /** Names a connection to a member; never used twice in one process. */
 using ConnectionId = std::uint64_t;
 
-/** Statements sent in one flight. After the first that fails the rest don't
- * run. */
-struct SqlBatch {
-  std::vector<SqlStatement> statements;
-};
-
-/** What became of a batch whose answer arrived whole. */
-struct BatchResult {
-  /** The results of the statements that ran, in order. */
-  std::vector<ResultSet> results;
-  /** The five-character error code of the statement that failed; empty when
-   * all ran. */
-  std::string sqlstate;
-  std::string message;
-};
-
 /** Why a connection could not be opened or was lost. */
 enum class ConnectionFailure : std::uint8_t {
   kRefused,
@@ -46,7 +28,7 @@
 struct MemberPort {
   std::function<void(ConnectionId, const MemberInfo&)> open;
   /** Sends a batch; one batch at a time on a connection. */
-  std::function<void(ConnectionId, const SqlBatch&)> execute;
+  std::function<void(ConnectionId, const MemberBatch&)> execute;
   /** Closes a connection; no event follows for it. */
   std::function<void(ConnectionId)> close;
 };
@@ -56,7 +38,7 @@
 struct MemberEvents {
   std::function<void(ConnectionId)> opened;
   std::function<void(ConnectionId, ConnectionFailure)> lost;
-  std::function<void(ConnectionId, const BatchResult&)> completed;
+  std::function<void(ConnectionId, const MemberBatchResult&)> completed;
 };
 
 }  // namespace lacewingferry
--- a/tests/correctness/counted_members_test.cc
+++ b/tests/correctness/counted_members_test.cc
@@ -17,8 +17,8 @@
 constexpr std::uint64_t kSeeds = 10;
 constexpr std::uint64_t kTerm = 3;
 
-MemberStatus Row(const char* name, std::uint64_t offset) {
-  MemberStatus row;
+GroupMemberState Row(const char* name, std::uint64_t offset) {
+  GroupMemberState row;
   row.member = MemberId(name);
   row.self = row.member == MemberId("a");
   row.primary = row.self;
--- a/tests/correctness/fault_point_test.cc
+++ b/tests/correctness/fault_point_test.cc
@@ -37,7 +37,7 @@
       : ask(asked), entry(proxy) {
     auto options = model::KraanwaterOptions();
     options.proxies_per_zone = 2;
-    options.group.service_time = [](const SqlBatch&) {
+    options.group.service_time = [](const MemberBatch&) {
       return std::chrono::nanoseconds(milliseconds(3));
     };
     this->fleet = std::make_unique<model::Fleet>(this->queue, options);
--- a/tests/correctness/held_answer_test.cc
+++ b/tests/correctness/held_answer_test.cc
@@ -16,9 +16,9 @@
 
 constexpr std::uint64_t kTerm = 3;
 
-MemberStatus Row(const char* name, bool self, std::uint64_t term,
-                 LogPosition durable) {
-  MemberStatus row;
+GroupMemberState Row(const char* name, bool self, std::uint64_t term,
+                     LogPosition durable) {
+  GroupMemberState row;
   row.member = MemberId(name);
   row.self = self;
   row.primary = self;
--- a/tests/correctness/processes_platform_demo_test.cc
+++ b/tests/correctness/processes_platform_demo_test.cc
@@ -1,9 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
 #include <sstream>
 
 #include "standin/platform/platform_demo.h"
+#include "tests/support/program_folder.h"
 
 namespace lacewingferry::testing {
 namespace {
@@ -16,7 +16,7 @@
  public:
   void ShortDemoKeepsItsPromises() {
     standin::PlatformDemoOptions options;
-    options.programs = std::getenv("FERRY_BINARY_DIR");
+    options.programs = ProgramFolder();
     options.length = std::chrono::milliseconds(12000);
     std::ostringstream out;
     const bool kept = standin::RunPlatformDemo(options, out);
--- a/tests/correctness/processes_platform_test.cc
+++ b/tests/correctness/processes_platform_test.cc
@@ -1,12 +1,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
-#include <cstdlib>
 
 #include "bench/processes/http_client.h"
 #include "bench/processes/poll_until.h"
 #include "standin/platform/line_client.h"
 #include "standin/platform/platform_fleet.h"
+#include "tests/support/program_folder.h"
 
 namespace lacewingferry::testing {
 namespace {
@@ -48,7 +48,7 @@
 
  public:
   void ServesSessionsThroughAFailoverAndRestarts() {
-    PlatformFleet fleet(std::getenv("FERRY_BINARY_DIR"));
+    PlatformFleet fleet(ProgramFolder());
     fleet.PutConfiguration(3);
     fleet.AwaitReady();
     this->ServeACalmDay(fleet);
@@ -58,7 +58,7 @@
   }
 
   void RefusesBadInputAndLivesOn() {
-    PlatformFleet fleet(std::getenv("FERRY_BINARY_DIR"));
+    PlatformFleet fleet(ProgramFolder());
     fleet.PutConfiguration(3);
     fleet.AwaitReady();
     const Endpoint proxy = fleet.ClientAddress(0);
--- a/tests/correctness/read_judgement_test.cc
+++ b/tests/correctness/read_judgement_test.cc
@@ -32,8 +32,8 @@
     return size == 0 ? LogPosition{}
                      : LogPosition{this->log[size - 1].term, size};
   }
-  MemberStatus Status() const {
-    MemberStatus status;
+  GroupMemberState Status() const {
+    GroupMemberState status;
     status.self = true;
     status.primary = this->primary;
     status.term = this->term;
--- a/tests/correctness/request_identity_test.cc
+++ b/tests/correctness/request_identity_test.cc
@@ -29,7 +29,7 @@
     this->queue = std::make_unique<model::EventQueue>();
     this->service = milliseconds(1);
     auto options = model::KraanwaterOptions();
-    options.group.service_time = [this](const SqlBatch&) {
+    options.group.service_time = [this](const MemberBatch&) {
       return std::chrono::nanoseconds(this->service);
     };
     this->fleet = std::make_unique<model::Fleet>(*this->queue, options);
--- a/tests/correctness/seeded_fault_test.cc
+++ b/tests/correctness/seeded_fault_test.cc
@@ -106,11 +106,11 @@
 
 /** Changes each batch on its way to a member. */
 void ChangeBatches(ChaosOptions& options,
-                   const std::function<void(SqlBatch&)>& change) {
+                   const std::function<void(MemberBatch&)>& change) {
   options.adjust = [change](model::FleetOptions& fleet) {
     fleet.wrap_port = [change](const MemberPort& port) {
       MemberPort changing = port;
-      changing.execute = [change, port](ConnectionId id, SqlBatch batch) {
+      changing.execute = [change, port](ConnectionId id, MemberBatch batch) {
         change(batch);
         port.execute(id, batch);
       };
@@ -120,20 +120,23 @@
 }
 
 /** Keeps what an abandoned transaction left on its connection. */
-void KeepTheDirt(SqlBatch& batch) {
-  for (SqlStatement& statement : batch.statements) {
-    if (statement.sql == "ROLLBACK") statement.sql = "STATUS";
+void KeepTheDirt(MemberBatch& batch) {
+  for (MemberStatement& statement : batch.statements) {
+    if (statement.kind == MemberStatementKind::kRollback) {
+      statement.kind = MemberStatementKind::kState;
+    }
   }
 }
 
 /** Gives each read the answer to the one before. */
 void CrossAnswers(ChaosOptions& options) {
   const auto last = std::make_shared<std::vector<SqlValue>>();
-  ChangeBatches(options, [last](SqlBatch& batch) {
-    for (SqlStatement& statement : batch.statements) {
-      if (statement.sql != "GET") continue;
-      std::vector<SqlValue> own = statement.parameters;
-      if (!last->empty()) statement.parameters = *last;
+  ChangeBatches(options, [last](MemberBatch& batch) {
+    for (MemberStatement& statement : batch.statements) {
+      SqlStatement& caller = statement.caller;
+      if (caller.sql != "GET") continue;
+      std::vector<SqlValue> own = caller.parameters;
+      if (!last->empty()) caller.parameters = *last;
       *last = std::move(own);
     }
   });
@@ -142,10 +145,10 @@
 /** Lets replicas name what they have received as what reads see. */
 void BeStaleAsFresh(ChaosOptions& options) {
   options.adjust = [](model::FleetOptions& fleet) {
-    fleet.group.status = [](const model::FakeMember& member) {
+    fleet.group.state = [](const model::FakeMember& member) {
       model::FakeMember fresh = member;
       fresh.applied = fresh.log.size();
-      return fresh.StatusRows();
+      return fresh.State();
     };
   };
 }
--- a/tests/correctness/session_failover_test.cc
+++ b/tests/correctness/session_failover_test.cc
@@ -25,7 +25,7 @@
   explicit FailoverRun(std::uint64_t seed) : random(seed) {
     model::FleetOptions options = model::WanjiruOptions();
     options.slots = 5;
-    options.group.service_time = [](const SqlBatch&) {
+    options.group.service_time = [](const MemberBatch&) {
       return milliseconds(2);
     };
     options.group.apply_lag = [this](const MemberId&) {
--- a/tests/correctness/standin_identified_write_test.cc
+++ b/tests/correctness/standin_identified_write_test.cc
@@ -33,10 +33,9 @@
     TrafficSettings settings;
     settings.node = NodeId("proxy-1");
     settings.zone = AvailabilityZone("nairobi-a");
-    settings.status_sql = "SELECT * FROM ferry_status()";
     settings.incarnation = 1;
     this->thread =
-        std::make_unique<TrafficThread>(hooks, settings, "lacewingferry", 0, 1);
+        std::make_unique<TrafficThread>(hooks, settings, MemberDialect(), 0, 1);
     this->thread->Publish(this->MakeView());
     this->thread->SetLease(this->database, steady_clock::time_point::max());
     this->thread->Start();
--- a/tests/support/process_cluster.cc
+++ b/tests/support/process_cluster.cc
@@ -2,12 +2,12 @@
 
 #include <cppunit/TestAssert.h>
 
-#include <cstdlib>
 #include <sstream>
 
 #include "bench/processes/free_ports.h"
 #include "bench/processes/poll_until.h"
 #include "bench/processes/verdict_table.h"
+#include "tests/support/program_folder.h"
 
 namespace lacewingferry::testing {
 namespace {
@@ -21,13 +21,12 @@
 constexpr milliseconds kRequestTimeout{5000};
 
 std::unique_ptr<LocalCluster> StartCluster(const std::string& deployment) {
-  const char* folder = std::getenv("FERRY_BINARY_DIR");
-  CPPUNIT_ASSERT_MESSAGE("FERRY_BINARY_DIR is not set", folder != nullptr);
   processes::FreePorts ports;
   ClusterPlan plan =
       processes::MakeClusterPlan(processes::FindDeployment(deployment), 1,
                                  [&ports] { return ports.Take(); });
-  auto cluster = std::make_unique<LocalCluster>(std::move(plan), folder);
+  auto cluster =
+      std::make_unique<LocalCluster>(std::move(plan), ProgramFolder());
   cluster->KeepFiles();
   cluster->Start(kStartLimit);
   processes::CreateTables(cluster->Plan(), kStartLimit);
