--- a/src/lacewingferry/app/operator_command.cc
+++ b/src/lacewingferry/app/operator_command.cc
@@ -18,17 +18,22 @@
 struct ActionName {
   const char* name;
   OperatorAction action;
-  bool takes_note;
+  /** What the command needs besides its name; nullptr for nothing. */
+  const char* needs;
 };
 
+constexpr char kNotePath[] = "the path of a note";
+constexpr char kRequestId[] = "the id of a request";
+
 constexpr ActionName kActions[] = {
-    {"check", OperatorAction::kCheck, true},
-    {"diff", OperatorAction::kDiff, true},
-    {"apply", OperatorAction::kApply, true},
-    {"show", OperatorAction::kShow, false},
-    {"history", OperatorAction::kHistory, false},
-    {"status", OperatorAction::kStatus, false},
-    {"timeline", OperatorAction::kTimeline, false},
+    {"check", OperatorAction::kCheck, kNotePath},
+    {"diff", OperatorAction::kDiff, kNotePath},
+    {"apply", OperatorAction::kApply, kNotePath},
+    {"show", OperatorAction::kShow, nullptr},
+    {"history", OperatorAction::kHistory, nullptr},
+    {"status", OperatorAction::kStatus, nullptr},
+    {"timeline", OperatorAction::kTimeline, nullptr},
+    {"explain", OperatorAction::kExplain, kRequestId},
 };
 
 const char* const kSummary =
@@ -41,13 +46,15 @@
     "  history      list the accepted notes\n"
     "  status       say on which proxies the configuration is in force\n"
     "  timeline     show the events of all processes\n"
+    "  explain ID   show what the logs on standard input, or in --log, say of\n"
+    "               a request, in order, with all that bears on it\n"
     "\n"
     "Exit status: 0 done, 1 refused or not in force in time, 2 a mistake in\n"
     "the command or its files, 3 no control process gave an answer.\n";
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("ferryctl", kSummary);
-  options.positional_help("COMMAND [NOTE]");
+  options.positional_help("COMMAND [NOTE or ID]");
   options.add_options()  //
       ("c,control", "a control process, IP:PORT; may be repeated",
        cxxopts::value<Texts>())                                   //
@@ -60,7 +67,7 @@
        "how long apply waits until the note is in force, for "
        "example 8s",
        cxxopts::value<std::string>())  //
-      ("l,log", "a log file for the time line; may be repeated",
+      ("l,log", "a log file for timeline and explain; may be repeated",
        cxxopts::value<Texts>())                   //
       ("v,version", "print the version and end")  //
       ("h,help", "print this help and end")       //
@@ -101,17 +108,16 @@
   if (known == std::end(kActions)) {
     throw UserError("unknown command '" + words[0] + "'; see --help");
   }
-  const std::size_t expected = known->takes_note ? 2 : 1;
+  const std::size_t expected = known->needs == nullptr ? 1 : 2;
   if (words.size() < expected) {
-    throw UserError(words[0] + " needs the path of a note");
+    throw UserError(words[0] + " needs " + known->needs);
   }
   if (words.size() > expected) {
     throw UserError("unexpected argument '" + words[expected] + "'");
   }
   command->action = known->action;
-  if (known->takes_note) {
-    command->note_path = words[1];
-  }
+  if (known->needs == kNotePath) command->note_path = words[1];
+  if (known->needs == kRequestId) command->request = RequestId(words[1]);
 }
 
 void TakeOptions(const cxxopts::ParseResult& parsed, OperatorCommand* command) {
@@ -139,6 +145,7 @@
 void CheckOptions(const OperatorCommand& command) {
   const bool timeline = command.action == OperatorAction::kTimeline;
   const bool local = command.action == OperatorAction::kCheck ||
+                     command.action == OperatorAction::kExplain ||
                      (timeline && !command.log_paths.empty());
   if (command.controls.empty() && !local) {
     throw UserError("--control is missing");
@@ -171,6 +178,10 @@
     TakeWords(parsed.count("words") > 0 ? parsed["words"].as<Texts>() : Texts(),
               &command);
     TakeOptions(parsed, &command);
+    if (command.action == OperatorAction::kExplain &&
+        command.log_paths.empty()) {
+      command.log_paths.emplace_back(kStandardInput);
+    }
     CheckOptions(command);
     return command;
   } catch (const cxxopts::exceptions::exception& error) {
--- a/src/lacewingferry/app/operator_command.h
+++ b/src/lacewingferry/app/operator_command.h
@@ -8,10 +8,14 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/core/ids.h"
 #include "lacewingferry/core/routing_view.h"
 
 namespace lacewingferry {
 
+/** Names standard input where a file is asked for. */
+inline constexpr char kStandardInput[] = "-";
+
 /** The subcommands. */
 enum class OperatorAction : std::uint8_t {
   /** Print the message and end: help or the version. */
@@ -23,6 +27,7 @@
   kHistory,
   kStatus,
   kTimeline,
+  kExplain,
 };
 
 /** How results are printed. */
@@ -34,6 +39,8 @@
   /** What kPrint prints. */
   std::string message;
   std::string note_path;
+  /** The request that kExplain is about. */
+  RequestId request;
   std::vector<Endpoint> controls;
   std::string operator_name;
   std::string secret_path;
@@ -41,7 +48,8 @@
   /** How long apply waits until the note is in force everywhere; 0 for not at
    * all. */
   std::chrono::milliseconds wait{0};
-  /** Log files for the time line. */
+  /** Log files for the time line and the path of a request; "-" stands for
+   * standard input. */
   std::vector<std::string> log_paths;
 };
 
--- a/src/lacewingferry/app/operator_main.cc
+++ b/src/lacewingferry/app/operator_main.cc
@@ -18,6 +18,10 @@
 namespace {
 
 std::string ReadFile(const std::string& path) {
+  if (path == kStandardInput) {
+    return std::string(std::istreambuf_iterator<char>(std::cin),
+                       std::istreambuf_iterator<char>());
+  }
   std::ifstream stream(path, std::ios::binary);
   if (!stream) {
     throw UserError(path + " can't be read");
--- a/src/lacewingferry/app/operator_program.cc
+++ b/src/lacewingferry/app/operator_program.cc
@@ -12,6 +12,7 @@
 #include "lacewingferry/app/timeline_svg.h"
 #include "lacewingferry/app/timeline_text.h"
 #include "lacewingferry/core/errors.h"
+#include "lacewingferry/decisions/timeline/request_path.h"
 #include "lacewingferry/decisions/timeline/timeline_merge.h"
 
 namespace lacewingferry {
@@ -75,6 +76,8 @@
         return this->Status();
       case OperatorAction::kTimeline:
         return this->Timeline();
+      case OperatorAction::kExplain:
+        return this->Explain();
     }
     throw InternalError("command without an action");
   }
@@ -185,13 +188,33 @@
     return body.at("lagging").empty() ? kExitOk : kExitFailed;
   }
 
-  int Timeline() {
+  std::vector<TimelineEntry> ReadTimeline() {
     std::vector<std::vector<TimelineEntry>> sources;
     for (const std::string& path : this->command.log_paths) {
       sources.push_back(ReadLogLines(this->hooks.read_file(path)));
     }
     this->AddControls(&sources);
-    const std::vector<TimelineEntry> merged = MergeTimelines(sources);
+    return MergeTimelines(sources);
+  }
+
+  int Explain() {
+    const std::vector<TimelineEntry> path =
+        FindRequestPath(this->ReadTimeline(), this->command.request);
+    if (path.empty()) {
+      this->out << "no line names the request " << this->command.request.Value()
+                << "; of those that were served one of 64 has one\n";
+      return kExitFailed;
+    }
+    this->Print(path);
+    return kExitOk;
+  }
+
+  int Timeline() {
+    this->Print(this->ReadTimeline());
+    return kExitOk;
+  }
+
+  void Print(const std::vector<TimelineEntry>& merged) {
     switch (this->command.format) {
       case OutputFormat::kText:
         this->out << TimelineText(merged);
@@ -203,7 +226,6 @@
         this->out << TimelineSvg(merged);
         break;
     }
-    return kExitOk;
   }
 
   void AddControls(std::vector<std::vector<TimelineEntry>>* sources) {
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -226,6 +226,7 @@
   const Route& route = session->route;
   run->client = session->id;
   run->statement = statement;
+  run->database = route.database;
   run->latency_objective = route.latency_objective;
   run->max_staleness = route.max_staleness;
   run->consistency = route.consistency;
--- a/src/lacewingferry/decisions/gateway/statement_record.cc
+++ b/src/lacewingferry/decisions/gateway/statement_record.cc
@@ -86,12 +86,14 @@
   throw InternalError("statement error without a name");
 }
 
+bool IsSampled(const RequestId& request) {
+  return HashOf(request.Value()) % kSampled == 0;
+}
+
 std::optional<Event> RecordOf(steady_clock::time_point now,
                               const StatementRun& run,
                               const ClientReply& reply) {
-  const bool told =
-      reply.error || HashOf(run.statement.id.Value()) % kSampled == 0;
-  if (!told) return std::nullopt;
+  if (!reply.error && !IsSampled(run.statement.id)) return std::nullopt;
   Event event;
   event.code = EventCode::kRequestServed;
   if (reply.error) {
@@ -103,6 +105,7 @@
   event.level = EventLevel::kInfo;
   const auto took = duration_cast<milliseconds>(now - run.arrived);
   event.fields = {{"request", run.statement.id.Value()},
+                  {"database", run.database.Value()},
                   {"kind", KindName(run.statement.kind)},
                   {"member", run.served_by.Value()},
                   {"attempts", std::to_string(run.attempts)},
--- a/src/lacewingferry/decisions/gateway/statement_record.h
+++ b/src/lacewingferry/decisions/gateway/statement_record.h
@@ -11,9 +11,13 @@
 
 namespace lacewingferry {
 
+/** Whether the log tells of a served statement with an identifier; all
+ * processes choose alike. */
+bool IsSampled(const RequestId& request);
+
 /** What the log says of a statement; none for those that are left out. What
- * was refused or is unknown is always told; of the others those whose
- * identifier is chosen, which all processes choose alike. */
+ * was refused or is unknown is always told; of the others those that are
+ * sampled. */
 std::optional<Event> RecordOf(std::chrono::steady_clock::time_point now,
                               const StatementRun& run,
                               const ClientReply& reply);
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -20,6 +20,8 @@
 struct StatementRun {
   ClientId client = 0;
   ClientStatement statement;
+  /** The group that serves it. */
+  DatabaseId database;
   /** What the statement runs under; a later route applies to later ones. */
   std::chrono::milliseconds latency_objective{0};
   std::chrono::milliseconds max_staleness{0};
--- a/standin/platform/line_client.cc
+++ b/standin/platform/line_client.cc
@@ -54,8 +54,11 @@
 LineClient::~LineClient() = default;
 
 std::string LineClient::Ask(const std::string& text) {
-  this->impl->Write("QUERY c" + std::to_string(++this->impl->next_id) + " " +
-                    text + "\r\n");
+  return this->AskAs("c" + std::to_string(++this->impl->next_id), text);
+}
+
+std::string LineClient::AskAs(const std::string& id, const std::string& text) {
+  this->impl->Write("QUERY " + id + " " + text + "\r\n");
   std::string answer;
   for (;;) {
     const std::string line = this->impl->ReadLine();
--- a/standin/platform/line_client.h
+++ b/standin/platform/line_client.h
@@ -22,6 +22,8 @@
   /** Sends a statement; returns the lines of its answer up to READY, joined by
    * "|", or an empty text when the connection ended. */
   std::string Ask(const std::string& text);
+  /** The same under an identifier of the caller's choice. */
+  std::string AskAs(const std::string& id, const std::string& text);
   /** Sends bytes as they are, and reads a line; empty at the end. */
   std::string SendRaw(const std::string& bytes);
   /** The next line; empty when the connection ended. */
--- a/standin/platform/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -199,6 +199,17 @@
   if (!ready) throw std::runtime_error("not ready; see " + this->folder);
 }
 
+std::vector<std::string> PlatformFleet::Logs() const {
+  std::vector<std::string> logs;
+  for (std::size_t i = 0; i < kControls; ++i) {
+    logs.push_back(this->folder + "/control-" + std::to_string(i) + ".log");
+  }
+  for (std::size_t i = 0; i < kProxies; ++i) {
+    logs.push_back(this->folder + "/proxy-" + std::to_string(i) + ".log");
+  }
+  return logs;
+}
+
 std::string PlatformFleet::LogOfProxy(std::size_t proxy) const {
   std::ifstream stream(this->folder + "/proxy-" + std::to_string(proxy) +
                        ".log");
--- a/standin/platform/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -64,6 +64,8 @@
    * unless it is to be kept. */
   const std::string& Folder() const { return this->folder; }
   void KeepFolder() { this->keeps_folder = true; }
+  /** The files with what the processes wrote to their standard output. */
+  std::vector<std::string> Logs() const;
   /** What a process wrote to its standard output. */
   std::string LogOfProxy(std::size_t proxy) const;
 
--- a/standin/platform/platform_group.cc
+++ b/standin/platform/platform_group.cc
@@ -36,6 +36,7 @@
 void PlatformGroup::SetAlive(std::size_t member, bool alive) {
   Member& changed = this->members[member];
   changed.alive = alive;
+  changed.silent = false;
   if (!alive) return;
   // One that comes back follows whoever leads meanwhile.
   const bool led = std::any_of(
--- a/standin/platform/platform_group.h
+++ b/standin/platform/platform_group.h
@@ -43,6 +43,9 @@
     return this->members[member].primary;
   }
   void SetAlive(std::size_t member, bool alive);
+  /** Whether a member gives no answers; lasts until it is stopped. */
+  bool Silent(std::size_t member) const { return this->members[member].silent; }
+  void Silence(std::size_t member) { this->members[member].silent = true; }
 
   /** Makes a member lead the next term; false if it isn't running. */
   bool Promote(const std::string& id);
@@ -68,6 +71,7 @@
   };
   struct Member {
     bool alive = true;
+    bool silent = false;
     bool primary = false;
     std::uint64_t paused = 0;
     std::size_t received = 0;
--- a/standin/platform/platform_standin.cc
+++ b/standin/platform/platform_standin.cc
@@ -77,6 +77,10 @@
       this->Close();
       return;
     }
+    if (this->group.Silent(this->connection.member)) {
+      this->Read();
+      return;
+    }
     this->outgoing = answer;
     boost::asio::async_write(this->socket, boost::asio::buffer(this->outgoing),
                              [self = this->shared_from_this()](
@@ -243,6 +247,10 @@
   this->impl->Call([&] { this->impl->Start(member); });
 }
 
+void PlatformStandin::SilenceMember(std::size_t member) {
+  this->impl->Call([&] { this->impl->Group().Silence(member); });
+}
+
 std::size_t PlatformStandin::Primary() {
   return this->impl->Call([this] {
     PlatformGroup& group = this->impl->Group();
--- a/standin/platform/platform_standin.h
+++ b/standin/platform/platform_standin.h
@@ -41,6 +41,9 @@
   /** Ends a member's connections and refuses others until it is started. */
   void StopMember(std::size_t member);
   void StartMember(std::size_t member);
+  /** Lets a member run what it is asked and answer nothing, until it is
+   * stopped. */
+  void SilenceMember(std::size_t member);
 
   /** The member that leads. */
   std::size_t Primary();
