--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -1,6 +1,8 @@
 #include "bench/model/switchover_fleet.h"
 
 #include <algorithm>
+#include <string>
+#include <tuple>
 #include <utility>
 
 namespace lacewingferry::model {
@@ -20,12 +22,14 @@
 
 }  // namespace
 
-SwitchoverFleet::SwitchoverFleet() {
-  for (const char* id : {"m0", "m1", "m2"}) {
-    this->members[MemberId(id)].primary = std::string(id) == "m0";
+SwitchoverFleet::SwitchoverFleet(std::size_t member_count,
+                                 std::size_t proxy_count) {
+  for (std::size_t i = 0; i < member_count; ++i) {
+    this->members[MemberId("m" + std::to_string(i))].primary = i == 0;
+  }
+  for (std::size_t i = 0; i < proxy_count; ++i) {
+    this->proxies[NodeId("p" + std::to_string(i))];
   }
-  this->proxies[NodeId("p0")];
-  this->proxies[NodeId("p1")];
   this->control = std::make_unique<FleetControl>(this->state, NodeId("control"),
                                                  this->Hooks());
   ServiceConfiguration configuration;
@@ -226,10 +230,13 @@
 }
 
 void SwitchoverFleet::Commit() {
-  const auto primary =
-      std::find_if(this->members.begin(), this->members.end(),
-                   [](const auto& item) { return item.second.primary; });
-  if (primary == this->members.end()) return;
+  const auto primary = std::max_element(
+      this->members.begin(), this->members.end(),
+      [](const auto& a, const auto& b) {
+        return std::make_tuple(a.second.primary, a.second.term) <
+               std::make_tuple(b.second.primary, b.second.term);
+      });
+  if (!primary->second.primary || !primary->second.alive) return;
   LogPosition& log = primary->second.received;
   ++log.offset;
   const LogPosition position = log;
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -25,6 +25,8 @@
   std::uint64_t paused_term = 0;
   /** Answers control's questions. */
   bool reachable = true;
+  /** Its process runs; without it a primary commits nothing. */
+  bool alive = true;
   bool busy = false;
   /** Takes connections and answers too late. */
   bool slow = false;
@@ -42,13 +44,13 @@
 };
 
 /**
- * One group "db" of the members "m0" (the primary), "m1" and "m2", and the
- * proxies "p0" and "p1". Commands of the control log are applied after a
+ * One group "db" of the members "m0" (the primary), "m1" and so on, and the
+ * proxies "p0", "p1" and so on. Commands of the control log are applied after a
  * while; promotions take effect after 300 ms.
  */
 class SwitchoverFleet {
  public:
-  SwitchoverFleet();
+  explicit SwitchoverFleet(std::size_t members = 3, std::size_t proxies = 2);
 
   std::map<MemberId, SwitchoverMember> members;
   std::map<NodeId, SwitchoverProxy> proxies;
@@ -65,8 +67,8 @@
   /** A pause of the whole control process. */
   void Suspend(std::chrono::milliseconds length);
 
-  /** Commits at the primary and, where a lease and a replica allow it, has a
-   * proxy acknowledge it. */
+  /** Commits at the primary of the highest term and, where a lease and a
+   * replica allow it, has a proxy acknowledge it. */
   void Commit();
 
   const DatabaseTerm* Term() const;
--- a/bench/processes/demo_options.cc
+++ b/bench/processes/demo_options.cc
@@ -1,9 +1,9 @@
 #include "bench/processes/demo_options.h"
 
 #include <cxxopts.hpp>
-#include <filesystem>
 #include <string>
 
+#include "bench/processes/demo_main.h"
 #include "lacewingferry/core/duration_text.h"
 #include "lacewingferry/core/errors.h"
 
@@ -47,31 +47,19 @@
 
 std::optional<DemoOptions> ParseDemoOptions(int argc, const char* const* argv,
                                             std::ostream& out) {
-  cxxopts::Options described = Describe();
+  const auto parsed = ParseDemoCommandLine(Describe(), argc, argv, out);
+  if (!parsed) return std::nullopt;
   DemoOptions options;
-  try {
-    const cxxopts::ParseResult parsed = described.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      out << described.help();
-      return std::nullopt;
-    }
-    if (!parsed.unmatched().empty()) {
-      throw UserError("unexpected argument " + parsed.unmatched().front());
-    }
-    options.deployment = parsed["deployment"].as<std::string>();
-    options.databases = parsed["databases"].as<std::uint32_t>();
-    options.callers = parsed["callers"].as<std::uint32_t>();
-    options.length = ParseDuration(parsed["length"].as<std::string>());
-    options.seed = parsed["seed"].as<std::uint64_t>();
-    options.keep = parsed.count("keep") > 0;
-  } catch (const cxxopts::exceptions::exception& error) {
-    throw UserError(error.what());
-  }
+  options.deployment = (*parsed)["deployment"].as<std::string>();
+  options.databases = (*parsed)["databases"].as<std::uint32_t>();
+  options.callers = (*parsed)["callers"].as<std::uint32_t>();
+  options.length = ParseDuration((*parsed)["length"].as<std::string>());
+  options.seed = (*parsed)["seed"].as<std::uint64_t>();
+  options.keep = parsed->count("keep") > 0;
   CheckRange("databases", options.databases, kMostDatabases);
   CheckRange("callers", options.callers, kMostCallers);
   if (options.length > kLongestRun) throw UserError("--length is over 10min");
-  options.binary_folder =
-      std::filesystem::canonical("/proc/self/exe").parent_path().string();
+  options.binary_folder = OwnFolder();
   return options;
 }
 
--- a/standin/platform/platform_demo.cc
+++ b/standin/platform/platform_demo.cc
@@ -2,12 +2,12 @@
 
 #include <atomic>
 #include <cxxopts.hpp>
-#include <filesystem>
 #include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
 
+#include "bench/processes/demo_main.h"
 #include "lacewingferry/core/duration_text.h"
 #include "lacewingferry/core/errors.h"
 #include "standin/platform/platform_caller.h"
@@ -139,25 +139,14 @@
 
 std::optional<PlatformDemoOptions> ParsePlatformDemoOptions(
     int argc, const char* const* argv, std::ostream& out) {
-  cxxopts::Options described = Describe();
+  const auto parsed =
+      processes::ParseDemoCommandLine(Describe(), argc, argv, out);
+  if (!parsed) return std::nullopt;
   PlatformDemoOptions options;
-  try {
-    const cxxopts::ParseResult parsed = described.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      out << described.help();
-      return std::nullopt;
-    }
-    if (!parsed.unmatched().empty()) {
-      throw UserError("unexpected argument " + parsed.unmatched().front());
-    }
-    options.callers = parsed["callers"].as<std::uint32_t>();
-    options.length = ParseDuration(parsed["length"].as<std::string>());
-  } catch (const cxxopts::exceptions::exception& error) {
-    throw UserError(error.what());
-  }
+  options.callers = (*parsed)["callers"].as<std::uint32_t>();
+  options.length = ParseDuration((*parsed)["length"].as<std::string>());
   CheckRanges(options);
-  options.programs =
-      std::filesystem::canonical("/proc/self/exe").parent_path().string();
+  options.programs = processes::OwnFolder();
   return options;
 }
 
