Release replicas that a former leader of control left paused

The term was steady with its primary, the proxy had a lease, and all three replicas stayed paused for ever, so nothing confirmed a write.

Cause: the resume was sent once, when the leader that had paused the replicas saw the term become steady. A leader that loses its office between choosing the primary that stayed and that moment sends none, and its successor finds a steady term; the same where the one message is lost or the member is busy.

Ruled out: members in the model that don't resume (they do, when asked), a lease that is missing (held).

--- a/src/lacewingferry/decisions/switchover/group_keeper.cc
+++ b/src/lacewingferry/decisions/switchover/group_keeper.cc
@@ -42,7 +42,7 @@
   }
   if (this->run != nullptr) {
     this->run.reset();
-    this->ReleaseReplicas(*entry);
+    this->next_replica_poll = now;
   }
   if (this->watched_term == entry->term) return;
   this->watched_term = entry->term;
@@ -80,18 +80,6 @@
   this->run->OnTick(now);
 }
 
-/** A pause ends with a promotion that its replica sees; one that another
- * leader of control gave up has to be ended. */
-void GroupKeeper::ReleaseReplicas(const DatabaseTerm& entry) {
-  for (const MemberId& id : this->Members()) {
-    if (id == entry.primary) continue;
-    this->context.hooks.admin.ask(TargetOf(*this->context.roster.Find(id)),
-                                  AdminRequest(MemberRequestKind::kResume),
-                                  this->context.settings.answer_limit,
-                                  [](const AdminAnswer&) {});
-  }
-}
-
 void GroupKeeper::OnAcknowledged(const LogPosition& position) {
   if (this->run != nullptr) this->run->OnAcknowledged(position);
 }
@@ -175,15 +163,37 @@
                               const DatabaseTerm& entry) {
   if (now < this->next_replica_poll) return;
   this->next_replica_poll = now + this->context.settings.replica_interval;
+  const std::weak_ptr<GroupKeeper> weak = this->weak_from_this();
   for (const MemberId& id : this->Members()) {
     if (id == entry.primary) continue;
-    this->context.hooks.admin.ask(TargetOf(*this->context.roster.Find(id)),
-                                  AdminRequest(MemberRequestKind::kStatus),
-                                  this->context.settings.answer_limit,
-                                  [](const AdminAnswer&) {});
+    this->context.hooks.admin.ask(
+        TargetOf(*this->context.roster.Find(id)),
+        AdminRequest(MemberRequestKind::kStatus),
+        this->context.settings.answer_limit,
+        [weak, id, term = entry.term](const AdminAnswer& answer) {
+          const auto keeper = weak.lock();
+          if (keeper) keeper->OnReplicaAnswer(id, term, answer);
+        });
   }
 }
 
+/** A pause ends with a promotion. Where the primary stayed, or the leader that
+ * paused has lost its office, the replica has to be told, until it says that
+ * it receives again. */
+void GroupKeeper::OnReplicaAnswer(const MemberId& replica, std::uint64_t term,
+                                  const AdminAnswer& answer) {
+  if (answer.response != MemberResponse::kAnswered) return;
+  if (answer.status.paused_term == 0 || !this->context.hooks.leads()) return;
+  const DatabaseTerm* entry = this->Entry();
+  const bool steady = entry != nullptr && entry->term == term &&
+                      entry->phase == TermPhase::kSteady;
+  const MemberAnnouncement* known = this->context.roster.Find(replica);
+  if (!steady || known == nullptr) return;
+  this->context.hooks.admin.ask(
+      TargetOf(*known), AdminRequest(MemberRequestKind::kResume),
+      this->context.settings.answer_limit, [](const AdminAnswer&) {});
+}
+
 std::optional<PositionSampled> GroupKeeper::Sample(
     steady_clock::time_point now) const {
   if (this->run == nullptr) return this->sample;
--- a/src/lacewingferry/decisions/switchover/group_keeper.h
+++ b/src/lacewingferry/decisions/switchover/group_keeper.h
@@ -62,6 +62,8 @@
              const DatabaseTerm& entry);
   void AskReplicas(std::chrono::steady_clock::time_point now,
                    const DatabaseTerm& entry);
+  void OnReplicaAnswer(const MemberId& replica, std::uint64_t term,
+                       const AdminAnswer& answer);
   void AskPrimary(const DatabaseTerm& entry);
   void OnPrimaryAnswer(std::chrono::steady_clock::time_point asked,
                        const MemberId& primary, const AdminAnswer& answer);
@@ -75,7 +77,6 @@
   void RecordPhase(const DatabaseTerm& entry);
   void StartRun(std::chrono::steady_clock::time_point now,
                 const DatabaseTerm& entry);
-  void ReleaseReplicas(const DatabaseTerm& entry);
   void Propose(std::chrono::steady_clock::time_point now,
                const DatabaseCommand& command);
 
--- a/tests/correctness/switchover_chaos_test.cc
+++ b/tests/correctness/switchover_chaos_test.cc
@@ -133,14 +133,23 @@
 class SwitchoverChaosTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SwitchoverChaosTest);
   CPPUNIT_TEST(GroupsOfAnySizeKeepTheirCommitsAndComeBack);
+  CPPUNIT_TEST(KeptSeedsPass);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void GroupsOfAnySizeKeepTheirCommitsAndComeBack() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
-                                   std::string(), ChaosRun(seed).Run());
-    }
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) Check(seed);
+  }
+
+  void KeptSeedsPass() {
+    // Replicas stayed paused after their leader of control lost its office.
+    Check(5836);
+  }
+
+ private:
+  static void Check(std::uint64_t seed) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(),
+                                 ChaosRun(seed).Run());
   }
 };
 
--- a/tests/correctness/switchover_test.cc
+++ b/tests/correctness/switchover_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(NewLeaderWaitsForLeasesOfTheFormer);
   CPPUNIT_TEST(NoPromotionAfterTheOfficeIsLost);
   CPPUNIT_TEST(ChosenMemberThatDiesIsReplaced);
+  CPPUNIT_TEST(ReplicasThatAnotherLeaderLeftPausedAreReleased);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,6 +121,25 @@
     AssertSafe(fleet);
   }
 
+  // A leader that pauses replicas, keeps the primary and loses its office at
+  // once leaves a steady term in which nothing confirms a write.
+  void ReplicasThatAnotherLeaderLeftPausedAreReleased() {
+    SwitchoverFleet fleet;
+    fleet.Start();
+    for (const MemberId& id : {kSecond, kThird}) {
+      fleet.members[id].paused_term = 2;
+    }
+    fleet.TakeOffice(false);
+    fleet.TakeOffice(true);
+    fleet.members[kThird].busy = true;
+    fleet.Run(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.members[kSecond].paused_term);
+    fleet.members[kThird].busy = false;
+    fleet.Run(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.members[kThird].paused_term);
+    AssertSafe(fleet);
+  }
+
   void WaitsOutALeaseThatCannotBeRecalled() {
     SwitchoverFleet fleet;
     fleet.Start();
