Ask all of control until one answers; a new leader redials no proxy for old questions

Ruled out: a second round of election (one term, one leader).

Cause: all proxies start at once and ask the processes of control in the same order, 300 ms each. Now the first process asked and the others get the same report each 120 ms until one answers, and again when the leader falls silent. Found on the way: a new leader took the number of unanswered reports, which counts from before its election, for a sign that its own answers don't arrive, and opened the connection anew.

Tests that failed before: FleetClientTest::AsksAllOfControlUntilOneAnswers and WhenItsLeaderFallsSilent, SwitchoverTest::OnlyAnswersThatDoNotArriveCallForANewConnection.

--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -60,7 +60,7 @@
       });
     });
   };
-  hooks.redial = [](const NodeId&) {};
+  hooks.redial = [this](const NodeId&) { ++this->redials; };
   hooks.propose = [this](const ControlCommand& command,
                          std::function<void(bool)> done) {
     this->queue.After(kCommitTime, [this, command, done] {
@@ -213,6 +213,15 @@
   this->control->OnReport(this->queue.Now(), node, report);
 }
 
+void SwitchoverFleet::ReportUnanswered(const NodeId& node,
+                                       std::uint32_t unanswered) {
+  ProxyReport report;
+  report.sequence = this->next_report++;
+  report.incarnation = 1;
+  report.unanswered = unanswered;
+  this->control->OnReport(this->queue.Now(), node, report);
+}
+
 void SwitchoverFleet::Tick() {
   if (this->queue.Now() >= this->suspended_until) {
     this->control->OnTick(this->queue.Now());
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -78,7 +78,11 @@
     return this->queue.Now();
   }
 
+  /** A proxy's report that says how many before it had no answer. */
+  void ReportUnanswered(const NodeId& node, std::uint32_t unanswered);
+
   /** What happened, for the checks. */
+  int redials = 0;
   int promotions = 0;
   std::optional<std::chrono::steady_clock::time_point> promoted_at;
   /** The newest position that any proxy acknowledged. */
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -71,6 +71,20 @@
   this->sent[report.sequence] = now;
   if (this->sent.size() > kMostSent) this->sent.erase(this->sent.begin());
   this->hooks.report(this->leader, report);
+  this->newest_report = std::move(report);
+}
+
+/** Whether nobody is known to lead control. */
+bool FleetClient::Searches(steady_clock::time_point now) const {
+  return !this->in_contact ||
+         now - this->last_answer > this->settings.answer_limit;
+}
+
+/** Only the leader answers a report, so all may be asked the same. */
+void FleetClient::AskOthers() {
+  for (const NodeId& node : this->KnownNodes()) {
+    if (node != this->leader) this->hooks.report(node, this->newest_report);
+  }
 }
 
 std::vector<NodeId> FleetClient::KnownNodes() const {
@@ -204,15 +218,16 @@
   }
   if (now < this->next_report) return;
   const std::uint64_t before = this->sequence;
-  if (this->unanswered > 1) {
+  const bool urgent = this->unanswered > 1 || this->Searches(now);
+  if (urgent) {
     this->holder->RenewNow(now);
   } else {
     this->holder->OnTick(now);
   }
   if (this->sequence == before) this->SendReport(now, std::nullopt);
-  this->next_report =
-      now + (this->unanswered > 1 ? this->settings.retry_interval
-                                  : this->settings.report_interval);
+  if (this->Searches(now)) this->AskOthers();
+  this->next_report = now + (urgent ? this->settings.retry_interval
+                                    : this->settings.report_interval);
 }
 
 milliseconds FleetClient::AnswerLimit() const {
--- a/src/lacewingferry/decisions/gateway/fleet_client.h
+++ b/src/lacewingferry/decisions/gateway/fleet_client.h
@@ -104,6 +104,8 @@
                   std::optional<LeaseRenewal> renewal);
   std::chrono::milliseconds AnswerLimit() const;
   void TryNextNode(std::chrono::steady_clock::time_point now);
+  bool Searches(std::chrono::steady_clock::time_point now) const;
+  void AskOthers();
   std::vector<NodeId> KnownNodes() const;
   void TakeShare(std::chrono::steady_clock::time_point now,
                  std::uint32_t proxies);
@@ -121,6 +123,7 @@
   NodeId leader;
   std::size_t next_node = 0;
   std::uint64_t sequence = 0;
+  ProxyReport newest_report;
   std::map<std::uint64_t, std::chrono::steady_clock::time_point> sent;
   std::uint32_t unanswered = 0;
   std::chrono::steady_clock::time_point last_answer;
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -13,7 +13,7 @@
 /** Between two ticks there is less than this unless the process stood still. */
 constexpr milliseconds kLongestCalmPause{400};
 constexpr milliseconds kTick{100};
-/** A proxy that reports so many times without an answer doesn't get them. */
+/** A proxy that hasn't got so many answers in a row doesn't get them. */
 constexpr std::uint32_t kUnansweredUntilRedial = 2;
 
 }  // namespace
@@ -123,9 +123,10 @@
     this->hooks.update(from, later);
     return;
   }
-  if (report.unanswered >= kUnansweredUntilRedial) this->hooks.redial(from);
-  proxy = Proxy{report.incarnation, now, report.fleet_revision,
-                report.configuration_version, report.draining};
+  this->RedialIfUnheard(from, report);
+  proxy = Proxy{report.incarnation,    now,
+                report.fleet_revision, report.configuration_version,
+                report.draining,       proxy.answers + 1};
   ProxyUpdate update = this->NewsFor(now, proxy);
   update.sequence = report.sequence;
   if (report.renewal) {
@@ -141,6 +142,18 @@
   this->hooks.update(from, update);
 }
 
+/** A proxy may have asked in vain before this process led, or before it
+ * started; that says nothing of the connection. */
+void FleetControl::RedialIfUnheard(const NodeId& node,
+                                   const ProxyReport& report) {
+  Proxy& proxy = this->proxies[node];
+  const bool unheard = report.unanswered >= kUnansweredUntilRedial &&
+                       proxy.answers >= kUnansweredUntilRedial;
+  if (!unheard) return;
+  proxy.answers = 0;
+  this->hooks.redial(node);
+}
+
 void FleetControl::Recall(const DatabaseStamp& current, milliseconds patience) {
   const LeaseRecall recall{current.database, current.term, patience};
   for (const NodeId& holder :
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -112,9 +112,12 @@
     std::uint64_t fleet_revision = 0;
     std::uint64_t configuration_version = 0;
     bool draining = false;
+    /** Answers of this leader since the connection was last opened anew. */
+    std::uint32_t answers = 0;
   };
 
   SwitchoverHooks GroupHooks();
+  void RedialIfUnheard(const NodeId& node, const ProxyReport& report);
   void TakeChanges(std::chrono::steady_clock::time_point now);
   void MakeKeepers(std::chrono::steady_clock::time_point now);
   void NoteSuspension(std::chrono::steady_clock::time_point now);
--- a/tests/correctness/fleet_client_test.cc
+++ b/tests/correctness/fleet_client_test.cc
@@ -68,6 +68,15 @@
     }
   }
 
+  /** How many reports went to a process since the first ones. */
+  std::size_t ReportsTo(const NodeId& node, std::size_t since) const {
+    std::size_t count = 0;
+    for (std::size_t i = since; i < this->reports.size(); ++i) {
+      count += this->reports[i].first == node ? 1 : 0;
+    }
+    return count;
+  }
+
   ProxyUpdate Answer() const {
     ProxyUpdate update;
     update.sequence = this->reports.back().second.sequence;
@@ -105,6 +114,8 @@
   CPPUNIT_TEST(LeaseCountsFromTheSendingOfItsRequest);
   CPPUNIT_TEST(PositionIsAsOldAsItsQuestion);
   CPPUNIT_TEST(LooksForControlElsewhere);
+  CPPUNIT_TEST(AsksAllOfControlUntilOneAnswers);
+  CPPUNIT_TEST(AsksAllOfControlWhenItsLeaderFallsSilent);
   CPPUNIT_TEST(FollowsARedirectAtOnce);
   CPPUNIT_TEST(TakesALaterNumberWhenItsClockWentBack);
   CPPUNIT_TEST(FewerProxiesCountOnlyAfterAWhile);
@@ -174,6 +185,32 @@
     CPPUNIT_ASSERT(harness.reports.back().second.unanswered >= 2);
   }
 
+  // After a loss of power all processes start at once, and nobody knows who
+  // will lead: whoever does answers the first report after its election.
+  void AsksAllOfControlUntilOneAnswers() {
+    Harness harness;
+    harness.Pass(milliseconds(200));
+    CPPUNIT_ASSERT(harness.ReportsTo(kLeader, 0) >= 2);
+    CPPUNIT_ASSERT(harness.ReportsTo(kOther, 0) >= 2);
+    CPPUNIT_ASSERT(harness.reports.back().second.renewal);
+    harness.client.OnUpdate(harness.now, kOther, harness.Answer());
+    const std::size_t since = harness.reports.size();
+    harness.Pass(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.ReportsTo(kLeader, since));
+    CPPUNIT_ASSERT(harness.ReportsTo(kOther, since) > 0);
+  }
+
+  void AsksAllOfControlWhenItsLeaderFallsSilent() {
+    Harness harness;
+    harness.Take(harness.Answer());
+    const std::size_t since = harness.reports.size();
+    harness.Pass(milliseconds(650));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.ReportsTo(kOther, since));
+    harness.Pass(milliseconds(600));
+    CPPUNIT_ASSERT(harness.ReportsTo(kLeader, since) >= 4);
+    CPPUNIT_ASSERT(harness.ReportsTo(kOther, since) >= 2);
+  }
+
   void FollowsARedirectAtOnce() {
     Harness harness;
     harness.client.OnRedirect(harness.now, ControlRedirect{kOther, "", 7});
--- a/tests/correctness/switchover_test.cc
+++ b/tests/correctness/switchover_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(NoPromotionAfterTheOfficeIsLost);
   CPPUNIT_TEST(ChosenMemberThatDiesIsReplaced);
   CPPUNIT_TEST(ReplicasThatAnotherLeaderLeftPausedAreReleased);
+  CPPUNIT_TEST(OnlyAnswersThatDoNotArriveCallForANewConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -140,6 +141,22 @@
     AssertSafe(fleet);
   }
 
+  // Reports from before the election had no answer, which says nothing of the
+  // new leader's way to the proxy.
+  void OnlyAnswersThatDoNotArriveCallForANewConnection() {
+    SwitchoverFleet fleet;
+    const NodeId proxy("p0");
+    fleet.proxies_report = false;
+    fleet.Start();
+    fleet.ReportUnanswered(proxy, 5);
+    fleet.ReportUnanswered(proxy, 6);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.redials);
+    fleet.ReportUnanswered(proxy, 7);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.redials);
+    fleet.ReportUnanswered(proxy, 8);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.redials);
+  }
+
   void WaitsOutALeaseThatCannotBeRecalled() {
     SwitchoverFleet fleet;
     fleet.Start();
