Control answers proxies before it has a leader, so that connections are open by then

The leader's first answer had to open a connection to each proxy, which costs round trips between regions: half of the proxies reached it 0.14 to 0.26 s after its election. Now a process of control that knows no leader answers with a redirect to nobody, which changes nothing at the proxy.

--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -329,8 +329,10 @@
 }
 
 void FleetControlProgram::Impl::Redirect(const NodeId& to) {
+  // Where nobody leads yet, the answer opens the connection that the next
+  // leader will need.
   const Leadership known = this->replica.CurrentLeadership();
-  if (known.self || known.node.Empty()) return;
+  if (known.self) return;
   this->peers->Send(to, ControlRedirect{known.node, "", known.term});
 }
 
--- a/tests/correctness/fleet_client_test.cc
+++ b/tests/correctness/fleet_client_test.cc
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(AsksAllOfControlUntilOneAnswers);
   CPPUNIT_TEST(AsksAllOfControlWhenItsLeaderFallsSilent);
   CPPUNIT_TEST(FollowsARedirectAtOnce);
+  CPPUNIT_TEST(RedirectToNobodyChangesNothing);
   CPPUNIT_TEST(TakesALaterNumberWhenItsClockWentBack);
   CPPUNIT_TEST(FewerProxiesCountOnlyAfterAWhile);
   CPPUNIT_TEST(RecallIsAnsweredWithWhatWasAcknowledged);
@@ -217,6 +218,17 @@
     CPPUNIT_ASSERT(harness.reports.back().first == kOther);
   }
 
+  // Control without a leader answers, so that its connections are open when it
+  // has one.
+  void RedirectToNobodyChangesNothing() {
+    Harness harness;
+    const std::size_t before = harness.reports.size();
+    harness.client.OnRedirect(harness.now, ControlRedirect{NodeId(), "", 7});
+    CPPUNIT_ASSERT_EQUAL(before, harness.reports.size());
+    harness.Pass(milliseconds(200));
+    CPPUNIT_ASSERT(harness.ReportsTo(kLeader, before) > 0);
+  }
+
   void TakesALaterNumberWhenItsClockWentBack() {
     Harness harness;
     ProxyUpdate update;
