--- a/tests/correctness/processes_explain_test.cc
+++ b/tests/correctness/processes_explain_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <sstream>
@@ -37,7 +38,7 @@
     command.push_back(log);
   }
   const std::string output = fleet.Folder() + "/" + id + ".explained";
-  std::ofstream(output, std::ios::trunc);
+  std::filesystem::remove(output);
   processes::ChildProcess ferryctl(command, output);
   ferryctl.WaitForEnd(kFleetDeadline);
   std::ifstream stream(output);
@@ -64,7 +65,7 @@
 
 std::string SampledId(const std::string& start) {
   for (int number = 0;; ++number) {
-    const std::string id = start + std::to_string(number);
+    std::string id = start + std::to_string(number);
     if (IsSampled(RequestId(id))) return id;
   }
 }
