--- a/tests/error/platform_lines_fuzz_test.cc
+++ b/tests/error/platform_lines_fuzz_test.cc
@@ -34,7 +34,7 @@
   std::istringstream lines(text);
   std::string line;
   while (std::getline(lines, line)) {
-    const auto reply = assembler.Take(line);
+    auto reply = assembler.Take(line);
     if (reply) return reply;
   }
   return std::nullopt;
