--- a/src/lacewingferry/decisions/traffic/owned_members.cc
+++ b/src/lacewingferry/decisions/traffic/owned_members.cc
@@ -1,14 +1,13 @@
 #include "lacewingferry/decisions/traffic/owned_members.h"
 
-#include <algorithm>
 #include <functional>
-#include <limits>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "lacewingferry/decisions/choice/member_time.h"
 #include "lacewingferry/decisions/execution/transaction_name.h"
+#include "lacewingferry/decisions/traffic/plain_read.h"
 
 namespace lacewingferry {
 namespace {
@@ -22,10 +21,6 @@
   return 0;
 }
 
-bool IsPlainRead(const StatementRequest& request) {
-  return request.kind == RequestKind::kRead && request.transaction.Empty();
-}
-
 }  // namespace
 
 OwnedMembers::OwnedMembers(DatabaseId database_id, TrafficHooks traffic_hooks,
@@ -337,66 +332,4 @@
   return next;
 }
 
-std::size_t OwnedMembers::SeatsOf(const MemberId& member) const {
-  constexpr auto kUnlimited = std::numeric_limits<std::size_t>::max();
-  if (this->seats == nullptr)
-    return this->settings.needs_seats ? 0 : kUnlimited;
-  if (!this->seats->witnessed) return kUnlimited;
-  const auto found = this->seats->ends.find(member);
-  if (found == this->seats->ends.end()) return 0;
-  return static_cast<std::size_t>(std::count_if(
-      found->second.begin(), found->second.end(),
-      [this](steady_clock::time_point end) { return end > this->now; }));
-}
-
-void OwnedMembers::LimitToSeats() {
-  if (this->seats == nullptr) return;
-  for (auto& [member, entry] : this->owned) {
-    entry.executor->LimitConnections(this->now, this->SeatsOf(member));
-  }
-}
-
-void OwnedMembers::OnSeats(steady_clock::time_point present,
-                           const SeatTablePtr& table) {
-  this->now = present;
-  this->seats = table;
-  this->LimitToSeats();
-}
-
-void OwnedMembers::AddConnections(
-    std::map<MemberId, std::size_t>& counts) const {
-  for (const auto& [member, entry] : this->owned) {
-    counts[member] += entry.executor->Connections();
-  }
-}
-
-std::size_t OwnedMembers::Connections(const MemberId& member) const {
-  const auto found = this->owned.find(member);
-  return found == this->owned.end() ? 0 : found->second.executor->Connections();
-}
-
-std::size_t OwnedMembers::Unfinished() const {
-  std::size_t count = 0;
-  for (const auto& entry : this->owned) {
-    count += entry.second.executor->Unfinished() + entry.second.gate->Held();
-  }
-  return count;
-}
-
-std::size_t OwnedMembers::OpenTransactions() const {
-  std::size_t count = 0;
-  for (const auto& entry : this->owned) {
-    count += entry.second.executor->OpenTransactions();
-  }
-  return count;
-}
-
-std::size_t OwnedMembers::Connections() const {
-  std::size_t count = 0;
-  for (const auto& entry : this->owned) {
-    count += entry.second.executor->Connections();
-  }
-  return count;
-}
-
 }  // namespace lacewingferry
