--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -12,8 +12,10 @@
 #include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/control_replica.h"
+#include "lacewingferry/app/first_result.h"
 #include "lacewingferry/app/fleet_peers.h"
 #include "lacewingferry/app/fleet_replica_settings.h"
+#include "lacewingferry/app/followed_ports.h"
 #include "lacewingferry/app/metrics_server.h"
 #include "lacewingferry/app/reload_settings.h"
 #include "lacewingferry/app/run_io_context.h"
@@ -33,6 +35,17 @@
 /** Until an order that isn't committed yet is answered as unknown. */
 constexpr milliseconds kOrderLimit{2500};
 
+FleetApiResult ResultOf(AnnouncementVerdict verdict) {
+  switch (verdict) {
+    case AnnouncementVerdict::kAccepted:
+      return FleetApiResult::kDone;
+    case AnnouncementVerdict::kOutdated:
+      return FleetApiResult::kOutdated;
+    default:
+      return FleetApiResult::kUnknown;
+  }
+}
+
 }  // namespace
 
 /** The steps of an input: the replica takes messages of the log, FleetControl
@@ -63,8 +76,6 @@
   void Arm(steady_clock::time_point now);
   std::string Metrics() const;
   void WaitForSignal();
-  MemberAdminPort AdvancingAdmin();
-  PromotionPort AdvancingPromotion();
 
   FleetControlParts parts;
   boost::asio::io_context control;
@@ -136,33 +147,6 @@
   return hooks;
 }
 
-MemberAdminPort FleetControlProgram::Impl::AdvancingAdmin() {
-  MemberAdminPort admin = this->parts.adapters.make_admin(this->control);
-  return MemberAdminPort{
-      [this, admin](const LinkTarget& target, const MemberRequest& request,
-                    milliseconds limit, MemberAdminPort::Done done) {
-        admin.ask(target, request, limit,
-                  [this, done = std::move(done)](const AdminAnswer& answer) {
-                    done(answer);
-                    this->Advance();
-                  });
-      }};
-}
-
-PromotionPort FleetControlProgram::Impl::AdvancingPromotion() {
-  PromotionPort promotion = this->parts.adapters.make_promotion(this->control);
-  return PromotionPort{[this, promotion](
-                           const PromotionCall& call,
-                           std::function<bool()> allowed,
-                           std::function<void(PromotionResult)> done) {
-    promotion.promote(call, std::move(allowed),
-                      [this, done = std::move(done)](PromotionResult result) {
-                        done(result);
-                        this->Advance();
-                      });
-  }};
-}
-
 FleetControlHooks FleetControlProgram::Impl::FleetHooks() {
   FleetControlHooks hooks;
   hooks.update = [this](const NodeId& to, const ProxyUpdate& update) {
@@ -187,8 +171,10 @@
   hooks.leads = [this] { return this->Leads(); };
   hooks.fence = [this] { return this->replica.CurrentLeadership().term; };
   hooks.now = this->parts.hybrid.clock.now;
-  hooks.admin = this->AdvancingAdmin();
-  hooks.promotion = this->AdvancingPromotion();
+  const auto advance = [this] { this->Advance(); };
+  const FleetControlAdapters& adapters = this->parts.adapters;
+  hooks.admin = FollowedBy(adapters.make_admin(this->control), advance);
+  hooks.promotion = FollowedBy(adapters.make_promotion(this->control), advance);
   hooks.events = this->parts.events;
   return hooks;
 }
@@ -249,10 +235,7 @@
     this->fleet->OnAnnouncement(
         this->parts.hybrid.clock.now(), announcement,
         [done = std::move(done)](AnnouncementVerdict verdict) {
-          done(verdict == AnnouncementVerdict::kAccepted ? FleetApiResult::kDone
-               : verdict == AnnouncementVerdict::kOutdated
-                   ? FleetApiResult::kOutdated
-                   : FleetApiResult::kUnknown);
+          done(ResultOf(verdict));
         });
     this->Advance();
   };
@@ -261,9 +244,7 @@
     this->fleet->OnFarewell(
         this->parts.hybrid.clock.now(), member,
         [done = std::move(done)](AnnouncementVerdict verdict) {
-          done(verdict == AnnouncementVerdict::kAccepted
-                   ? FleetApiResult::kDone
-                   : FleetApiResult::kUnknown);
+          done(ResultOf(verdict));
         });
     this->Advance();
   };
@@ -283,28 +264,18 @@
     done(this->Leads() ? FleetApiResult::kDone : FleetApiResult::kUnknown);
     return;
   }
-  const auto finish =
-      std::make_shared<std::function<void(FleetApiResult)>>(std::move(done));
-  const auto once = [finish](FleetApiResult result) {
-    const auto answer = std::exchange(*finish, nullptr);
-    if (answer) answer(result);
-  };
-  const auto limit =
-      std::make_shared<boost::asio::steady_timer>(this->control, kOrderLimit);
-  limit->async_wait([once, limit](boost::system::error_code error) {
-    if (!error) once(FleetApiResult::kUnknown);
-  });
+  const auto answer =
+      FirstResultWithin(this->control, kOrderLimit, std::move(done));
   const std::uint64_t version = configuration.version;
   this->Propose(
       ControlCommand{ConfigurationSubmission{version, document}},
-      [this, once, limit, version](bool applied) {
-        limit->cancel();
+      [this, answer, version](bool applied) {
         this->parts.events.record(
             Event{EventCode::kConfigurationReplaced,
                   EventLevel::kInfo,
                   {{"version", std::to_string(version)},
                    {"outcome", applied ? "stored" : "unknown"}}});
-        once(applied ? FleetApiResult::kDone : FleetApiResult::kUnknown);
+        answer(applied ? FleetApiResult::kDone : FleetApiResult::kUnknown);
       });
   this->Advance();
 }
@@ -348,7 +319,6 @@
   if (!this->in_office && this->replica.Serving()) {
     this->in_office = true;
     this->office_term = known.term;
-    this->ReadStoredConfiguration();
     this->fleet->OnLeadership(now, true);
   }
   const NodeId leader = known.node;
@@ -365,8 +335,8 @@
   if (this->advancing) return;
   this->advancing = true;
   const auto now = this->parts.hybrid.clock.now();
-  this->FollowOffice(now);
   this->ReadStoredConfiguration();
+  this->FollowOffice(now);
   if (this->Leads()) this->fleet->OnTick(now);
   this->Arm(now);
   this->advancing = false;
--- /dev/null
+++ b/src/lacewingferry/app/followed_ports.cc
@@ -0,0 +1,34 @@
+#include "lacewingferry/app/followed_ports.h"
+
+#include <chrono>
+#include <utility>
+
+namespace lacewingferry {
+
+MemberAdminPort FollowedBy(MemberAdminPort port, std::function<void()> step) {
+  return MemberAdminPort{
+      [port = std::move(port), step = std::move(step)](
+          const LinkTarget& target, const MemberRequest& request,
+          std::chrono::milliseconds limit, MemberAdminPort::Done done) {
+        port.ask(target, request, limit,
+                 [step, done = std::move(done)](const AdminAnswer& answer) {
+                   done(answer);
+                   step();
+                 });
+      }};
+}
+
+PromotionPort FollowedBy(PromotionPort port, std::function<void()> step) {
+  return PromotionPort{[port = std::move(port), step = std::move(step)](
+                           const PromotionCall& call,
+                           std::function<bool()> allowed,
+                           std::function<void(PromotionResult)> done) {
+    port.promote(call, std::move(allowed),
+                 [step, done = std::move(done)](PromotionResult result) {
+                   done(result);
+                   step();
+                 });
+  }};
+}
+
+}  // namespace lacewingferry
