Say once what stood twice; times of tests and figures as std::chrono types

- An operand of a ferryctl command was told apart by the address of its text; now it is an enumeration, and explain's default is set where options are read.
The help names the exit status of a request that no line names.
- FleetClient asked twice in a tick whether it searches; RedialIfUnheard looked up a proxy that its caller had; building SQL made two texts that most statements don't use; a statement without operands was put together by hand in three places.

--- a/bench/consensus_bench_main.cc
+++ b/bench/consensus_bench_main.cc
@@ -123,9 +123,9 @@
   sized = false;
   const std::clock_t start = std::clock();
   RunChanges(group, group.Leader().value());
-  const double seconds =
-      static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
-  cost.processor = microseconds(static_cast<std::int64_t>(seconds * 1e6));
+  const std::chrono::duration<double> used(
+      static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC);
+  cost.processor = std::chrono::duration_cast<microseconds>(used);
   return cost;
 }
 
@@ -137,9 +137,9 @@
   }
   std::sort(gaps.begin(), gaps.end());
   const ChangeCost cost = MeasureChanges(network, voters);
-  const auto idle_seconds = static_cast<double>(kIdle.count()) / 1000;
-  const double changing_seconds =
-      static_cast<double>((kChanges * kChangeInterval).count()) / 1000 + 1;
+  const std::chrono::duration<double> idle = kIdle;
+  const std::chrono::duration<double> changing =
+      kChanges * kChangeInterval + std::chrono::seconds(1);
   const double messages = static_cast<double>(cost.idle.messages);
   const double bytes = static_cast<double>(cost.idle.bytes);
   const auto changes = static_cast<double>(cost.committed);
@@ -147,13 +147,13 @@
       std::string(network.name) + ", " + std::to_string(voters) + " voters",
       {{"gap_median_ms", static_cast<double>(gaps[gaps.size() / 2].count())},
        {"gap_worst_ms", static_cast<double>(gaps.back().count())},
-       {"idle_messages_per_s", messages / idle_seconds},
-       {"idle_kb_per_s", bytes / idle_seconds / 1000},
+       {"idle_messages_per_s", messages / idle.count()},
+       {"idle_kb_per_s", bytes / idle.count() / 1000},
        {"messages_per_change", (static_cast<double>(cost.changing.messages) -
-                                messages * changing_seconds / idle_seconds) /
+                                messages * changing.count() / idle.count()) /
                                    changes},
        {"bytes_per_change", (static_cast<double>(cost.changing.bytes) -
-                             bytes * changing_seconds / idle_seconds) /
+                             bytes * changing.count() / idle.count()) /
                                 changes},
        {"us_per_change",
         static_cast<double>(cost.processor.count()) / changes}}};
--- a/src/lacewingferry/adapters/histogram/request_metrics.cc
+++ b/src/lacewingferry/adapters/histogram/request_metrics.cc
@@ -67,11 +67,11 @@
 void RequestMetrics::Record(RequestKind kind, const Outcome& outcome,
                             std::chrono::nanoseconds latency) {
   const auto index = static_cast<std::size_t>(kind);
-  const double seconds = std::chrono::duration<double>(latency).count();
+  const std::chrono::duration<double> taken = latency;
   const std::lock_guard<std::mutex> lock(this->counts->mutex);
   ++this->counts->outcomes[index][outcome.index()];
-  this->counts->latencies[index](seconds);
-  this->counts->latency_sums[index] += seconds;
+  this->counts->latencies[index](taken.count());
+  this->counts->latency_sums[index] += taken.count();
   const auto* answer = std::get_if<Answered>(&outcome);
   if (kind != RequestKind::kRead || answer == nullptr) return;
   if (answer->served_by_replica) {
--- a/src/lacewingferry/adapters/libpq/member_sql.cc
+++ b/src/lacewingferry/adapters/libpq/member_sql.cc
@@ -111,12 +111,14 @@
   return {TextAt(row, 0), row.size() > 1 ? row[1] : std::nullopt};
 }
 
+SqlValue Term(const MemberStatement& statement) {
+  return std::to_string(statement.term);
+}
+
 }  // namespace
 
 SqlStatement BuildMemberSql(const MemberDialect& dialect,
                             const MemberStatement& statement) {
-  const SqlValue term = std::to_string(statement.term);
-  const SqlValue id = statement.request_id.Value();
   switch (statement.kind) {
     case MemberStatementKind::kCaller:
       return statement.caller;
@@ -129,21 +131,21 @@
     case MemberStatementKind::kState:
       return {dialect.status, {}};
     case MemberStatementKind::kFence:
-      return {dialect.fence, {term}};
+      return {dialect.fence, {Term(statement)}};
     case MemberStatementKind::kPromote:
-      return {dialect.promote, {term}};
+      return {dialect.promote, {Term(statement)}};
     case MemberStatementKind::kFollow:
       return {dialect.follow,
-              {term, statement.primary_log.host,
+              {Term(statement), statement.primary_log.host,
                std::to_string(statement.primary_log.port)}};
     case MemberStatementKind::kCreateRecords:
       return {kCreateRecords, {}};
     case MemberStatementKind::kClaimRecord:
-      return {kClaimRecord, {id, statement.digest}};
+      return {kClaimRecord, {statement.request_id.Value(), statement.digest}};
     case MemberStatementKind::kStoreAnswer:
-      return {kStoreAnswer, {id, statement.answer}};
+      return {kStoreAnswer, {statement.request_id.Value(), statement.answer}};
     case MemberStatementKind::kFindRecord:
-      return {kFindRecord, {id}};
+      return {kFindRecord, {statement.request_id.Value()}};
   }
   throw InternalError("a member's statement of an unknown kind");
 }
--- a/src/lacewingferry/app/operator_command.cc
+++ b/src/lacewingferry/app/operator_command.cc
@@ -14,26 +14,25 @@
 
 using Texts = std::vector<std::string>;
 
+/** What a subcommand takes after its name. */
+enum class Operand : std::uint8_t { kNone, kNotePath, kRequestId };
+
 /** A subcommand's name. */
 struct ActionName {
   const char* name;
   OperatorAction action;
-  /** What the command needs besides its name; nullptr for nothing. */
-  const char* needs;
+  Operand operand;
 };
 
-constexpr char kNotePath[] = "the path of a note";
-constexpr char kRequestId[] = "the id of a request";
-
 constexpr ActionName kActions[] = {
-    {"check", OperatorAction::kCheck, kNotePath},
-    {"diff", OperatorAction::kDiff, kNotePath},
-    {"apply", OperatorAction::kApply, kNotePath},
-    {"show", OperatorAction::kShow, nullptr},
-    {"history", OperatorAction::kHistory, nullptr},
-    {"status", OperatorAction::kStatus, nullptr},
-    {"timeline", OperatorAction::kTimeline, nullptr},
-    {"explain", OperatorAction::kExplain, kRequestId},
+    {"check", OperatorAction::kCheck, Operand::kNotePath},
+    {"diff", OperatorAction::kDiff, Operand::kNotePath},
+    {"apply", OperatorAction::kApply, Operand::kNotePath},
+    {"show", OperatorAction::kShow, Operand::kNone},
+    {"history", OperatorAction::kHistory, Operand::kNone},
+    {"status", OperatorAction::kStatus, Operand::kNone},
+    {"timeline", OperatorAction::kTimeline, Operand::kNone},
+    {"explain", OperatorAction::kExplain, Operand::kRequestId},
 };
 
 const char* const kSummary =
@@ -49,8 +48,9 @@
     "  explain ID   show what the logs on standard input, or in --log, say of\n"
     "               a request, in order, with all that bears on it\n"
     "\n"
-    "Exit status: 0 done, 1 refused or not in force in time, 2 a mistake in\n"
-    "the command or its files, 3 no control process gave an answer.\n";
+    "Exit status: 0 done, 1 refused, not in force in time or no such request,\n"
+    "2 a mistake in the command or its files, 3 no control process gave an\n"
+    "answer.\n";
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("ferryctl", kSummary);
@@ -97,7 +97,12 @@
   return *endpoint;
 }
 
-/** Takes the subcommand and its note from the words of the command line. */
+const char* OperandText(Operand operand) {
+  return operand == Operand::kNotePath ? "the path of a note"
+                                       : "the id of a request";
+}
+
+/** Takes the subcommand and its operand from the words of the command line. */
 void TakeWords(const Texts& words, OperatorCommand* command) {
   if (words.empty()) {
     throw UserError("a command is missing; see --help");
@@ -108,16 +113,18 @@
   if (known == std::end(kActions)) {
     throw UserError("unknown command '" + words[0] + "'; see --help");
   }
-  const std::size_t expected = known->needs == nullptr ? 1 : 2;
+  const std::size_t expected = known->operand == Operand::kNone ? 1 : 2;
   if (words.size() < expected) {
-    throw UserError(words[0] + " needs " + known->needs);
+    throw UserError(words[0] + " needs " + OperandText(known->operand));
   }
   if (words.size() > expected) {
     throw UserError("unexpected argument '" + words[expected] + "'");
   }
   command->action = known->action;
-  if (known->needs == kNotePath) command->note_path = words[1];
-  if (known->needs == kRequestId) command->request = RequestId(words[1]);
+  if (known->operand == Operand::kNotePath) command->note_path = words[1];
+  if (known->operand == Operand::kRequestId) {
+    command->request = RequestId(words[1]);
+  }
 }
 
 void TakeOptions(const cxxopts::ParseResult& parsed, OperatorCommand* command) {
@@ -137,6 +144,8 @@
   }
   if (parsed.count("log") > 0) {
     command->log_paths = parsed["log"].as<Texts>();
+  } else if (command->action == OperatorAction::kExplain) {
+    command->log_paths = {kStandardInput};
   }
   command->format = ParseFormat(parsed["format"].as<std::string>());
 }
@@ -178,10 +187,6 @@
     TakeWords(parsed.count("words") > 0 ? parsed["words"].as<Texts>() : Texts(),
               &command);
     TakeOptions(parsed, &command);
-    if (command.action == OperatorAction::kExplain &&
-        command.log_paths.empty()) {
-      command.log_paths.emplace_back(kStandardInput);
-    }
     CheckOptions(command);
     return command;
   } catch (const cxxopts::exceptions::exception& error) {
--- a/src/lacewingferry/app/proxy_control.cc
+++ b/src/lacewingferry/app/proxy_control.cc
@@ -169,10 +169,9 @@
 
 void ProxyControl::Probe(const MemberInfo& member,
                          const PrimaryObserverHooks::SightHook& on_sight) {
-  MemberStatement state;
-  state.kind = MemberStatementKind::kState;
   this->hooks.run_statement(
-      member.database, member.id, state, this->hooks.now() + kProbeTimeout,
+      member.database, member.id, MemberStatement{MemberStatementKind::kState},
+      this->hooks.now() + kProbeTimeout,
       [this, id = member.id,
        on_sight](const std::optional<MemberResult>& result) {
         if (result) {
--- a/src/lacewingferry/core/time_text.cc
+++ b/src/lacewingferry/core/time_text.cc
@@ -29,12 +29,12 @@
 HybridTime ParseTime(const std::string& text) {
   std::tm utc{};
   const char* rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S.", &utc);
-  std::int64_t microseconds = 0;
+  std::int64_t fraction = 0;
   if (rest != nullptr) {
-    std::from_chars(rest, text.data() + text.size(), microseconds);
+    std::from_chars(rest, text.data() + text.size(), fraction);
   }
   const std::chrono::seconds seconds(timegm(&utc));
-  const HybridTime time(seconds + std::chrono::microseconds(microseconds));
+  const HybridTime time(seconds + std::chrono::microseconds(fraction));
   // Only text that is written as FormatTime writes it comes back the same.
   if (rest == nullptr || FormatTime(time) != text) {
     throw UserError("'" + text +
--- a/src/lacewingferry/decisions/execution/flight.cc
+++ b/src/lacewingferry/decisions/execution/flight.cc
@@ -13,9 +13,7 @@
 }
 
 std::size_t Append(Flight& flight, MemberStatementKind kind) {
-  MemberStatement statement;
-  statement.kind = kind;
-  return Append(flight, std::move(statement));
+  return Append(flight, MemberStatement{kind});
 }
 
 std::size_t AppendCaller(const StatementRequest& request, Flight& flight) {
--- a/src/lacewingferry/decisions/execution/member_runs.cc
+++ b/src/lacewingferry/decisions/execution/member_runs.cc
@@ -130,9 +130,8 @@
   this->active[id].since = now;
   this->status_wanted = false;
   this->polls.OnSent(now);
-  MemberStatement state;
-  state.kind = MemberStatementKind::kState;
-  this->pool.Send(now, id, MemberBatch{{state}});
+  this->pool.Send(now, id,
+                  MemberBatch{{MemberStatement{MemberStatementKind::kState}}});
 }
 
 void MemberRuns::OnCompleted(steady_clock::time_point now, ConnectionId id,
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -218,14 +218,15 @@
   }
   if (now < this->next_report) return;
   const std::uint64_t before = this->sequence;
-  const bool urgent = this->unanswered > 1 || this->Searches(now);
+  const bool searches = this->Searches(now);
+  const bool urgent = this->unanswered > 1 || searches;
   if (urgent) {
     this->holder->RenewNow(now);
   } else {
     this->holder->OnTick(now);
   }
   if (this->sequence == before) this->SendReport(now, std::nullopt);
-  if (this->Searches(now)) this->AskOthers();
+  if (searches) this->AskOthers();
   this->next_report = now + (urgent ? this->settings.retry_interval
                                     : this->settings.report_interval);
 }
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -123,7 +123,7 @@
     this->hooks.update(from, later);
     return;
   }
-  this->RedialIfUnheard(from, report);
+  this->RedialIfUnheard(from, report, &proxy);
   proxy = Proxy{report.incarnation,    now,
                 report.fleet_revision, report.configuration_version,
                 report.draining,       proxy.answers + 1};
@@ -145,12 +145,11 @@
 /** A proxy may have asked in vain before this process led, or before it
  * started; that says nothing of the connection. */
 void FleetControl::RedialIfUnheard(const NodeId& node,
-                                   const ProxyReport& report) {
-  Proxy& proxy = this->proxies[node];
+                                   const ProxyReport& report, Proxy* proxy) {
   const bool unheard = report.unanswered >= kUnansweredUntilRedial &&
-                       proxy.answers >= kUnansweredUntilRedial;
+                       proxy->answers >= kUnansweredUntilRedial;
   if (!unheard) return;
-  proxy.answers = 0;
+  proxy->answers = 0;
   this->hooks.redial(node);
 }
 
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -117,7 +117,8 @@
   };
 
   SwitchoverHooks GroupHooks();
-  void RedialIfUnheard(const NodeId& node, const ProxyReport& report);
+  void RedialIfUnheard(const NodeId& node, const ProxyReport& report,
+                       Proxy* proxy);
   void TakeChanges(std::chrono::steady_clock::time_point now);
   void MakeKeepers(std::chrono::steady_clock::time_point now);
   void NoteSuspension(std::chrono::steady_clock::time_point now);
--- a/standin/platform/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "bench/processes/file_text.h"
 #include "bench/processes/free_ports.h"
 #include "bench/processes/http_client.h"
 #include "bench/processes/poll_until.h"
@@ -30,6 +31,14 @@
   return name;
 }
 
+std::string ControlName(std::size_t number) {
+  return "control-" + std::to_string(number);
+}
+
+std::string ProxyName(std::size_t number) {
+  return "proxy-" + std::to_string(number);
+}
+
 nlohmann::json Route(const char* kind, milliseconds max_staleness) {
   return {{"name", kind},
           {"host", kind},
@@ -96,7 +105,7 @@
 }
 
 void PlatformFleet::StartControl(std::size_t number, bool founding) {
-  const std::string name = "control-" + std::to_string(number);
+  const std::string name = ControlName(number);
   const std::string host = this->ControlHost(number);
   const std::string disk = this->folder + "/" + name;
   std::filesystem::create_directories(disk);
@@ -109,11 +118,11 @@
   this->controls[number] = std::make_unique<processes::ChildProcess>(
       std::vector<std::string>{this->programs + "/ferryfleetd", "--settings",
                                path},
-      this->folder + "/" + name + ".log");
+      this->LogPath(name));
 }
 
 void PlatformFleet::StartProxy(std::size_t number) {
-  const std::string name = "proxy-" + std::to_string(number);
+  const std::string name = ProxyName(number);
   const std::string host = this->ProxyHost(number);
   const std::string path = this->folder + "/" + name + ".yaml";
   std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
@@ -122,7 +131,7 @@
   this->proxies[number] = std::make_unique<processes::ChildProcess>(
       std::vector<std::string>{this->programs + "/ferrysessiond", "--settings",
                                path},
-      this->folder + "/" + name + ".log");
+      this->LogPath(name));
 }
 
 void PlatformFleet::RestartControl(std::size_t number) {
@@ -199,23 +208,23 @@
   if (!ready) throw std::runtime_error("not ready; see " + this->folder);
 }
 
+std::string PlatformFleet::LogPath(const std::string& name) const {
+  return this->folder + "/" + name + ".log";
+}
+
 std::vector<std::string> PlatformFleet::Logs() const {
   std::vector<std::string> logs;
   for (std::size_t i = 0; i < kControls; ++i) {
-    logs.push_back(this->folder + "/control-" + std::to_string(i) + ".log");
+    logs.push_back(this->LogPath(ControlName(i)));
   }
   for (std::size_t i = 0; i < kProxies; ++i) {
-    logs.push_back(this->folder + "/proxy-" + std::to_string(i) + ".log");
+    logs.push_back(this->LogPath(ProxyName(i)));
   }
   return logs;
 }
 
 std::string PlatformFleet::LogOfProxy(std::size_t proxy) const {
-  std::ifstream stream(this->folder + "/proxy-" + std::to_string(proxy) +
-                       ".log");
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return processes::FileText(this->LogPath(ProxyName(proxy)));
 }
 
 }  // namespace lacewingferry::standin
--- a/standin/platform/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -70,6 +70,7 @@
   std::string LogOfProxy(std::size_t proxy) const;
 
  private:
+  std::string LogPath(const std::string& name) const;
   std::string ControlHost(std::size_t number) const;
   std::string ProxyHost(std::size_t number) const;
   std::string CommonSettings(const std::string& name,
--- a/standin/platform/platform_verdict.cc
+++ b/standin/platform/platform_verdict.cc
@@ -1,21 +1,17 @@
 #include "standin/platform/platform_verdict.h"
 
 #include <algorithm>
-#include <iomanip>
+
+#include "bench/processes/verdict_row.h"
 
 namespace lacewingferry::standin {
 namespace {
 
+using processes::WriteVerdictEnd;
+using processes::WriteVerdictRow;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr int kLabelWidth = 40;
-
-template <typename Value>
-void WriteRow(std::ostream& out, const char* label, const Value& value) {
-  out << "  " << std::left << std::setw(kLabelWidth) << label << value << "\n";
-}
-
 void CountStore(const StoreRecord& store, std::size_t times,
                 PlatformVerdict* verdict) {
   if (times > 1) ++verdict->doubled;
@@ -79,21 +75,21 @@
 
 void WritePlatformVerdict(const PlatformVerdict& verdict, std::ostream& out) {
   out << "measures\n";
-  WriteRow(out, "longest time without a write",
-           std::to_string(verdict.longest_gap.count()) + " ms");
+  WriteVerdictRow(out, "longest time without a write",
+                  std::to_string(verdict.longest_gap.count()) + " ms");
   out << "requests\n";
-  WriteRow(out, "writes acknowledged", verdict.acknowledged);
-  WriteRow(out, "writes refused as not run", verdict.not_run);
-  WriteRow(out, "writes unknown to the client", verdict.unknown);
-  WriteRow(out, "reads answered", verdict.reads);
-  WriteRow(out, "reads not answered", verdict.unanswered_reads);
+  WriteVerdictRow(out, "writes acknowledged", verdict.acknowledged);
+  WriteVerdictRow(out, "writes refused as not run", verdict.not_run);
+  WriteVerdictRow(out, "writes unknown to the client", verdict.unknown);
+  WriteVerdictRow(out, "reads answered", verdict.reads);
+  WriteVerdictRow(out, "reads not answered", verdict.unanswered_reads);
   out << "promises, where each number has to be 0\n";
-  WriteRow(out, "acknowledged and lost", verdict.lost);
-  WriteRow(out, "ran twice", verdict.doubled);
-  WriteRow(out, "ran though refused", verdict.ran_though_refused);
-  WriteRow(out, "own writes that a session missed", verdict.missed_own_stores);
-  out << (verdict.Kept() ? "verdict: all promises kept\n"
-                         : "verdict: promises broken\n");
+  WriteVerdictRow(out, "acknowledged and lost", verdict.lost);
+  WriteVerdictRow(out, "ran twice", verdict.doubled);
+  WriteVerdictRow(out, "ran though refused", verdict.ran_though_refused);
+  WriteVerdictRow(out, "own writes that a session missed",
+                  verdict.missed_own_stores);
+  WriteVerdictEnd(out, verdict.Kept());
 }
 
 }  // namespace lacewingferry::standin
--- a/tests/correctness/event_catalogue_test.cc
+++ b/tests/correctness/event_catalogue_test.cc
@@ -1,7 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <regex>
 #include <set>
 #include <sstream>
@@ -9,6 +7,7 @@
 #include <vector>
 
 #include "lacewingferry/core/events.h"
+#include "tests/support/source_text.h"
 
 namespace lacewingferry {
 namespace {
@@ -21,20 +20,11 @@
   std::string action;
 };
 
-std::string ReadSource(const std::string& path) {
-  const char* folder = std::getenv("FERRY_SOURCE_DIR");
-  CPPUNIT_ASSERT_MESSAGE("FERRY_SOURCE_DIR is not set", folder != nullptr);
-  std::ifstream stream(std::string(folder) + "/" + path);
-  CPPUNIT_ASSERT_MESSAGE(path, stream.good());
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 /** The numbers of the enumeration, read from its source because C++ can't
  * list enumerators. */
 std::vector<int> CodesOfTheHeader() {
-  const std::string text = ReadSource("src/lacewingferry/core/events.h");
+  const std::string text =
+      testing::SourceText("src/lacewingferry/core/events.h");
   const std::regex enumerator(R"(\n  k\w+ = (\d+),)");
   std::vector<int> codes;
   for (std::sregex_iterator i(text.begin(), text.end(), enumerator), end;
@@ -45,7 +35,7 @@
 }
 
 std::vector<std::pair<int, Row>> RowsOfTheCatalogue() {
-  std::istringstream text(ReadSource("docs/EVENTS.md"));
+  std::istringstream text(testing::SourceText("docs/EVENTS.md"));
   const std::regex row(
       R"(\| (\d+) \| (\w+) \| (\w+) \| ([^|]+) \| ([^|]+) \|)");
   std::vector<std::pair<int, Row>> rows;
--- a/tests/correctness/fair_queue_test.cc
+++ b/tests/correctness/fair_queue_test.cc
@@ -11,20 +11,21 @@
 
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
+using namespace std::chrono_literals;
 
 Job MakeJob(const std::string& customer, const std::string& session,
-            RequestKind kind, int deadline_ms) {
+            RequestKind kind, milliseconds deadline) {
   Job job;
   job.request.customer = CustomerId(customer);
   job.request.session = SessionId(session);
   job.request.kind = kind;
-  job.deadline = steady_clock::time_point(milliseconds(deadline_ms));
+  job.deadline = steady_clock::time_point(deadline);
   return job;
 }
 
 Job MakeWrite(const std::string& customer, const std::string& session,
-              int deadline_ms = 100) {
-  return MakeJob(customer, session, RequestKind::kWrite, deadline_ms);
+              milliseconds deadline = 100ms) {
+  return MakeJob(customer, session, RequestKind::kWrite, deadline);
 }
 
 class FairQueueTest : public CppUnit::TestFixture {
@@ -59,8 +60,8 @@
 
   void TheEarliestDeadlineOfASessionGoesFirst() {
     FairQueue queue;
-    queue.Push(MakeWrite("c", "s", 300));
-    queue.Push(MakeWrite("c", "s", 200));
+    queue.Push(MakeWrite("c", "s", 300ms));
+    queue.Push(MakeWrite("c", "s", 200ms));
     CPPUNIT_ASSERT(queue.Pop()->deadline ==
                    steady_clock::time_point(milliseconds(200)));
     CPPUNIT_ASSERT(*queue.NextDeadline() ==
@@ -71,7 +72,7 @@
     JobQueue queue;
     for (int i = 0; i < 100; ++i) {
       queue.Push(MakeWrite("c", "w"));
-      queue.Push(MakeJob("c", "r", RequestKind::kRead, 100));
+      queue.Push(MakeJob("c", "r", RequestKind::kRead, 100ms));
     }
     int reads = 0;
     for (int i = 0; i < 80; ++i) {
@@ -85,7 +86,7 @@
     std::optional<Job> displaced;
     int pushed = 0;
     while (!displaced) {
-      displaced = queue.Push(MakeWrite("big", "s", ++pushed));
+      displaced = queue.Push(MakeWrite("big", "s", milliseconds(++pushed)));
     }
     CPPUNIT_ASSERT(displaced->deadline ==
                    steady_clock::time_point(milliseconds(pushed)));
@@ -100,7 +101,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2},
                          queue.CountAhead(MakeWrite("small", "y")));
     CPPUNIT_ASSERT_EQUAL(std::size_t{51},
-                         queue.CountAhead(MakeWrite("big", "s", 200)));
+                         queue.CountAhead(MakeWrite("big", "s", 200ms)));
   }
 };
 
--- a/tests/correctness/history_checker_test.cc
+++ b/tests/correctness/history_checker_test.cc
@@ -16,9 +16,10 @@
 using model::ValueOf;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
+using namespace std::chrono_literals;
 
-steady_clock::time_point At(int after_ms) {
-  return steady_clock::time_point(milliseconds(after_ms));
+steady_clock::time_point At(milliseconds after) {
+  return steady_clock::time_point(after);
 }
 
 /** A history of one work of two keys that was acknowledged in term 1, told at
@@ -30,10 +31,10 @@
   work.keys = {"w/a", "w/b"};
   work.told = Told::kAnswered;
   work.term = 1;
-  work.told_at = At(100);
+  work.told_at = At(100ms);
   history.works.push_back(work);
   history.log.push_back({{"w/a", ValueOf("w/a")}, {"w/b", ValueOf("w/b")}});
-  history.promoted_at[1] = At(0);
+  history.promoted_at[1] = At(0ms);
   return history;
 }
 
@@ -61,7 +62,7 @@
     lost.log.clear();
     CPPUNIT_ASSERT(Breaks(lost, Promise::kAcknowledgedSurvives));
     History late = Whole();
-    late.promoted_at[2] = At(99);
+    late.promoted_at[2] = At(99ms);
     CPPUNIT_ASSERT(Breaks(late, Promise::kNoAnswerByReplaced));
     History mixed = Whole();
     mixed.log[0].push_back({"x/a", ValueOf("x/a")});
@@ -86,10 +87,10 @@
   void FindsReadsThatMissAWrite() {
     History own = Whole();
     own.works[0].session = "s";
-    HistoryRead read{"w/a", std::nullopt, "s", true, std::nullopt, At(101)};
+    HistoryRead read{"w/a", std::nullopt, "s", true, std::nullopt, At(101ms)};
     own.reads = {read};
     CPPUNIT_ASSERT(Breaks(own, Promise::kReadYourWrites));
-    own.reads[0].sent_at = At(100);
+    own.reads[0].sent_at = At(100ms);
     CPPUNIT_ASSERT(CheckHistory(own).empty());
     own.reads[0] = read;
     own.reads[0].session = "another";
@@ -97,10 +98,10 @@
     History old = Whole();
     read.session.clear();
     read.max_age = milliseconds(50);
-    read.sent_at = At(151);
+    read.sent_at = At(151ms);
     old.reads = {read};
     CPPUNIT_ASSERT(Breaks(old, Promise::kStatedAge));
-    old.reads[0].sent_at = At(150);
+    old.reads[0].sent_at = At(150ms);
     CPPUNIT_ASSERT(CheckHistory(old).empty());
     old.reads[0].by_replica = false;
     CPPUNIT_ASSERT(Breaks(old, Promise::kStatedAge));
@@ -108,10 +109,10 @@
 
   void FindsWorkForAMemberThatLeft() {
     History history = Whole();
-    history.leavings = {{"a", At(0)}};
-    history.uses = {{"b", At(9000)}, {"a", At(3000)}};
+    history.leavings = {{"a", At(0ms)}};
+    history.uses = {{"b", At(9000ms)}, {"a", At(3000ms)}};
     CPPUNIT_ASSERT(CheckHistory(history).empty());
-    history.uses.push_back({"a", At(3001)});
+    history.uses.push_back({"a", At(3001ms)});
     CPPUNIT_ASSERT(Breaks(history, Promise::kNoWorkForLeaving));
   }
 
@@ -127,17 +128,17 @@
 
   void FindsAConfigurationThatRevertsOrIsMissing() {
     History history = Whole();
-    history.accepted = {{1, At(0)}, {2, At(1000)}};
-    history.in_force["p"] = {{1, At(500)}, {2, At(9000)}};
-    history.ended_at = At(9000);
+    history.accepted = {{1, At(0ms)}, {2, At(1000ms)}};
+    history.in_force["p"] = {{1, At(500ms)}, {2, At(9000ms)}};
+    history.ended_at = At(9000ms);
     CPPUNIT_ASSERT(CheckHistory(history).empty());
-    history.in_force["p"] = {{2, At(1500)}, {1, At(1600)}};
+    history.in_force["p"] = {{2, At(1500ms)}, {1, At(1600ms)}};
     CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
-    history.in_force["p"] = {{1, At(500)}, {2, At(9001)}};
+    history.in_force["p"] = {{1, At(500ms)}, {2, At(9001ms)}};
     CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
-    history.in_force["p"] = {{1, At(500)}};
+    history.in_force["p"] = {{1, At(500ms)}};
     CPPUNIT_ASSERT(Breaks(history, Promise::kConfigurationHolds));
-    history.ended_at = At(8999);
+    history.ended_at = At(8999ms);
     CPPUNIT_ASSERT(CheckHistory(history).empty());
   }
 };
--- a/tests/correctness/processes_explain_test.cc
+++ b/tests/correctness/processes_explain_test.cc
@@ -2,11 +2,10 @@
 
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <future>
-#include <sstream>
 
 #include "bench/processes/child_process.h"
+#include "bench/processes/file_text.h"
 #include "bench/processes/poll_until.h"
 #include "lacewingferry/decisions/gateway/statement_record.h"
 #include "standin/platform/line_client.h"
@@ -41,10 +40,7 @@
   std::filesystem::remove(output);
   processes::ChildProcess ferryctl(command, output);
   ferryctl.WaitForEnd(kFleetDeadline);
-  std::ifstream stream(output);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return processes::FileText(output);
 }
 
 /** Waits until the path of a request names events, one after the other. */
--- a/tests/correctness/processes_replacement_test.cc
+++ b/tests/correctness/processes_replacement_test.cc
@@ -2,9 +2,8 @@
 
 #include <csignal>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
+#include "bench/processes/file_text.h"
 #include "bench/processes/free_ports.h"
 #include "bench/processes/poll_until.h"
 #include "tests/support/process_cluster.h"
@@ -53,10 +52,9 @@
 
   static bool IsAdmitted(ProcessCluster& cluster, const MemberId& member) {
     for (const auto& control : cluster.Plan().controls) {
-      std::ifstream log(cluster.Local().Files().LogOf(control.id.Value()));
-      std::ostringstream text;
-      text << log.rdbuf();
-      if (text.str().find("added " + member.Value()) != std::string::npos) {
+      const std::string log = processes::FileText(
+          cluster.Local().Files().LogOf(control.id.Value()));
+      if (log.find("added " + member.Value()) != std::string::npos) {
         return true;
       }
     }
--- a/tests/correctness/session_metrics_test.cc
+++ b/tests/correctness/session_metrics_test.cc
@@ -1,12 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 #include "bench/model/session_gateway.h"
 #include "lacewingferry/adapters/histogram/gauge_text.h"
+#include "tests/support/source_text.h"
 
 namespace lacewingferry {
 namespace {
@@ -26,17 +24,12 @@
     gateway.Lease(milliseconds(5000));
     gateway.Vouch();
     gateway.Run(milliseconds(100));
-    const char* folder = std::getenv("FERRY_SOURCE_DIR");
-    CPPUNIT_ASSERT_MESSAGE("FERRY_SOURCE_DIR is not set", folder != nullptr);
-    std::ifstream page(std::string(folder) + "/docs/METRICS.md");
-    std::ostringstream text;
-    text << page.rdbuf();
+    const std::string page = testing::SourceText("docs/METRICS.md");
     const auto gauges = gateway.Decisions().Gauges(gateway.Queue().Now());
     CPPUNIT_ASSERT(gauges.size() >= 9);
     for (const Gauge& gauge : gauges) {
       CPPUNIT_ASSERT_MESSAGE(
-          gauge.name,
-          text.str().find("`" + gauge.name + "`") != std::string::npos);
+          gauge.name, page.find("`" + gauge.name + "`") != std::string::npos);
     }
   }
 
--- a/tests/correctness/switchover_chaos_test.cc
+++ b/tests/correctness/switchover_chaos_test.cc
@@ -48,18 +48,11 @@
                                                       most)(this->random);
   }
 
-  SwitchoverMember& AnyMember() {
-    const std::size_t place = this->Pick(0, this->fleet.members.size() - 1);
-    return std::next(this->fleet.members.begin(),
-                     static_cast<std::ptrdiff_t>(place))
-        ->second;
-  }
-
-  SwitchoverProxy& AnyProxy() {
-    const std::size_t place = this->Pick(0, this->fleet.proxies.size() - 1);
-    return std::next(this->fleet.proxies.begin(),
-                     static_cast<std::ptrdiff_t>(place))
-        ->second;
+  template <typename Map>
+  typename Map::mapped_type& AnyOf(Map& map) {
+    const auto place =
+        static_cast<std::ptrdiff_t>(this->Pick(0, map.size() - 1));
+    return std::next(map.begin(), place)->second;
   }
 
   /** Sets a member's process, with what depends on it. */
@@ -70,7 +63,7 @@
   }
 
   void MakeTrouble() {
-    SwitchoverMember& member = this->AnyMember();
+    SwitchoverMember& member = this->AnyOf(this->fleet.members);
     switch (this->Pick(0, 9)) {
       case 0:
       case 1:
@@ -88,7 +81,7 @@
         member.busy = !member.busy;
         return;
       case 6: {
-        SwitchoverProxy& proxy = this->AnyProxy();
+        SwitchoverProxy& proxy = this->AnyOf(this->fleet.proxies);
         proxy.reachable = !proxy.reachable;
         return;
       }
--- a/tests/error/bad_input_test.cc
+++ b/tests/error/bad_input_test.cc
@@ -6,11 +6,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <sstream>
 
+#include "bench/processes/file_text.h"
 #include "bench/processes/http_client.h"
 #include "bench/processes/poll_until.h"
 #include "bench/processes/workload_tables.h"
@@ -187,13 +186,11 @@
       stranger.Push(bytes);
     }
     const std::string log = cluster.Local().Files().LogOf(proxy.id.Value());
-    cluster.Assert(
-        "rejections in the log", processes::PollUntil(kProcessDeadline, [&log] {
-          std::ifstream stream(log);
-          std::ostringstream text;
-          text << stream.rdbuf();
-          return text.str().find(kRejectedEvent) != std::string::npos;
-        }));
+    cluster.Assert("rejections in the log",
+                   processes::PollUntil(kProcessDeadline, [&log] {
+                     return processes::FileText(log).find(kRejectedEvent) !=
+                            std::string::npos;
+                   }));
     this->ExpectAlive(cluster);
   }
 
