--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -15,6 +15,7 @@
 #include "lacewingferry/adapters/nng/peer_socket.h"
 #include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/app/control_replica.h"
+#include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/operator_api.h"
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/app/run_io_context.h"
@@ -261,10 +262,7 @@
   membership_parts.self = ProxyInfo{this->settings.node, this->settings.zone,
                                     this->settings.peer_url, false};
   membership_parts.role = NodeRole::kControl;
-  membership_parts.incarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          this->parts.hybrid.clock.wall_now().time_since_epoch())
-          .count());
+  membership_parts.incarnation = IncarnationNow(this->parts.hybrid.clock);
   membership_parts.random_seed = membership_parts.incarnation;
   for (const PeerAddress& voter : this->settings.voters) {
     if (voter.id != this->settings.node) {
