A planned stop counts answers until they are written, and has a limit of its own

Lost answers, two causes found by reading the path: - An answer passes from the database's thread to the connection's. Between the two neither thread counted it, so the stop could end the process with the answer unwritten. HttpServer counts exchanges now, from a request's first byte until its answer is written, and the stop waits for them. - The test's client took a connection that the proxy had closed at rest for a lost answer: it wrote into it and read its end. It looks first now.

The stop that didn't end isn't traced. A traffic thread that doesn't answer kept the drain check waiting for ever; now the stop has a limit beyond the drain limit, names how many threads are silent (event 1005 internal_error), and ends the process, so that the next sight tells more.

--- a/bench/processes/http_client.cc
+++ b/bench/processes/http_client.cc
@@ -38,6 +38,7 @@
 
 HttpResponse HttpClient::Exchange(const HttpRequest& request,
                                   std::chrono::milliseconds timeout) {
+  this->DropIfClosed();
   if (!this->stream) this->stream.emplace(this->io);
   this->stream->expires_after(timeout);
   if (!this->stream->socket().is_open()) this->Connect();
@@ -70,6 +71,17 @@
   return this->Exchange(HttpRequest{"POST", path, "", {}, body}, timeout);
 }
 
+void HttpClient::DropIfClosed() {
+  if (!this->stream || !this->stream->socket().is_open()) return;
+  tcp::socket& socket = this->stream->socket();
+  char byte = 0;
+  error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
+                 error);
+  if (error != boost::asio::error::would_block) this->stream.reset();
+}
+
 void HttpClient::Connect() {
   const tcp::endpoint address(boost::asio::ip::make_address(this->server.host),
                               this->server.port);
--- a/bench/processes/http_client.h
+++ b/bench/processes/http_client.h
@@ -49,6 +49,9 @@
   void Await(bool sent,
              const std::function<void(boost::system::error_code&)>& start);
   void Connect();
+  /** Gives up a connection that the server closed while it rested; that is no
+   * failure of the next request. */
+  void DropIfClosed();
 
   Endpoint server;
   boost::asio::io_context io;
--- a/src/lacewingferry/adapters/http/http_connection.cc
+++ b/src/lacewingferry/adapters/http/http_connection.cc
@@ -60,6 +60,7 @@
 void HttpConnection::Start() { this->WaitForRequest(); }
 
 void HttpConnection::WaitForRequest() {
+  this->exchange.reset();
   if (this->buffer.size() > 0) {
     this->ReadRequest();
     return;
@@ -81,6 +82,7 @@
 }
 
 void HttpConnection::ReadRequest() {
+  this->exchange.emplace(*this->state);
   this->parser.emplace();
   this->parser->body_limit(this->max_body_bytes);
   this->stream.expires_after(kRequestTimeout);
@@ -146,6 +148,7 @@
   http::async_write(this->stream, this->response,
                     [self = this->shared_from_this(), keep_alive](
                         boost::system::error_code error, std::size_t) {
+                      self->exchange.reset();
                       if (error) return;
                       if (keep_alive) {
                         self->WaitForRequest();
--- a/src/lacewingferry/adapters/http/http_connection.h
+++ b/src/lacewingferry/adapters/http/http_connection.h
@@ -50,6 +50,8 @@
   HttpHandler handler;
   std::size_t max_body_bytes;
   std::shared_ptr<HttpServerState> state;
+  /** From a request's first byte until its answer is written. */
+  std::optional<CountedExchange> exchange;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   Response response;
--- a/src/lacewingferry/adapters/http/http_server.cc
+++ b/src/lacewingferry/adapters/http/http_server.cc
@@ -45,6 +45,8 @@
   return this->acceptor.local_endpoint().port();
 }
 
+std::size_t HttpServer::Exchanges() const { return this->state->exchanges; }
+
 void HttpServer::Start() { this->Accept(); }
 
 void HttpServer::Stop() {
--- a/src/lacewingferry/adapters/http/http_server.h
+++ b/src/lacewingferry/adapters/http/http_server.h
@@ -43,6 +43,10 @@
    * "Connection: close". Call on the first thread. */
   void Stop();
 
+  /** The requests that began to arrive and whose answers aren't written yet.
+   * Any thread may ask. */
+  std::size_t Exchanges() const;
+
   /** The port in use, also when the settings gave 0. */
   std::uint16_t Port() const;
 
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
 #include "lacewingferry/app/caller_api.h"
+#include "lacewingferry/app/daemon_main.h"
 #include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/proxy_control.h"
 #include "lacewingferry/app/rejected_message.h"
@@ -33,6 +35,8 @@
 /** Peers that have not yet heard of the stop still send requests for this
  * long. */
 constexpr milliseconds kPeerNoticeTime{1000};
+/** Beyond the drain limit, for a traffic thread to say what it has left. */
+constexpr milliseconds kAnswerGrace{1000};
 
 }  // namespace
 
@@ -65,6 +69,7 @@
   void RunOnControl(Action action);
   void ArmControlTimer();
   void BeginStop();
+  void LimitStop();
   void CheckDrained();
   void EndStop();
 
@@ -76,6 +81,7 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer control_timer;
   boost::asio::steady_timer drain_timer;
+  boost::asio::steady_timer stop_limit;
   std::uint64_t incarnation;
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::shared_ptr<HttpServer> http;
@@ -100,6 +106,7 @@
       signals(this->control, SIGTERM, SIGINT),
       control_timer(this->control),
       drain_timer(this->control),
+      stop_limit(this->control),
       incarnation(IncarnationNow(this->clock)) {
   this->MakeTrafficThreads();
   this->peers = std::make_unique<PeerSocket>(
@@ -343,9 +350,28 @@
   this->state->StartDraining();
   boost::asio::post(this->threads.front()->Io(),
                     [server = this->http] { server->Stop(); });
+  this->LimitStop();
   this->CheckDrained();
 }
 
+/** A traffic thread that doesn't answer can't be ended either, so the process
+ * ends without it. */
+void ProxyProgram::Impl::LimitStop() {
+  this->stop_limit.expires_after(this->settings.drain_limit + kAnswerGrace);
+  this->stop_limit.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    const std::size_t silent = this->threads.size() - this->counted;
+    this->events.record(
+        Event{EventCode::kInternalError,
+              EventLevel::kError,
+              {{"reason",
+                "the stop is overdue; traffic threads that don't "
+                "answer: " +
+                    std::to_string(silent)}}});
+    std::quick_exit(kExitFailed);
+  });
+}
+
 void ProxyProgram::Impl::CheckDrained() {
   this->counted = 0;
   this->unfinished = 0;
@@ -364,8 +390,9 @@
 void ProxyProgram::Impl::EndStop() {
   const auto stopped_for = this->clock.now() - this->stop_began;
   const bool noticed = stopped_for >= kPeerNoticeTime;
-  if ((this->unfinished == 0 && noticed) ||
-      stopped_for >= this->settings.drain_limit) {
+  // An answer may still be on its way between two threads.
+  const bool idle = this->unfinished == 0 && this->http->Exchanges() == 0;
+  if ((idle && noticed) || stopped_for >= this->settings.drain_limit) {
     this->state->Leave();
     this->control_timer.cancel();
     this->control.stop();
