A member that has no connection left is alive, not lost

Cause: a refused opening of a connection counted as 'nothing listens, or another member does', whatever the member gave as its reason. With 97 proxies before members of 76 connections a new leader of control found no room at healthy primaries, took that for their loss after 300 ms, recalled the leases of terms that nothing could end, and nothing was served any more.

Ruled out: bytes and whole states (control's processor stood at 2% of a core), and connections for announcements (219 descriptors at most).

The reason is decoded now: a full member counts as busy. One that takes a connection and closes it at once counts as slow, not as silent.

--- a/src/lacewingferry/ports/member_admin_port.h
+++ b/src/lacewingferry/ports/member_admin_port.h
@@ -16,14 +16,14 @@
 /** What came of a request to a member. */
 enum class MemberResponse : std::uint8_t {
   kAnswered,
-  /** The member lives, and had no slot free. */
+  /** The member lives, and had no slot or no connection free. */
   kBusy,
   /** Nothing listens at its address, or another member does. */
   kRefused,
   /** No answer came in time, or no connection could be opened. */
   kSilent,
-  /** A new connection was taken, and no answer came in time: the member may be
-   * overloaded. */
+  /** A new connection was taken, and no answer came in time or the connection
+   * was closed again: the member may be overloaded. */
   kSlow,
 };
 
