Some proxies of a zone own a group's connections, the others relay sessions to them

Cause: each proxy held a connection to each member at least.

Beyond, each zone gets its part of a member's connections for as many owners as get four each, ranked by rendezvous. A session whose group another proxy owns is relayed at its opening, line by line, over one hop in the zone; the owner serves it like its own, so every rule stays with one piece of code. Owners that don't take it are passed over; a session at rest follows its group to new owners; a stopping proxy ends relays as they come to rest. Control tells a proxy the proxies of its own zone, when they changed; a new leader waits until all have reported. Only owners hold a group's lease, so fewer have to be asked before a promotion.

Weighed: relaying statements over the peers' sockets (no sign of a loss, and order to be kept anew); forwarding single statements (sessions' values and transactions would live on two proxies).

--- a/bench/model/session_gateway.cc
+++ b/bench/model/session_gateway.cc
@@ -103,7 +103,7 @@
   settings.zone = AvailabilityZone("z0");
   GroupView& group = this->view.groups[kDatabase];
   group.database = kDatabase;
-  group.connections = 4;
+  group.deal.connections = 4;
   group.term.database = kDatabase;
   group.term.term = 1;
   group.term.primary = MemberId("m0");
@@ -193,13 +193,16 @@
                             this->members.PositionOf(primary));
 }
 
-ClientId SessionGateway::Open(const std::string& host) {
+ClientId SessionGateway::Open(const std::string& host, SessionOrigin origin) {
   const ClientId client = ++this->last_client;
-  this->gateway->Open(
-      this->queue.Now(), client, host, [this, client](Admission admission) {
-        this->closed[client] = admission != Admission::kAccepted;
-        if (!this->closed[client]) this->closed.erase(client);
-      });
+  this->gateway->Open(this->queue.Now(), {client, host, origin},
+                      [this, client](const Admission& admission) {
+                        this->admissions[client] = admission;
+                        const bool served =
+                            admission.verdict == AdmissionVerdict::kAccepted ||
+                            admission.verdict == AdmissionVerdict::kRelayed;
+                        if (!served) this->closed[client] = true;
+                      });
   return client;
 }
 
--- a/bench/model/session_gateway.h
+++ b/bench/model/session_gateway.h
@@ -45,7 +45,12 @@
   /** Vouches for the primary's position as it is now. */
   void Vouch();
 
-  ClientId Open(const std::string& host);
+  ClientId Open(const std::string& host,
+                SessionOrigin origin = SessionOrigin::kClient);
+  /** What became of a session's opening. */
+  const std::map<ClientId, Admission>& Admissions() const {
+    return this->admissions;
+  }
   /** Sends a statement; returns its identifier. */
   RequestId Ask(ClientId client, const std::string& text);
   /** Lets the time pass. */
@@ -80,6 +85,7 @@
   int last_request = 0;
   std::map<ClientId, std::vector<RequestId>> asked;
   std::map<RequestId, SessionAnswer> answers;
+  std::map<ClientId, Admission> admissions;
   std::map<ClientId, bool> closed;
   std::vector<Recalled> recalls;
 };
--- a/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
+++ b/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
@@ -15,9 +15,9 @@
 constexpr std::uint64_t kMostLosses = 4;
 
 void ReadPort(DocumentWalk* walk, const YAML::Node& mapping, const char* key,
-              std::uint16_t* target) {
+              Need need, std::uint16_t* target) {
   std::uint64_t port = *target;
-  walk->ReadNumber(mapping, key, Need::kRequired, 1, kMostPort, &port);
+  walk->ReadNumber(mapping, key, need, 1, kMostPort, &port);
   *target = static_cast<std::uint16_t>(port);
 }
 
@@ -57,8 +57,8 @@
   walk->ReadId(root, "address", Need::kRequired, &node->address);
   walk->ReadId(root, "zone", Need::kRequired, &node->zone);
   ReadRegions(walk, root, &node->regions);
-  ReadPort(walk, root, "peer_port", &node->peer_port);
-  ReadPort(walk, root, "metrics_port", &node->metrics_port);
+  ReadPort(walk, root, "peer_port", Need::kRequired, &node->peer_port);
+  ReadPort(walk, root, "metrics_port", Need::kRequired, &node->metrics_port);
   ReadControl(walk, root, &node->control);
   detail::ReadLog(walk, root, &node->log);
 }
@@ -78,11 +78,15 @@
   DocumentWalk walk(detail::ReadWholeFile(path), path);
   SessionProxySettings settings;
   const YAML::Node& root = walk.Root();
-  if (walk.ExpectMapping(
-          root, "the settings of a proxy of sessions",
-          {"name", "address", "zone", "regions", "peer_port", "metrics_port",
-           "control", "log", "listen", "readiness", "stop_limit"})) {
+  if (walk.ExpectMapping(root, "the settings of a proxy of sessions",
+                         {"name", "address", "zone", "regions", "peer_port",
+                          "metrics_port", "control", "log", "listen",
+                          "readiness", "relay_port", "stop_limit"})) {
     ReadNode(&walk, root, &settings.node);
+    // The port beside it, unless the settings name another.
+    settings.relay_port =
+        static_cast<std::uint16_t>(settings.node.peer_port + 1);
+    ReadPort(&walk, root, "relay_port", Need::kOptional, &settings.relay_port);
     walk.ReadEndpoint(root, "listen", Need::kRequired, &settings.listen);
     walk.ReadEndpoint(root, "readiness", Need::kRequired, &settings.readiness);
     walk.ReadDuration(root, "stop_limit", Need::kOptional,
--- a/src/lacewingferry/app/session_front.h
+++ b/src/lacewingferry/app/session_front.h
@@ -13,13 +13,18 @@
 #include "lacewingferry/core/client_statement.h"
 #include "lacewingferry/core/member_request.h"
 #include "lacewingferry/core/routing_view.h"
-#include "lacewingferry/decisions/gateway/gateway.h"
+#include "lacewingferry/decisions/gateway/admission.h"
+#include "lacewingferry/decisions/gateway/relayed_sessions.h"
 
 namespace lacewingferry {
 
 /** What the front reports, on the traffic thread. */
 struct SessionFrontHooks {
-  std::function<void(ClientId, const std::string& host, AdmissionHook)> open;
+  std::function<void(const SessionOpening&, AdmissionHook)> open;
+  /** A relayed session sent a statement or got an answer. */
+  std::function<void(ClientId, const RelayState&)> relay_state;
+  /** No owner took a session; client_gone follows. */
+  std::function<void(ClientId, const std::string& host)> relay_failed;
   std::function<void(ClientId, const ClientStatement&)> statement;
   std::function<void(ClientId)> client_gone;
   std::function<void(LinkId, const std::optional<LogPosition>&)> link_opened;
@@ -36,9 +41,17 @@
   std::function<void(LinkId)> close_link;
 };
 
-/** Makes a front that listens at an address. Throws UserError if it can't. */
+/** Where a front listens. */
+struct SessionFrontAddresses {
+  /** For clients. */
+  Endpoint clients;
+  /** For other proxies, which relay sessions; at the same port on each. */
+  Endpoint proxies;
+};
+
+/** Makes a front that listens. Throws UserError if it can't. */
 using MakeSessionFront = std::function<SessionFront(
-    boost::asio::io_context& traffic, const Endpoint& listen,
+    boost::asio::io_context& traffic, const SessionFrontAddresses& addresses,
     SessionFrontHooks hooks)>;
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/app/session_proxy_program.cc
+++ b/src/lacewingferry/app/session_proxy_program.cc
@@ -103,7 +103,10 @@
   SessionTrafficParts traffic_parts;
   traffic_parts.settings.zone = this->parts.settings.node.zone;
   traffic_parts.settings.regions = this->parts.settings.node.regions;
-  traffic_parts.listen = this->parts.settings.listen;
+  traffic_parts.addresses.clients = this->parts.settings.listen;
+  traffic_parts.addresses.proxies =
+      Endpoint{this->parts.settings.node.address.Value(),
+               this->parts.settings.relay_port};
   traffic_parts.make_front = this->parts.make_front;
   traffic_parts.clock = this->clock;
   traffic_parts.events = this->parts.events;
@@ -122,6 +125,7 @@
 
 FleetClientSettings SessionProxyProgram::Impl::ClientSettings() const {
   FleetClientSettings settings;
+  settings.self = this->parts.settings.node.address;
   settings.zone = this->parts.settings.node.zone;
   settings.lease = MakeSessionLeaseTiming();
   settings.report_interval = settings.lease.renewal_interval;
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -52,7 +52,7 @@
       armed_for(steady_clock::time_point::max()),
       gateway(std::make_unique<Gateway>(this->MakeGatewayHooks(),
                                         this->parts.settings)),
-      front(this->parts.make_front(this->io, this->parts.listen,
+      front(this->parts.make_front(this->io, this->parts.addresses,
                                    this->FrontHooks())) {
   this->KeepGauges(this->parts.clock.now());
 }
@@ -95,12 +95,18 @@
 
 SessionFrontHooks SessionTraffic::FrontHooks() {
   SessionFrontHooks hooks;
-  hooks.open = [this](ClientId client, const std::string& host,
-                      AdmissionHook done) {
+  hooks.open = [this](const SessionOpening& opening, AdmissionHook done) {
     this->Handle([&](steady_clock::time_point now) {
-      this->gateway->Open(now, client, host, std::move(done));
+      this->gateway->Open(now, opening, std::move(done));
     });
   };
+  hooks.relay_state = [this](ClientId client, const RelayState& state) {
+    this->gateway->OnRelayState(client, state);
+    this->session_count = this->gateway->SessionCount();
+  };
+  hooks.relay_failed = [this](ClientId client, const std::string& host) {
+    this->gateway->OnRelayFailed(client, host);
+  };
   hooks.statement = [this](ClientId client, const ClientStatement& statement) {
     this->Handle([&](steady_clock::time_point now) {
       this->gateway->OnStatement(now, client, statement);
--- a/src/lacewingferry/app/session_traffic.h
+++ b/src/lacewingferry/app/session_traffic.h
@@ -25,7 +25,7 @@
 /** What the traffic thread is made of. */
 struct SessionTrafficParts {
   GatewaySettings settings;
-  Endpoint listen;
+  SessionFrontAddresses addresses;
   MakeSessionFront make_front;
   ClockPort clock;
   EventPort events;
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -52,6 +52,8 @@
       return "request_served";
     case EventCode::kSessionsClosed:
       return "sessions_closed";
+    case EventCode::kSessionNotRelayed:
+      return "session_not_relayed";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -29,6 +29,7 @@
   kRequestUnknown = 3102,
   kRequestServed = 3103,
   kSessionsClosed = 3104,
+  kSessionNotRelayed = 3105,
   kReplicaPassedOver = 3201,
   kReplicaTakenBack = 3202,
   kPeerMessageRejected = 4001,
--- a/src/lacewingferry/core/fleet_settings.h
+++ b/src/lacewingferry/core/fleet_settings.h
@@ -39,6 +39,8 @@
   FleetNodeSettings node;
   /** Where clients connect. */
   Endpoint listen;
+  /** Where other proxies relay sessions to; the same on every proxy. */
+  std::uint16_t relay_port = 0;
   /** Where the balancer asks whether this proxy takes connections. */
   Endpoint readiness;
   /** How long a planned stop may take. */
--- a/src/lacewingferry/core/messages/fleet_messages.h
+++ b/src/lacewingferry/core/messages/fleet_messages.h
@@ -28,6 +28,8 @@
   std::uint64_t fleet_revision = 0;
   std::uint64_t configuration_version = 0;
   bool draining = false;
+  /** The ZoneProxies that the proxy knows; 0 for none. */
+  std::uint64_t zone_digest = 0;
   /** Reports before this one that got no answer; control then opens its
    * connection to the proxy anew. */
   std::uint32_t unanswered = 0;
@@ -41,6 +43,7 @@
     visit("fleet_revision", self.fleet_revision);
     visit("configuration_version", self.configuration_version);
     visit("draining", self.draining);
+    visit("zone_digest", self.zone_digest);
     visit("unanswered", self.unanswered);
     visit("renewal", self.renewal);
   }
@@ -76,6 +79,22 @@
   }
 };
 
+/** The proxies of one availability zone that take sessions. */
+struct ZoneProxies {
+  /** Names this content, the same at each leader of control; 0 for none. */
+  std::uint64_t digest = 0;
+  /** The availability zones that have such proxies. */
+  std::uint32_t zones = 0;
+  std::vector<NodeId> proxies;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor&& visit) {
+    visit("digest", self.digest);
+    visit("zones", self.zones);
+    visit("proxies", self.proxies);
+  }
+};
+
 /** Control's answer to a report, or news without one. */
 struct ProxyUpdate {
   /** The report that this answers; 0 for news. */
@@ -90,6 +109,8 @@
   /** Left out where the proxy knows it. */
   std::optional<FleetState> fleet;
   std::optional<ServiceConfiguration> configuration;
+  /** Of the proxy's own zone; left out where the proxy knows it. */
+  std::optional<ZoneProxies> zone;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
@@ -101,6 +122,7 @@
     visit("positions", self.positions);
     visit("fleet", self.fleet);
     visit("configuration", self.configuration);
+    visit("zone", self.zone);
   }
 };
 
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -66,6 +66,7 @@
   report.fleet_revision = this->fleet.revision;
   report.configuration_version = this->configuration.version;
   report.draining = this->draining;
+  report.zone_digest = this->neighbours.digest;
   report.unanswered = this->unanswered++;
   report.renewal = std::move(renewal);
   this->sent[report.sequence] = now;
@@ -150,6 +151,10 @@
   const std::uint32_t share_before = this->share;
   this->TakeShare(now, update.proxies);
   bool changed = this->share != share_before;
+  if (update.zone) {
+    this->neighbours = *update.zone;
+    changed = true;
+  }
   if (update.fleet && update.fleet->revision > this->fleet.revision) {
     this->fleet = *update.fleet;
     changed = true;
@@ -179,11 +184,17 @@
 }
 
 void FleetClient::Publish(steady_clock::time_point now) {
-  this->hooks.publish(
-      MakeGatewayView(this->fleet, this->configuration, this->share));
+  const GatewayViewPtr view = MakeGatewayView(
+      this->fleet, this->configuration,
+      ProxyPlace{this->share, this->neighbours, this->settings.self});
+  this->hooks.publish(view);
   std::vector<DatabaseStamp> stamps;
   for (const DatabaseTerm& entry : this->fleet.databases) {
     if (entry.phase != TermPhase::kSteady) continue;
+    // Without sessions there is nothing to acknowledge, and a lease would
+    // only be waited for when this proxy is gone.
+    const auto group = view->groups.find(entry.database);
+    if (group != view->groups.end() && !group->second.deal.owner) continue;
     stamps.push_back({entry.database, entry.term, entry.members_revision});
   }
   this->holder->SetDatabases(now, std::move(stamps));
--- a/src/lacewingferry/decisions/gateway/fleet_client.h
+++ b/src/lacewingferry/decisions/gateway/fleet_client.h
@@ -44,6 +44,8 @@
 
 /** The durations of a FleetClient. */
 struct FleetClientSettings {
+  /** How control and the other proxies name this one. */
+  NodeId self;
   AvailabilityZone zone;
   LeaseTiming lease;
   std::chrono::milliseconds report_interval{500};
@@ -135,6 +137,7 @@
   ServiceConfiguration configuration;
   std::uint32_t share = 1;
   std::chrono::steady_clock::time_point share_since;
+  ZoneProxies neighbours;
   /** Who asked for each recall that is under way. */
   std::map<DatabaseId, NodeId> recallers;
   LogPosition recalled_position;
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -27,7 +27,9 @@
 }  // namespace
 
 Gateway::Gateway(GatewayHooks gateway_hooks, GatewaySettings gateway_settings)
-    : hooks(std::move(gateway_hooks)), settings(std::move(gateway_settings)) {}
+    : hooks(std::move(gateway_hooks)),
+      settings(std::move(gateway_settings)),
+      relayed([this](ClientId client) { this->hooks.close_client(client); }) {}
 
 GroupTraffic& Gateway::GroupFor(const DatabaseId& database) {
   auto& group = this->groups[database];
@@ -58,6 +60,7 @@
   for (const auto& [database, group] : this->view->groups) {
     this->GroupFor(database).SetView(now, group);
   }
+  this->EndSessionsOfOthers();
   this->AdmitWaiting();
 }
 
@@ -77,21 +80,27 @@
   this->GroupFor(database).Recall(now, before_term, patience);
 }
 
-void Gateway::Open(steady_clock::time_point now, ClientId client,
-                   const std::string& host, AdmissionHook done) {
-  if (this->view) {
-    done(this->Admit(client, host));
+void Gateway::Open(steady_clock::time_point now, const SessionOpening& opening,
+                   AdmissionHook done) {
+  const Admission admission = this->Admit(opening);
+  if (admission.verdict != AdmissionVerdict::kStarting) {
+    done(admission);
     return;
   }
-  this->openings.push_back(Opening{client, host, std::move(done),
-                                   now + this->settings.opening_limit});
+  this->openings.push_back(
+      Opening{opening, std::move(done), now + this->settings.opening_limit});
 }
 
 void Gateway::AdmitWaiting() {
-  std::vector<Opening> admitted;
-  admitted.swap(this->openings);
-  for (const Opening& opening : admitted) {
-    opening.done(this->Admit(opening.client, opening.host));
+  std::vector<Opening> waiting;
+  waiting.swap(this->openings);
+  for (Opening& opening : waiting) {
+    const Admission admission = this->Admit(opening.asked);
+    if (admission.verdict == AdmissionVerdict::kStarting) {
+      this->openings.push_back(std::move(opening));
+    } else {
+      opening.done(admission);
+    }
   }
 }
 
@@ -101,18 +110,49 @@
       [now](const Opening& opening) { return now < opening.limit; });
   const std::vector<Opening> refused(late, this->openings.end());
   this->openings.erase(late, this->openings.end());
-  for (const Opening& opening : refused) opening.done(Admission::kStarting);
+  for (const Opening& opening : refused) {
+    opening.done(Admission{AdmissionVerdict::kStarting, {}});
+  }
+}
+
+bool Gateway::OwnsGroup(const DatabaseId& database) const {
+  const auto group = this->view->groups.find(database);
+  return group == this->view->groups.end() || group->second.deal.owner;
 }
 
-Admission Gateway::Admit(ClientId client, const std::string& host) {
-  if (this->view->configuration.FindRoute(host) == nullptr) {
-    return Admission::kNoDatabase;
+Admission Gateway::Admit(const SessionOpening& opening) {
+  if (!this->view) return Admission{AdmissionVerdict::kStarting, {}};
+  const Route* route = this->view->configuration.FindRoute(opening.host);
+  if (route == nullptr) return Admission{AdmissionVerdict::kNoDatabase, {}};
+  const bool owner = this->OwnsGroup(route->database);
+  if (opening.origin == SessionOrigin::kProxy && (!owner || this->draining)) {
+    return Admission{AdmissionVerdict::kNotServedHere, {}};
+  }
+  if (!owner) {
+    const auto& owners = this->view->groups.at(route->database).deal.owners;
+    if (owners.empty()) return Admission{AdmissionVerdict::kStarting, {}};
+    return this->relayed.Add(opening.client, owners);
   }
   const auto session = std::make_shared<ClientSession>();
-  session->id = client;
-  session->host = host;
-  this->sessions[client] = session;
-  return Admission::kAccepted;
+  session->id = opening.client;
+  session->host = opening.host;
+  this->sessions[opening.client] = session;
+  return Admission{AdmissionVerdict::kAccepted, {}};
+}
+
+/** Sessions of groups that others own now are ended at rest, to come back to
+ * an owner. */
+void Gateway::EndSessionsOfOthers() {
+  std::vector<ClientId> ended;
+  for (const auto& [id, session] : this->sessions) {
+    const Route* route = this->view->configuration.FindRoute(session->host);
+    if (route == nullptr || this->OwnsGroup(route->database)) continue;
+    if (session->RestsIn(TransactionState::kIdle)) ended.push_back(id);
+  }
+  for (const ClientId id : ended) {
+    this->sessions.erase(id);
+    this->hooks.close_client(id);
+  }
 }
 
 void Gateway::OnStatement(steady_clock::time_point now, ClientId client,
@@ -209,6 +249,13 @@
       return;
     }
     session->route = *route;
+    if (!this->OwnsGroup(route->database)) {
+      ClientReply refusal = FailureReply(StatementError::kBusy,
+                                         "another proxy serves this database");
+      refusal.elsewhere = true;
+      this->Answer(now, session, refusal);
+      return;
+    }
   }
   const RunPtr run = this->MakeRun(now, session, statement);
   session->running = run;
@@ -296,7 +343,8 @@
     this->Serve(now, session, next);
     return;
   }
-  const bool ends = this->draining || reply.elsewhere;
+  const bool ends = this->draining || reply.elsewhere ||
+                    !this->OwnsGroup(session->route.database);
   if (ends && session->RestsIn(TransactionState::kIdle)) {
     this->sessions.erase(session->id);
     this->hooks.close_client(session->id);
@@ -305,10 +353,12 @@
 
 void Gateway::OnClientGone(steady_clock::time_point now, ClientId client) {
   this->openings.erase(
-      std::remove_if(
-          this->openings.begin(), this->openings.end(),
-          [client](const Opening& entry) { return entry.client == client; }),
+      std::remove_if(this->openings.begin(), this->openings.end(),
+                     [client](const Opening& entry) {
+                       return entry.asked.client == client;
+                     }),
       this->openings.end());
+  this->relayed.Remove(client);
   const auto found = this->sessions.find(client);
   if (found == this->sessions.end()) return;
   const SessionPtr session = found->second;
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -13,25 +13,15 @@
 #include <vector>
 
 #include "lacewingferry/core/gauge.h"
+#include "lacewingferry/decisions/gateway/admission.h"
 #include "lacewingferry/decisions/gateway/client_session.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
 #include "lacewingferry/decisions/gateway/gateway_view.h"
 #include "lacewingferry/decisions/gateway/group_traffic.h"
+#include "lacewingferry/decisions/gateway/relayed_sessions.h"
 
 namespace lacewingferry {
 
-/** Whether a new session is taken. */
-enum class Admission : std::uint8_t {
-  kAccepted,
-  /** No route has the name. */
-  kNoDatabase,
-  /** This proxy still knows no configuration. */
-  kStarting,
-};
-
-/** Gets the answer to the opening of a session, once. */
-using AdmissionHook = std::function<void(Admission)>;
-
 /**
  * Takes statements of clients' sessions, serves those that only concern the
  * session itself, and has the others run by the group that the session's route
@@ -58,10 +48,17 @@
               const DatabaseId& database, std::uint64_t before_term,
               std::chrono::milliseconds patience);
 
-  /** Opens a session. While no configuration is known, the answer waits for
-   * one, as long as a proxy usually needs to start. */
-  void Open(std::chrono::steady_clock::time_point now, ClientId client,
-            const std::string& host, AdmissionHook done);
+  /** Opens a session. While no configuration is known, or nobody who serves
+   * the database, the answer waits as long as a proxy usually needs to
+   * start. */
+  void Open(std::chrono::steady_clock::time_point now,
+            const SessionOpening& opening, AdmissionHook done);
+  /** Notes where a relayed session stands. */
+  void OnRelayState(ClientId client, const RelayState& state) {
+    this->relayed.OnState(client, state);
+  }
+  /** Records that no owner took a session. */
+  void OnRelayFailed(ClientId client, const std::string& host);
   void OnStatement(std::chrono::steady_clock::time_point now, ClientId client,
                    const ClientStatement& statement);
   void OnClientGone(std::chrono::steady_clock::time_point now, ClientId client);
@@ -82,22 +79,25 @@
   /** Rolls back the transactions that are still open. */
   void EndTransactions(std::chrono::steady_clock::time_point now);
 
-  std::size_t SessionCount() const { return this->sessions.size(); }
+  std::size_t SessionCount() const {
+    return this->sessions.size() + this->relayed.Count();
+  }
   /** What the gateway stands at, for metrics. */
   std::vector<Gauge> Gauges(std::chrono::steady_clock::time_point now) const;
 
  private:
   using SessionPtr = std::shared_ptr<ClientSession>;
-  /** A session that waits for the first configuration. */
+  /** A session that waits for what this proxy doesn't know yet. */
   struct Opening {
-    ClientId client = 0;
-    std::string host;
+    SessionOpening asked;
     AdmissionHook done;
     std::chrono::steady_clock::time_point limit;
   };
 
-  Admission Admit(ClientId client, const std::string& host);
+  Admission Admit(const SessionOpening& opening);
   void AdmitWaiting();
+  bool OwnsGroup(const DatabaseId& database) const;
+  void EndSessionsOfOthers();
   void RefuseLate(std::chrono::steady_clock::time_point now);
 
   void Serve(std::chrono::steady_clock::time_point now,
@@ -136,6 +136,7 @@
   std::map<DatabaseId, std::unique_ptr<GroupTraffic>> groups;
   std::map<ClientId, SessionPtr> sessions;
   std::vector<Opening> openings;
+  RelayedSessions relayed;
   LinkId last_link = 0;
   bool draining = false;
 };
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -52,6 +52,7 @@
 
 void Gateway::StartDraining(steady_clock::time_point /*now*/) {
   this->draining = true;
+  this->relayed.StartDraining();
   std::vector<ClientId> resting;
   for (const auto& [id, session] : this->sessions) {
     if (session->RestsIn(TransactionState::kIdle)) resting.push_back(id);
@@ -64,16 +65,28 @@
       Event{EventCode::kSessionsClosed,
             EventLevel::kInfo,
             {{"closed", std::to_string(resting.size())},
-             {"left", std::to_string(this->sessions.size())}}});
+             {"left", std::to_string(this->SessionCount())}}});
 }
 
 void Gateway::EndTransactions(steady_clock::time_point now) {
   this->EndResting(now, milliseconds(-1));
+  this->relayed.EndTransactions();
+}
+
+void Gateway::OnRelayFailed(ClientId client, const std::string& host) {
+  this->relayed.Remove(client);
+  this->hooks.events.record(
+      Event{EventCode::kSessionNotRelayed,
+            EventLevel::kWarning,
+            {{"host", host},
+             {"reason", "no proxy that holds its connections takes it"}}});
 }
 
 std::vector<Gauge> Gateway::Gauges(steady_clock::time_point now) const {
   std::vector<Gauge> gauges = {
-      {"ferry_sessions", "", static_cast<double>(this->sessions.size())}};
+      {"ferry_sessions", "", static_cast<double>(this->sessions.size())},
+      {"ferry_sessions_relayed", "",
+       static_cast<double>(this->relayed.Count())}};
   if (this->view) {
     gauges.push_back({"ferry_configuration_version", "",
                       static_cast<double>(this->view->configuration.version)});
--- a/src/lacewingferry/decisions/gateway/gateway_view.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_view.cc
@@ -1,33 +1,16 @@
 #include "lacewingferry/decisions/gateway/gateway_view.h"
 
-#include <algorithm>
-
 namespace lacewingferry {
-namespace {
-
-/** Of a member's connections the proxies share this part; the rest is for
- * control, for proxies that just came, and for connections of processes that
- * died and weren't noticed yet. */
-constexpr std::uint32_t kSharedPercent = 85;
-constexpr std::uint32_t kMostConnections = 8;
-
-std::uint32_t ShareOf(const ServiceRule& rule, std::uint32_t proxies) {
-  const std::uint32_t shared = rule.max_connections * kSharedPercent / 100;
-  const std::uint32_t share = shared / std::max<std::uint32_t>(proxies, 1);
-  return std::clamp<std::uint32_t>(share, 1, kMostConnections);
-}
-
-}  // namespace
 
 GatewayViewPtr MakeGatewayView(const FleetState& fleet,
                                const ServiceConfiguration& configuration,
-                               std::uint32_t proxies) {
+                               const ProxyPlace& place) {
   auto view = std::make_shared<GatewayView>();
   view->configuration = configuration;
   for (const ServiceRule& rule : configuration.services) {
     GroupView& group = view->groups[rule.database];
     group.database = rule.database;
-    group.connections = ShareOf(rule, proxies);
+    group.deal = DealConnections(rule, place.proxies, place.zone, place.self);
   }
   for (const DatabaseTerm& term : fleet.databases) {
     const auto found = view->groups.find(term.database);
--- a/src/lacewingferry/decisions/gateway/gateway_view.h
+++ b/src/lacewingferry/decisions/gateway/gateway_view.h
@@ -11,6 +11,7 @@
 
 #include "lacewingferry/core/messages/fleet_messages.h"
 #include "lacewingferry/core/service_configuration.h"
+#include "lacewingferry/decisions/ownership/connection_deal.h"
 
 namespace lacewingferry {
 
@@ -20,8 +21,9 @@
   /** The term and its primary; term 0 before the group was adopted. */
   DatabaseTerm term;
   std::vector<MemberInfo> members;
-  /** The connections that this proxy may hold to each member. */
-  std::uint32_t connections = 1;
+  /** What this proxy may hold of the members' connections, and who serves the
+   * group's sessions where it doesn't. */
+  ConnectionDeal deal;
 };
 
 /** The routes and groups at one moment. */
@@ -32,10 +34,18 @@
 
 using GatewayViewPtr = std::shared_ptr<const GatewayView>;
 
-/** Puts a view together; proxies is how many share the connections. */
+/** The proxies before the members, and which of them this one is. */
+struct ProxyPlace {
+  /** How many share the members' connections. */
+  std::uint32_t proxies = 1;
+  ZoneProxies zone;
+  NodeId self;
+};
+
+/** Puts a view together. */
 GatewayViewPtr MakeGatewayView(const FleetState& fleet,
                                const ServiceConfiguration& configuration,
-                               std::uint32_t proxies);
+                               const ProxyPlace& place);
 
 }  // namespace lacewingferry
 
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -63,7 +63,7 @@
                                           this->settings);
     }
     pool->SetInfo(now, member);
-    pool->SetLimit(next.connections);
+    pool->SetLimit(next.deal.connections);
   }
   for (auto& [id, pool] : this->pools) {
     if (present.count(id) > 0) continue;
@@ -74,14 +74,27 @@
     pool->SetLimit(0);
   }
   if (!this->first_view) this->first_view = now;
+  this->CloseSurplus(now);
   this->WarmNeeded(now);
   this->Pump(now);
 }
 
+/** Gives up connections at rest that others may hold now. */
+void GroupTraffic::CloseSurplus(steady_clock::time_point now) {
+  std::vector<LinkId> surplus;
+  for (const auto& item : this->pools) {
+    const std::vector<LinkId> links =
+        item.second->Surplus(this->view.deal.owner);
+    surplus.insert(surplus.end(), links.begin(), links.end());
+  }
+  for (const LinkId link : surplus) this->Drop(now, link);
+}
+
 /** Connects to the members that statements will need first. After a start all
  * proxies do this at the same time, and each connection costs the member more
  * than a statement; the others wait for WarmOneMore. */
 void GroupTraffic::WarmNeeded(steady_clock::time_point now) {
+  if (!this->view.deal.owner) return;
   for (auto& [id, pool] : this->pools) {
     const bool near = this->DistanceOf(pool->Info()) == 0;
     if (near || id == this->view.term.primary) this->KeepOneOpen(now, *pool);
@@ -91,7 +104,8 @@
 /** Connects to one more member at a time, so that any of them can become the
  * primary without a wave of connections. */
 void GroupTraffic::WarmOneMore(steady_clock::time_point now) {
-  if (!this->first_view || now < this->next_warming) return;
+  if (!this->view.deal.owner || !this->first_view) return;
+  if (now < this->next_warming) return;
   if (now - *this->first_view < this->settings.warming_delay) return;
   this->next_warming = now + this->settings.warming_pause;
   for (auto& item : this->pools) {
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -176,6 +176,7 @@
   bool AcknowledgmentUnderWay() const;
   MemberPool* PoolOf(LinkId link);
   void KeepOneOpen(std::chrono::steady_clock::time_point now, MemberPool& pool);
+  void CloseSurplus(std::chrono::steady_clock::time_point now);
   void WarmNeeded(std::chrono::steady_clock::time_point now);
   void WarmOneMore(std::chrono::steady_clock::time_point now);
   std::chrono::milliseconds FirstEstimate(const MemberInfo& member) const;
--- a/src/lacewingferry/decisions/gateway/group_traffic_time.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_time.cc
@@ -136,6 +136,7 @@
     }
   }
   for (const LinkId link : late) this->Drop(now, link);
+  this->CloseSurplus(now);
   this->WarmNeeded(now);
   this->WarmOneMore(now);
   for (auto it = this->pools.begin(); it != this->pools.end();) {
--- a/src/lacewingferry/decisions/gateway/member_pool.cc
+++ b/src/lacewingferry/decisions/gateway/member_pool.cc
@@ -36,6 +36,19 @@
   return !this->leaving_since || now - *this->leaving_since < kLongestLinger;
 }
 
+std::vector<LinkId> MemberPool::Surplus(bool owner) const {
+  const std::size_t kept = owner ? this->limit : 0;
+  std::size_t left = this->links.size();
+  std::vector<LinkId> surplus;
+  for (const auto& [id, link] : this->links) {
+    if (left <= kept) break;
+    if (link.phase != LinkPhase::kIdle) continue;
+    surplus.push_back(id);
+    --left;
+  }
+  return surplus;
+}
+
 std::optional<LinkId> MemberPool::FindIdle(const SessionState& session) const {
   std::optional<LinkId> found;
   for (const auto& [id, link] : this->links) {
--- a/src/lacewingferry/decisions/gateway/member_pool.h
+++ b/src/lacewingferry/decisions/gateway/member_pool.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
@@ -47,6 +48,10 @@
   bool MayLinger(std::chrono::steady_clock::time_point now) const;
   void SetLimit(std::uint32_t connections) { this->limit = connections; }
 
+  /** Idle connections beyond the limit; all that are idle for a proxy that
+   * doesn't own the group. */
+  std::vector<LinkId> Surplus(bool owner) const;
+
   /** The idle connection that suits a session best; none if there is none. */
   std::optional<LinkId> FindIdle(const SessionState& session) const;
 
--- /dev/null
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.h
@@ -0,0 +1,64 @@
+#ifndef LACEWINGFERRY_DECISIONS_GATEWAY_RELAYED_SESSIONS_H_
+#define LACEWINGFERRY_DECISIONS_GATEWAY_RELAYED_SESSIONS_H_
+
+// Defines RelayedSessions, the sessions of a proxy's clients that other proxies
+// serve.
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "lacewingferry/core/client_statement.h"
+#include "lacewingferry/decisions/gateway/admission.h"
+
+namespace lacewingferry {
+
+/** Where a relayed session stands, as its last answer said. */
+struct RelayState {
+  /** Whether a statement waits for its answer. */
+  bool waits = false;
+  TransactionState transaction = TransactionState::kIdle;
+};
+
+/** Chooses who serves a session, and ends relayed sessions of a proxy that
+ * stops as they come to rest. */
+class RelayedSessions {
+ public:
+  /** Ends a client's session at rest. */
+  using CloseClient = std::function<void(ClientId)>;
+
+  explicit RelayedSessions(CloseClient close_client)
+      : close(std::move(close_client)) {}
+
+  /** Takes a session; the owners come in another order for each, so that each
+   * gets its part. */
+  Admission Add(ClientId client, const std::vector<NodeId>& owners);
+  void Remove(ClientId client) { this->sessions.erase(client); }
+
+  /** Notes where a session stands after a statement or its answer. */
+  void OnState(ClientId client, const RelayState& state);
+
+  /** Ends sessions without a transaction as they come to rest. */
+  void StartDraining();
+  /** Ends sessions as they come to rest, whatever they have open: their
+   * transactions are rolled back with them. */
+  void EndTransactions();
+
+  std::size_t Count() const { return this->sessions.size(); }
+
+ private:
+  bool Ends(const RelayState& state) const;
+  void EndResting();
+
+  CloseClient close;
+  std::map<ClientId, RelayState> sessions;
+  std::size_t next_owner = 0;
+  bool draining = false;
+  bool ending_transactions = false;
+};
+
+}  // namespace lacewingferry
+
+#endif  // LACEWINGFERRY_DECISIONS_GATEWAY_RELAYED_SESSIONS_H_
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -26,7 +26,8 @@
       settings(control_settings),
       context{this->GroupHooks(), this->settings.switchover,
               control_state.Terms(), control_state.Members(), std::move(self)},
-      grantor(control_state.Terms(), this->settings.lease) {}
+      grantor(control_state.Terms(), this->settings.lease),
+      directory(this->settings.proxy_silence) {}
 
 SwitchoverHooks FleetControl::GroupHooks() {
   SwitchoverHooks group;
@@ -53,6 +54,7 @@
   this->grantor.OnLeadership(now, leads);
   this->keepers.clear();
   this->proxies.clear();
+  this->directory.Restart(now);
   this->last_tick.reset();
   if (leads) this->MakeKeepers(now);
 }
@@ -129,6 +131,9 @@
                 report.draining,       proxy.answers + 1};
   ProxyUpdate update = this->NewsFor(now, proxy);
   update.sequence = report.sequence;
+  this->directory.OnReport(now, from, report.zone, report.draining);
+  const auto zone = this->directory.Of(now, report.zone);
+  if (zone && zone->digest != report.zone_digest) update.zone = zone;
   if (report.renewal) {
     update.grant = this->grantor.OnRenewal(now, from, *report.renewal);
   }
@@ -241,6 +246,7 @@
 void FleetControl::OnTick(steady_clock::time_point now) {
   if (!this->leader) return;
   this->NoteSuspension(now);
+  this->directory.DropSilent(now);
   this->TakeChanges(now);
   for (const auto& item : this->keepers) {
     if (item.second->NextWakeup() <= now) item.second->OnTick(now);
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -17,6 +17,7 @@
 #include "lacewingferry/decisions/control/control_state.h"
 #include "lacewingferry/decisions/lease/lease_grantor.h"
 #include "lacewingferry/decisions/switchover/group_keeper.h"
+#include "lacewingferry/decisions/switchover/zone_directory.h"
 
 namespace lacewingferry {
 
@@ -136,6 +137,7 @@
   bool leader = false;
   bool changed = false;
   std::map<NodeId, Proxy> proxies;
+  ZoneDirectory directory;
   std::map<DatabaseId, std::shared_ptr<GroupKeeper>> keepers;
   std::optional<std::chrono::steady_clock::time_point> last_tick;
 };
--- a/standin/platform/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -58,8 +58,8 @@
   processes::FreePorts ports;
   for (std::uint16_t* port :
        {&this->peer_port, &this->metrics_port, &this->control_port,
-        &this->client_port, &this->ready_port, &this->promotion_port,
-        &this->member_port}) {
+        &this->client_port, &this->relay_port, &this->ready_port,
+        &this->promotion_port, &this->member_port}) {
     *port = ports.Take();
   }
   PlatformStandinPlan plan;
@@ -127,7 +127,8 @@
   const std::string path = this->folder + "/" + name + ".yaml";
   std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
                       << ":" << this->client_port << "\nreadiness: " << host
-                      << ":" << this->ready_port << "\n";
+                      << ":" << this->ready_port
+                      << "\nrelay_port: " << this->relay_port << "\n";
   this->proxies[number] = std::make_unique<processes::ChildProcess>(
       std::vector<std::string>{this->programs + "/ferrysessiond", "--settings",
                                path},
--- a/standin/platform/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -82,6 +82,7 @@
   bool keeps_folder = false;
   std::string programs;
   std::uint16_t peer_port = 0;
+  std::uint16_t relay_port = 0;
   std::uint16_t metrics_port = 0;
   std::uint16_t control_port = 0;
   std::uint16_t client_port = 0;
--- a/tests/correctness/fleet_client_test.cc
+++ b/tests/correctness/fleet_client_test.cc
@@ -246,7 +246,7 @@
     update.proxies = 20;
     harness.Take(update);
     const auto connections = [&] {
-      return harness.views.back()->groups.at(kDatabase).connections;
+      return harness.views.back()->groups.at(kDatabase).deal.connections;
     };
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, connections());
     update.proxies = 1;
--- a/tests/correctness/session_traffic_test.cc
+++ b/tests/correctness/session_traffic_test.cc
@@ -11,7 +11,7 @@
 
 /** A front without sockets, to which no client comes. */
 SessionFront MakeDeafFront(boost::asio::io_context& /*traffic*/,
-                           const Endpoint& /*listen*/,
+                           const SessionFrontAddresses& /*addresses*/,
                            const SessionFrontHooks& /*hooks*/) {
   SessionFront front;
   front.reply = [](ClientId, const ClientReply&) {};
--- /dev/null
+++ b/tests/correctness/zone_directory_test.cc
@@ -0,0 +1,86 @@
+#include "lacewingferry/decisions/switchover/zone_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lacewingferry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+const AvailabilityZone kZone("z0");
+constexpr milliseconds kSilence{4000};
+
+class ZoneDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ZoneDirectoryTest);
+  CPPUNIT_TEST(ANewLeaderWaitsUntilAllHaveReported);
+  CPPUNIT_TEST(LeadersNameTheSameContentAlike);
+  CPPUNIT_TEST(SilentAndDrainingProxiesAreLeftOut);
+  CPPUNIT_TEST(AnotherZoneChangesTheContent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->directory = ZoneDirectory(kSilence);
+    this->directory.Restart(this->start);
+  }
+
+  void ANewLeaderWaitsUntilAllHaveReported() {
+    this->Report("p0", milliseconds(100));
+    CPPUNIT_ASSERT(!this->directory.Of(this->At(milliseconds(200)), kZone));
+    this->Report("p1", milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Now().proxies.size());
+  }
+
+  void LeadersNameTheSameContentAlike() {
+    ZoneDirectory other(kSilence);
+    other.Restart(this->start);
+    for (const char* name : {"p0", "p1", "p2"}) this->Report(name);
+    for (const char* name : {"p2", "p0", "p1"}) {
+      other.OnReport(this->start, NodeId(name), kZone, false);
+    }
+    const ZoneProxies there = *other.Of(this->At(kLater), kZone);
+    CPPUNIT_ASSERT_EQUAL(this->Now().digest, there.digest);
+    CPPUNIT_ASSERT(this->Now().proxies == there.proxies);
+  }
+
+  void SilentAndDrainingProxiesAreLeftOut() {
+    for (const char* name : {"p0", "p1", "p2"}) this->Report(name);
+    const std::uint64_t before = this->Now().digest;
+    this->directory.OnReport(this->At(kLater), NodeId("p1"), kZone, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Now().proxies.size());
+    CPPUNIT_ASSERT(this->Now().digest != before);
+    this->Report("p2", kSilence);
+    this->directory.DropSilent(this->At(kSilence + milliseconds(1)));
+    CPPUNIT_ASSERT(this->Now().proxies == std::vector<NodeId>{NodeId("p2")});
+  }
+
+  void AnotherZoneChangesTheContent() {
+    this->Report("p0");
+    const std::uint64_t alone = this->Now().digest;
+    this->directory.OnReport(this->start, NodeId("q0"), AvailabilityZone("z1"),
+                             false);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, this->Now().zones);
+    CPPUNIT_ASSERT(this->Now().digest != alone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Now().proxies.size());
+  }
+
+ private:
+  static constexpr milliseconds kLater{2000};
+
+  steady_clock::time_point At(milliseconds after) const {
+    return this->start + after;
+  }
+  void Report(const char* name, milliseconds after = milliseconds(0)) {
+    this->directory.OnReport(this->At(after), NodeId(name), kZone, false);
+  }
+  ZoneProxies Now() { return *this->directory.Of(this->At(kLater), kZone); }
+
+  steady_clock::time_point start{milliseconds(1000)};
+  ZoneDirectory directory{kSilence};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZoneDirectoryTest);
+
+}  // namespace
+}  // namespace lacewingferry
