Tell proxies what changed instead of everything; any process of control acknowledges known announcements

Cause: control sent every proxy all members and terms with each change of one, and the whole configuration until the proxy's next report; the positions of all databases with each answer; and each announcement of each member went to the leader, mostly by a redirect.

FleetChanges notes at which index of the log each member and term changed; MergeFleet takes changes only since a state that the proxy has. News go out at most every 50 ms. What was sent counts as known until a report says otherwise. Positions go to who leases the database, or to all while nobody can. Announcements that say nothing new are acknowledged by any process: what it has applied is committed.

--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -230,6 +230,10 @@
     if (stored.version == 0) return std::nullopt;
     return stored.document;
   };
+  api.known = [this](const MemberAnnouncement& announcement) {
+    const Roster& members = this->replica.State().Members();
+    return !members.Outdated(announcement) && !members.Changes(announcement);
+  };
   api.announce = [this](const MemberAnnouncement& announcement,
                         std::function<void(FleetApiResult)> done) {
     this->fleet->OnAnnouncement(
@@ -337,6 +341,7 @@
   const auto now = this->parts.hybrid.clock.now();
   this->ReadStoredConfiguration();
   this->FollowOffice(now);
+  this->fleet->FollowChanges();
   if (this->Leads()) this->fleet->OnTick(now);
   this->Arm(now);
   this->advancing = false;
--- a/src/lacewingferry/core/messages/fleet_messages.h
+++ b/src/lacewingferry/core/messages/fleet_messages.h
@@ -64,18 +64,25 @@
   }
 };
 
-/** The members and terms that control knows at one point of its log. */
+/** The members and terms that control knows at one point of its log, or those
+ * that changed since an earlier one. */
 struct FleetState {
   /** The index in the control log; a higher one is newer. */
   std::uint64_t revision = 0;
+  /** What isn't named is as it was at this index; 0 where all is named. */
+  std::uint64_t base = 0;
   std::vector<MemberAnnouncement> members;
   std::vector<DatabaseTerm> databases;
+  /** Members that left since the base. */
+  std::vector<MemberId> gone;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("revision", self.revision);
+    visit("base", self.base);
     visit("members", self.members);
     visit("databases", self.databases);
+    visit("gone", self.gone);
   }
 };
 
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "lacewingferry/core/clock_drift.h"
+#include "lacewingferry/decisions/gateway/fleet_merge.h"
 
 namespace lacewingferry {
 namespace {
@@ -155,10 +156,7 @@
     this->neighbours = *update.zone;
     changed = true;
   }
-  if (update.fleet && update.fleet->revision > this->fleet.revision) {
-    this->fleet = *update.fleet;
-    changed = true;
-  }
+  if (update.fleet && MergeFleet(*update.fleet, &this->fleet)) changed = true;
   if (update.configuration &&
       update.configuration->version > this->configuration.version) {
     this->configuration = *update.configuration;
--- a/src/lacewingferry/decisions/lease/lease_grantor.cc
+++ b/src/lacewingferry/decisions/lease/lease_grantor.cc
@@ -129,6 +129,16 @@
   return nodes;
 }
 
+bool LeaseGrantor::Lists(const NodeId& holder,
+                         const DatabaseId& database) const {
+  const auto found = this->holders.find(holder);
+  if (found == this->holders.end()) return false;
+  const std::vector<DatabaseStamp>& stamps = found->second.databases;
+  return std::any_of(
+      stamps.begin(), stamps.end(),
+      [&](const DatabaseStamp& stamp) { return stamp.database == database; });
+}
+
 std::optional<steady_clock::time_point> LeaseGrantor::LastRenewal(
     const DatabaseId& database) const {
   const auto found = this->last_renewals.find(database);
--- a/src/lacewingferry/decisions/lease/lease_grantor.h
+++ b/src/lacewingferry/decisions/lease/lease_grantor.h
@@ -58,6 +58,9 @@
   std::vector<NodeId> Holders(std::chrono::steady_clock::time_point now,
                               const DatabaseStamp& current) const;
 
+  /** Whether a proxy asks for leases on a database. */
+  bool Lists(const NodeId& holder, const DatabaseId& database) const;
+
   /** When any holder last renewed a lease that covers the current term of the
    * database; none if there was none. */
   std::optional<std::chrono::steady_clock::time_point> LastRenewal(
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -13,6 +13,8 @@
 /** Between two ticks there is less than this unless the process stood still. */
 constexpr milliseconds kLongestCalmPause{400};
 constexpr milliseconds kTick{100};
+/** Between two rounds of news to all proxies. */
+constexpr milliseconds kNewsPause{50};
 /** A proxy that hasn't got so many answers in a row doesn't get them. */
 constexpr std::uint32_t kUnansweredUntilRedial = 2;
 
@@ -56,7 +58,11 @@
   this->proxies.clear();
   this->directory.Restart(now);
   this->last_tick.reset();
-  if (leads) this->MakeKeepers(now);
+  this->news_waits = false;
+  if (!leads) return;
+  this->changes.Update(this->state.Members(), this->state.Terms(),
+                       this->hooks.revision());
+  this->MakeKeepers(now);
 }
 
 void FleetControl::SetConfiguration(ServiceConfiguration next) {
@@ -75,45 +81,71 @@
   }
 }
 
+void FleetControl::FollowChanges() {
+  if (this->leader || !this->changed) return;
+  this->changed = false;
+  this->changes.Update(this->state.Members(), this->state.Terms(),
+                       this->hooks.revision());
+}
+
 void FleetControl::TakeChanges(steady_clock::time_point now) {
-  if (!this->changed) return;
+  if (!this->leader || !this->changed) return;
   this->changed = false;
-  if (!this->leader) return;
+  this->changes.Update(this->state.Members(), this->state.Terms(),
+                       this->hooks.revision());
   this->MakeKeepers(now);
   for (const auto& item : this->keepers) item.second->OnChanged(now);
-  for (auto& [node, proxy] : this->proxies) {
-    if (now - proxy.heard > this->settings.proxy_silence) continue;
-    this->hooks.update(node, this->NewsFor(now, proxy));
-  }
+  this->news_waits = true;
+  if (now >= this->next_news) this->SendNews(now);
 }
 
-FleetState FleetControl::CurrentFleet() const {
-  FleetState fleet;
-  fleet.revision = this->hooks.revision();
-  for (const auto& item : this->state.Members().Members()) {
-    fleet.members.push_back(item.second);
-  }
-  for (const auto& item : this->state.Terms().Databases()) {
-    fleet.databases.push_back(item.second);
+/** Tells all proxies what changed. Where changes follow each other closely, as
+ * when all members announce themselves, several go out together. */
+void FleetControl::SendNews(steady_clock::time_point now) {
+  this->news_waits = false;
+  this->next_news = now + kNewsPause;
+  for (auto& [node, proxy] : this->proxies) {
+    if (now - proxy.heard > this->settings.proxy_silence) continue;
+    this->hooks.update(node, this->NewsFor(now, &proxy));
   }
-  return fleet;
 }
 
+/** What the proxy lacks. It counts as told; where the news is lost, its next
+ * report says so. */
 ProxyUpdate FleetControl::NewsFor(steady_clock::time_point now,
-                                  const Proxy& proxy) const {
+                                  Proxy* proxy) const {
   ProxyUpdate update;
-  update.incarnation = proxy.incarnation;
+  update.incarnation = proxy->incarnation;
   update.proxies = this->ProxyCount(now);
   update.control = this->hooks.control_nodes();
-  if (proxy.fleet_revision < this->hooks.revision()) {
-    update.fleet = this->CurrentFleet();
+  if (proxy->fleet_revision < this->changes.Revision()) {
+    update.fleet = this->changes.Since(proxy->fleet_revision);
+    proxy->fleet_revision = this->changes.Revision();
   }
-  if (proxy.configuration_version < this->configuration.version) {
+  if (proxy->configuration_version < this->configuration.version) {
     update.configuration = this->configuration;
+    proxy->configuration_version = this->configuration.version;
   }
   return update;
 }
 
+/** A proxy gets the positions of the databases whose sessions it serves, and of
+ * those for which nobody has a lease at the moment. */
+void FleetControl::AddPositions(steady_clock::time_point now,
+                                const NodeId& proxy,
+                                ProxyUpdate* update) const {
+  for (const auto& [database, keeper] : this->keepers) {
+    const DatabaseTerm* entry = this->state.Terms().Find(database);
+    const bool steady = entry != nullptr && entry->phase == TermPhase::kSteady;
+    if (steady && !this->grantor.Lists(proxy, database)) continue;
+    const auto sample = keeper->Sample(now);
+    if (!sample) continue;
+    update->positions.push_back(
+        {database, sample->position,
+         std::chrono::ceil<milliseconds>(now - sample->asked)});
+  }
+}
+
 void FleetControl::OnReport(steady_clock::time_point now, const NodeId& from,
                             const ProxyReport& report) {
   if (!this->leader) return;
@@ -129,7 +161,7 @@
   proxy = Proxy{report.incarnation,    now,
                 report.fleet_revision, report.configuration_version,
                 report.draining,       proxy.answers + 1};
-  ProxyUpdate update = this->NewsFor(now, proxy);
+  ProxyUpdate update = this->NewsFor(now, &proxy);
   update.sequence = report.sequence;
   this->directory.OnReport(now, from, report.zone, report.draining);
   const auto zone = this->directory.Of(now, report.zone);
@@ -137,13 +169,7 @@
   if (report.renewal) {
     update.grant = this->grantor.OnRenewal(now, from, *report.renewal);
   }
-  for (const auto& [database, keeper] : this->keepers) {
-    const auto sample = keeper->Sample(now);
-    if (!sample) continue;
-    update.positions.push_back(
-        {database, sample->position,
-         std::chrono::ceil<milliseconds>(now - sample->asked)});
-  }
+  this->AddPositions(now, from, &update);
   this->hooks.update(from, update);
 }
 
@@ -252,6 +278,7 @@
     if (item.second->NextWakeup() <= now) item.second->OnTick(now);
   }
   this->TakeChanges(now);
+  if (this->news_waits && now >= this->next_news) this->SendNews(now);
 }
 
 std::optional<steady_clock::time_point> FleetControl::NextWakeup() const {
@@ -262,6 +289,7 @@
   for (const auto& item : this->keepers) {
     next = std::min(next, item.second->NextWakeup());
   }
+  if (this->news_waits) next = std::min(next, this->next_news);
   return next;
 }
 
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/fleet_messages.h"
 #include "lacewingferry/decisions/control/control_state.h"
 #include "lacewingferry/decisions/lease/lease_grantor.h"
+#include "lacewingferry/decisions/switchover/fleet_changes.h"
 #include "lacewingferry/decisions/switchover/group_keeper.h"
 #include "lacewingferry/decisions/switchover/zone_directory.h"
 
@@ -77,8 +78,12 @@
   /** Takes office or loses it. */
   void OnLeadership(std::chrono::steady_clock::time_point now, bool leader);
 
-  /** The state changed by a command of the log; looked at in OnTick. */
+  /** The state changed by a command of the log; looked at in OnTick, or in
+   * FollowChanges while another process leads. */
   void OnApplied() { this->changed = true; }
+  /** Notes what changed while another process leads, so that proxies needn't
+   * be told all when this one does. */
+  void FollowChanges();
   /** Takes the configuration that is in force now. */
   void SetConfiguration(ServiceConfiguration configuration);
 
@@ -110,6 +115,7 @@
   struct Proxy {
     std::uint64_t incarnation = 0;
     std::chrono::steady_clock::time_point heard;
+    /** What the proxy knows by its report, or was sent since. */
     std::uint64_t fleet_revision = 0;
     std::uint64_t configuration_version = 0;
     bool draining = false;
@@ -124,8 +130,10 @@
   void MakeKeepers(std::chrono::steady_clock::time_point now);
   void NoteSuspension(std::chrono::steady_clock::time_point now);
   ProxyUpdate NewsFor(std::chrono::steady_clock::time_point now,
-                      const Proxy& proxy) const;
-  FleetState CurrentFleet() const;
+                      Proxy* proxy) const;
+  void SendNews(std::chrono::steady_clock::time_point now);
+  void AddPositions(std::chrono::steady_clock::time_point now,
+                    const NodeId& proxy, ProxyUpdate* update) const;
   void Recall(const DatabaseStamp& current, std::chrono::milliseconds patience);
 
   const ControlState& state;
@@ -138,6 +146,10 @@
   bool changed = false;
   std::map<NodeId, Proxy> proxies;
   ZoneDirectory directory;
+  FleetChanges changes;
+  /** Whether proxies haven't been told yet of a change, and when they may. */
+  bool news_waits = false;
+  std::chrono::steady_clock::time_point next_news;
   std::map<DatabaseId, std::shared_ptr<GroupKeeper>> keepers;
   std::optional<std::chrono::steady_clock::time_point> last_tick;
 };
--- a/src/lacewingferry/ports/fleet_api_port.h
+++ b/src/lacewingferry/ports/fleet_api_port.h
@@ -41,6 +41,9 @@
   /** The newest configuration as it was sent; none before the first. Valid
    * only while leader().self holds after the call. */
   std::function<std::optional<std::string>()> fetch;
+  /** Whether an announcement says nothing that isn't in the replicated state
+   * already; any process may acknowledge it then. */
+  std::function<bool(const MemberAnnouncement&)> known;
   std::function<void(const MemberAnnouncement&,
                      std::function<void(FleetApiResult)>)>
       announce;
--- /dev/null
+++ b/tests/correctness/control_api_test.cc
@@ -0,0 +1,62 @@
+#include "platform/control_api.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+
+namespace lacewingferry::platform {
+namespace {
+
+constexpr std::uint16_t kPort = 8080;
+constexpr char kBody[] =
+    R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"z0",)"
+    R"("version":"v1","slots":2,"state":"ready","warmup_left_ms":0,)"
+    R"("db_role":"replica","sequence":4,"born":1700000000000})";
+
+/** The calls of a process that another one leads. */
+FleetApiPort Follower(bool knows) {
+  FleetApiPort api;
+  api.leader = [] { return FleetLeader{false, NodeId("10.0.0.2")}; };
+  api.known = [knows](const MemberAnnouncement&) { return knows; };
+  api.refused = [](const std::string&, const std::string&) {};
+  return api;
+}
+
+HttpResponse Beat(bool knows) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/instances/i-7f3a/heartbeat";
+  request.body = kBody;
+  std::optional<HttpResponse> response;
+  MakeControlApi(Follower(knows), kPort)(
+      request, [&](HttpResponse answer) { response = std::move(answer); });
+  return *response;
+}
+
+// Each announcement of each member went to the leader of control, over a
+// connection of its own and mostly by a redirect: 350 a second at 420 members.
+class ControlApiTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlApiTest);
+  CPPUNIT_TEST(AnyProcessAcknowledgesWhatIsKnown);
+  CPPUNIT_TEST(NewsGoesToTheLeader);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AnyProcessAcknowledgesWhatIsKnown() {
+    CPPUNIT_ASSERT_EQUAL(200, Beat(true).status);
+  }
+
+  void NewsGoesToTheLeader() {
+    const HttpResponse response = Beat(false);
+    CPPUNIT_ASSERT_EQUAL(307, response.status);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("http://10.0.0.2:8080/instances/i-7f3a/heartbeat"),
+        response.location);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlApiTest);
+
+}  // namespace
+}  // namespace lacewingferry::platform
