Stopping proxies keep sessions that are being opened; members keep to one process of control

A session ends now at rest after a statement. - Openings that wait for what a proxy doesn't know weren't counted among its sessions, so a stop could end the process under them. An acknowledgement of a known announcement names the process as the one to stay with, and connections at rest are closed after 5 s.

RelayedSessionTest, GatewaySessionTest, HttpExchangeTest, ControlApiTest.

--- a/daemons/ferrycontrold_main.cc
+++ b/daemons/ferrycontrold_main.cc
@@ -1,6 +1,7 @@
 #include <memory>
 
 #include "lacewingferry/adapters/yaml/control_settings_reader.h"
+#include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/app/control_program.h"
 #include "lacewingferry/app/daemon_main.h"
 #include "lacewingferry/app/daemon_process.h"
--- a/src/lacewingferry/adapters/http/http_connection.cc
+++ b/src/lacewingferry/adapters/http/http_connection.cc
@@ -16,8 +16,6 @@
 /** The time for a caller to read the last answer and close. */
 constexpr std::chrono::seconds kLingerTimeout{2};
 constexpr std::size_t kDiscardedBytes = 16384;
-/** An idle connection that stays silent for this long is closed. */
-constexpr std::chrono::minutes kIdleTimeout{10};
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
@@ -45,12 +43,12 @@
 
 HttpConnection::HttpConnection(boost::asio::ip::tcp::socket socket,
                                HttpHandler request_handler,
-                               std::size_t most_body_bytes,
+                               const HttpLimits& http_limits,
                                std::shared_ptr<HttpServerState> server_state)
     : stream(std::move(socket)),
       idle_timer(this->stream.get_executor()),
       handler(std::move(request_handler)),
-      max_body_bytes(most_body_bytes),
+      limits(http_limits),
       state(std::move(server_state)) {
   ++this->state->connections;
 }
@@ -70,7 +68,7 @@
   this->parser.reset();
   this->response = Response();
   auto self = this->shared_from_this();
-  this->idle_timer.expires_after(kIdleTimeout);
+  this->idle_timer.expires_after(this->limits.idle_timeout);
   this->idle_timer.async_wait([self](boost::system::error_code error) {
     if (!error) self->stream.close();
   });
@@ -84,7 +82,7 @@
 void HttpConnection::ReadRequest() {
   this->exchange.emplace(*this->state);
   this->parser.emplace();
-  this->parser->body_limit(this->max_body_bytes);
+  this->parser->body_limit(this->limits.max_body_bytes);
   this->stream.expires_after(kRequestTimeout);
   http::async_read(this->stream, this->buffer, *this->parser,
                    [self = this->shared_from_this()](
@@ -114,7 +112,7 @@
     answer.body =
         "{\"outcome\":\"not_run\",\"reason\":\"invalid_request\","
         "\"detail\":\"the body is larger than " +
-        std::to_string(this->max_body_bytes) + " bytes\"}";
+        std::to_string(this->limits.max_body_bytes) + " bytes\"}";
   } else if (error.category() ==
                  http::make_error_code(http::error::bad_method).category() &&
              error != http::error::end_of_stream &&
--- a/src/lacewingferry/adapters/http/http_connection.h
+++ b/src/lacewingferry/adapters/http/http_connection.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "lacewingferry/adapters/http/http_limits.h"
 #include "lacewingferry/adapters/http/http_message.h"
 #include "lacewingferry/adapters/http/http_server_state.h"
 
@@ -22,7 +23,7 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   HttpConnection(boost::asio::ip::tcp::socket socket, HttpHandler handler,
-                 std::size_t max_body_bytes,
+                 const HttpLimits& http_limits,
                  std::shared_ptr<HttpServerState> state);
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
@@ -48,7 +49,7 @@
   boost::beast::tcp_stream stream;
   boost::asio::steady_timer idle_timer;
   HttpHandler handler;
-  std::size_t max_body_bytes;
+  HttpLimits limits;
   std::shared_ptr<HttpServerState> state;
   /** From a request's first byte until its answer is written. */
   std::optional<CountedExchange> exchange;
--- a/src/lacewingferry/adapters/http/http_server.cc
+++ b/src/lacewingferry/adapters/http/http_server.cc
@@ -72,8 +72,8 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   auto connection = std::make_shared<HttpConnection>(
-      std::move(socket), this->threads[thread].handler,
-      this->limits.max_body_bytes, this->state);
+      std::move(socket), this->threads[thread].handler, this->limits,
+      this->state);
   boost::asio::post(*this->threads[thread].io,
                     [connection] { connection->Start(); });
 }
--- a/src/lacewingferry/adapters/http/http_server.h
+++ b/src/lacewingferry/adapters/http/http_server.h
@@ -11,17 +11,12 @@
 #include <memory>
 #include <vector>
 
+#include "lacewingferry/adapters/http/http_limits.h"
 #include "lacewingferry/adapters/http/http_message.h"
 #include "lacewingferry/core/routing_view.h"
 
 namespace lacewingferry {
 
-/** Bounds on what callers may take up. */
-struct HttpLimits {
-  std::size_t max_body_bytes = 1U << 20U;
-  std::size_t max_connections = 4096;
-};
-
 /** Accepts connections and spreads them over threads. Each connection lives
  * on one of them, where the handler is called. */
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
--- a/src/lacewingferry/app/control_disk.cc
+++ b/src/lacewingferry/app/control_disk.cc
@@ -4,6 +4,7 @@
 
 #include "lacewingferry/adapters/disk/disk_storage.h"
 #include "lacewingferry/adapters/msgpack/log_codec.h"
+#include "lacewingferry/decisions/consensus/found_control_log.h"
 
 namespace lacewingferry {
 
@@ -14,4 +15,9 @@
                      std::mt19937_64(high ^ device())};
 }
 
+void FoundControlLog(const ControlSettings& settings) {
+  ControlDisk disk = OpenControlDisk(settings.data_folder);
+  FoundControlLog(disk.storage, disk.codec, settings.node, disk.random);
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -13,8 +13,8 @@
 
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
-#include "lacewingferry/app/control_disk.h"
 #include "lacewingferry/app/control_replica.h"
+#include "lacewingferry/app/control_replica_settings.h"
 #include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/operator_api.h"
 #include "lacewingferry/app/rejected_message.h"
@@ -22,7 +22,6 @@
 #include "lacewingferry/app/wait_until.h"
 #include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/configuration/in_force_tracker.h"
-#include "lacewingferry/decisions/consensus/found_control_log.h"
 #include "lacewingferry/decisions/failover/failover_manager.h"
 #include "lacewingferry/decisions/membership/membership_node.h"
 #include "lacewingferry/decisions/ownership/slot_owners.h"
@@ -38,29 +37,8 @@
 constexpr std::size_t kMostOperatorBody = 1U << 20U;
 constexpr std::size_t kMostOperatorConnections = 64;
 
-FailoverSettings FailoverTimes(const ControlSettings& settings) {
-  FailoverSettings times;
-  times.member_lost_after = settings.member_lost_after;
-  return times;
-}
-
-ControlReplicaSettings ReplicaSettings(const ControlSettings& settings) {
-  ControlReplicaSettings replica;
-  replica.data_folder = settings.data_folder;
-  replica.repair.voters = settings.voters.size();
-  for (const PeerAddress& voter : settings.voters) {
-    if (voter.id != settings.node) replica.raft.seeds.push_back(voter.id);
-  }
-  return replica;
-}
-
 }  // namespace
 
-void FoundControlLog(const ControlSettings& settings) {
-  ControlDisk disk = OpenControlDisk(settings.data_folder);
-  FoundControlLog(disk.storage, disk.codec, settings.node, disk.random);
-}
-
 /** The steps of an input: the replica takes messages of the log, the manager
  * those of failover, the membership node its own; then Advance gives the
  * manager its office when the replica's changed, and sets the timer. */
@@ -90,7 +68,6 @@
   void Propose(const DatabaseCommand& command);
   void ApplyNote(const NoteSubmission& note,
                  std::function<void(const std::optional<NoteAnswer>&)> done);
-  std::vector<NodeId> OwnersOf(const MemberInfo& member) const;
   std::vector<NodeId> ProxyIds() const;
   void Redirect(const NodeId& to);
   void Advance();
@@ -120,9 +97,9 @@
       signals(this->control, SIGTERM, SIGINT),
       timer(this->control),
       membership(this->MembershipParts(), this->MembershipEffects()),
-      replica(ReplicaSettings(this->settings), this->ReplicaHooks()),
+      replica(MakeReplicaSettings(this->settings), this->ReplicaHooks()),
       manager(this->replica.State().Terms(), this->ManagerHooks(),
-              FailoverTimes(this->settings)) {
+              MakeFailoverSettings(this->settings)) {
   for (const PeerAddress& voter : this->settings.voters) {
     this->urls[voter.id] = voter.url;
   }
@@ -159,7 +136,7 @@
                       [this, command] { this->Propose(command); });
   };
   hooks.owners = [this](const MemberInfo& member) {
-    return this->OwnersOf(member);
+    return SlotOwnersOf(member, this->membership.Peers());
   };
   hooks.proxies = [this] { return this->ProxyIds(); };
   hooks.events = this->parts.events;
@@ -351,16 +328,6 @@
   this->Advance();
 }
 
-std::vector<NodeId> ControlProgram::Impl::OwnersOf(
-    const MemberInfo& member) const {
-  std::vector<NodeId> owners;
-  for (const SlotShare& share :
-       AssignSlotOwners(member, this->membership.Peers())) {
-    owners.push_back(share.owner);
-  }
-  return owners;
-}
-
 std::vector<NodeId> ControlProgram::Impl::ProxyIds() const {
   std::vector<NodeId> ids;
   for (const ProxyInfo& proxy : this->membership.Peers()) {
--- a/src/lacewingferry/app/control_program.h
+++ b/src/lacewingferry/app/control_program.h
@@ -24,10 +24,6 @@
   std::function<std::vector<TimelineEntry>()> timeline;
 };
 
-/** Founds the control log on this process's empty disk, with its replica as
- * the only voter. Throws UserError for a disk that holds a log. */
-void FoundControlLog(const ControlSettings& settings);
-
 /** A running control process. All its work is done on one thread. */
 class ControlProgram {
  public:
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -12,7 +12,7 @@
 #include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/app/control_replica.h"
-#include "lacewingferry/app/first_result.h"
+#include "lacewingferry/app/fleet_orders.h"
 #include "lacewingferry/app/fleet_peers.h"
 #include "lacewingferry/app/fleet_replica_settings.h"
 #include "lacewingferry/app/followed_ports.h"
@@ -30,21 +30,10 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t kMostBody = 4U << 20U;
-constexpr std::size_t kMostConnections = 1024;
+constexpr std::size_t kMostConnections = 1500;
+/** Members announce themselves more often on the connections that they keep. */
+constexpr milliseconds kIdleTimeout{5000};
 constexpr milliseconds kSilenceCheck{350};
-/** Until an order that isn't committed yet is answered as unknown. */
-constexpr milliseconds kOrderLimit{2500};
-
-FleetApiResult ResultOf(AnnouncementVerdict verdict) {
-  switch (verdict) {
-    case AnnouncementVerdict::kAccepted:
-      return FleetApiResult::kDone;
-    case AnnouncementVerdict::kOutdated:
-      return FleetApiResult::kOutdated;
-    default:
-      return FleetApiResult::kUnknown;
-  }
-}
 
 }  // namespace
 
@@ -60,14 +49,10 @@
  private:
   ControlReplicaHooks ReplicaHooks();
   FleetControlHooks FleetHooks();
-  FleetApiPort Api();
   void OnMessage(const NodeId& from, const PeerBody& body);
   void Redirect(const NodeId& to);
   void OnApplied();
-  void Propose(const ControlCommand& command, std::function<void(bool)> done);
-  void Replace(const ServiceConfiguration& configuration,
-               const std::string& document,
-               std::function<void(FleetApiResult)> done);
+  FleetOrderHooks OrderHooks();
   std::vector<NodeId> ControlNodes() const;
   bool Leads() const;
   void ReadStoredConfiguration();
@@ -85,6 +70,7 @@
   std::unique_ptr<FleetPeers> peers;
   ControlReplica replica;
   std::unique_ptr<FleetControl> fleet;
+  std::unique_ptr<FleetOrders> orders;
   std::uint64_t parsed_version = 0;
   bool in_office = false;
   std::uint64_t office_term = 0;
@@ -109,10 +95,13 @@
   this->fleet = std::make_unique<FleetControl>(
       this->replica.State(), this->parts.settings.node.address,
       this->FleetHooks());
+  this->orders = std::make_unique<FleetOrders>(
+      this->control, this->replica, *this->fleet, this->OrderHooks());
   this->http = std::make_shared<HttpServer>(
       std::vector<HttpServer::Thread>{
-          {&this->control, this->parts.adapters.make_api(this->Api())}},
-      this->parts.settings.listen, HttpLimits{kMostBody, kMostConnections});
+          {&this->control, this->parts.adapters.make_api(this->orders->Api())}},
+      this->parts.settings.listen,
+      HttpLimits{kMostBody, kMostConnections, kIdleTimeout});
   this->metrics = MakeMetricsServer(this->control, this->parts.settings.node,
                                     [this] { return this->Metrics(); });
 }
@@ -164,7 +153,7 @@
   hooks.redial = [this](const NodeId& node) { this->peers->Redial(node); };
   hooks.propose = [this](const ControlCommand& command,
                          std::function<void(bool)> done) {
-    this->Propose(command, std::move(done));
+    this->orders->Propose(command, std::move(done));
   };
   hooks.control_nodes = [this] { return this->ControlNodes(); };
   hooks.revision = [this] { return this->replica.State().LastIndex(); };
@@ -191,15 +180,13 @@
   return nodes;
 }
 
-/** A proposal may be applied before it returns; FleetControl looks at what
- * follows from it in its next OnTick. */
-void FleetControlProgram::Impl::Propose(const ControlCommand& command,
-                                        std::function<void(bool)> done) {
-  this->replica.Propose(
-      command,
-      [done = std::move(done)](const std::optional<ControlOutcome>& outcome) {
-        done(outcome.has_value());
-      });
+FleetOrderHooks FleetControlProgram::Impl::OrderHooks() {
+  FleetOrderHooks hooks;
+  hooks.leads = [this] { return this->Leads(); };
+  hooks.advance = [this] { this->Advance(); };
+  hooks.now = this->parts.hybrid.clock.now;
+  hooks.events = this->parts.events;
+  return hooks;
 }
 
 void FleetControlProgram::Impl::OnApplied() {
@@ -213,77 +200,6 @@
   this->parsed_version = stored.version;
 }
 
-FleetApiPort FleetControlProgram::Impl::Api() {
-  FleetApiPort api;
-  api.leader = [this] {
-    const Leadership known = this->replica.CurrentLeadership();
-    if (this->Leads()) return FleetLeader{true};
-    return FleetLeader{false, known.self ? NodeId() : known.node};
-  };
-  api.replace = [this](const ServiceConfiguration& configuration,
-                       const std::string& document,
-                       std::function<void(FleetApiResult)> done) {
-    this->Replace(configuration, document, std::move(done));
-  };
-  api.fetch = [this]() -> std::optional<std::string> {
-    const ConfigurationSubmission& stored = this->replica.State().Services();
-    if (stored.version == 0) return std::nullopt;
-    return stored.document;
-  };
-  api.known = [this](const MemberAnnouncement& announcement) {
-    const Roster& members = this->replica.State().Members();
-    return !members.Outdated(announcement) && !members.Changes(announcement);
-  };
-  api.announce = [this](const MemberAnnouncement& announcement,
-                        std::function<void(FleetApiResult)> done) {
-    this->fleet->OnAnnouncement(
-        this->parts.hybrid.clock.now(), announcement,
-        [done = std::move(done)](AnnouncementVerdict verdict) {
-          done(ResultOf(verdict));
-        });
-    this->Advance();
-  };
-  api.farewell = [this](const MemberId& member,
-                        std::function<void(FleetApiResult)> done) {
-    this->fleet->OnFarewell(
-        this->parts.hybrid.clock.now(), member,
-        [done = std::move(done)](AnnouncementVerdict verdict) {
-          done(ResultOf(verdict));
-        });
-    this->Advance();
-  };
-  api.refused = [this](const std::string& what, const std::string& reason) {
-    this->parts.events.record(Event{EventCode::kConfigurationRefused,
-                                    EventLevel::kWarning,
-                                    {{"what", what}, {"reason", reason}}});
-  };
-  return api;
-}
-
-void FleetControlProgram::Impl::Replace(
-    const ServiceConfiguration& configuration, const std::string& document,
-    std::function<void(FleetApiResult)> done) {
-  if (configuration.version <= this->replica.State().Services().version) {
-    // What is stored may be superseded elsewhere, but never by a lower one.
-    done(this->Leads() ? FleetApiResult::kDone : FleetApiResult::kUnknown);
-    return;
-  }
-  const auto answer =
-      FirstResultWithin(this->control, kOrderLimit, std::move(done));
-  const std::uint64_t version = configuration.version;
-  this->Propose(
-      ControlCommand{ConfigurationSubmission{version, document}},
-      [this, answer, version](bool applied) {
-        this->parts.events.record(
-            Event{EventCode::kConfigurationReplaced,
-                  EventLevel::kInfo,
-                  {{"version", std::to_string(version)},
-                   {"outcome", applied ? "stored" : "unknown"}}});
-        answer(applied ? FleetApiResult::kDone : FleetApiResult::kUnknown);
-      });
-  this->Advance();
-}
-
 void FleetControlProgram::Impl::OnMessage(const NodeId& from,
                                           const PeerBody& body) {
   const auto now = this->parts.hybrid.clock.now();
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -83,7 +83,7 @@
 void Gateway::Open(steady_clock::time_point now, const SessionOpening& opening,
                    AdmissionHook done) {
   const Admission admission = this->Admit(opening);
-  if (admission.verdict != AdmissionVerdict::kStarting) {
+  if (admission.verdict != AdmissionVerdict::kStarting || this->draining) {
     done(admission);
     return;
   }
@@ -104,10 +104,14 @@
   }
 }
 
+/** Refuses openings whose wait is over; a proxy that stops refuses all, since
+ * others know more. */
 void Gateway::RefuseLate(steady_clock::time_point now) {
-  const auto late = std::stable_partition(
-      this->openings.begin(), this->openings.end(),
-      [now](const Opening& opening) { return now < opening.limit; });
+  const auto late =
+      std::stable_partition(this->openings.begin(), this->openings.end(),
+                            [this, now](const Opening& opening) {
+                              return now < opening.limit && !this->draining;
+                            });
   const std::vector<Opening> refused(late, this->openings.end());
   this->openings.erase(late, this->openings.end());
   for (const Opening& opening : refused) {
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -80,7 +80,8 @@
   void EndTransactions(std::chrono::steady_clock::time_point now);
 
   std::size_t SessionCount() const {
-    return this->sessions.size() + this->relayed.Count();
+    return this->sessions.size() + this->relayed.Count() +
+           this->openings.size();
   }
   /** What the gateway stands at, for metrics. */
   std::vector<Gauge> Gauges(std::chrono::steady_clock::time_point now) const;
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -50,8 +50,9 @@
   return next;
 }
 
-void Gateway::StartDraining(steady_clock::time_point /*now*/) {
+void Gateway::StartDraining(steady_clock::time_point now) {
   this->draining = true;
+  this->RefuseLate(now);
   this->relayed.StartDraining();
   std::vector<ClientId> resting;
   for (const auto& [id, session] : this->sessions) {
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.cc
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.cc
@@ -11,21 +11,23 @@
   std::rotate(admission.owners.begin(),
               admission.owners.begin() + static_cast<std::ptrdiff_t>(first),
               admission.owners.end());
-  this->sessions[client] = RelayState{true, TransactionState::kIdle};
+  this->sessions[client].state.waits = true;
   return admission;
 }
 
-bool RelayedSessions::Ends(const RelayState& state) const {
+bool RelayedSessions::Ends(const Session& session) const {
+  const RelayState& state = session.state;
   if (state.waits) return false;
-  return this->ending_transactions ||
-         (this->draining && state.transaction == TransactionState::kIdle);
+  const bool idle = state.transaction == TransactionState::kIdle;
+  return this->ending_transactions || (this->draining && idle && session.used);
 }
 
 void RelayedSessions::OnState(ClientId client, const RelayState& state) {
   const auto found = this->sessions.find(client);
   if (found == this->sessions.end()) return;
-  found->second = state;
-  if (!this->Ends(state)) return;
+  found->second.state = state;
+  found->second.used = found->second.used || state.waits;
+  if (!this->Ends(found->second)) return;
   this->sessions.erase(found);
   this->close(client);
 }
@@ -42,8 +44,8 @@
 
 void RelayedSessions::EndResting() {
   std::vector<ClientId> ended;
-  for (const auto& [client, state] : this->sessions) {
-    if (this->Ends(state)) ended.push_back(client);
+  for (const auto& [client, session] : this->sessions) {
+    if (this->Ends(session)) ended.push_back(client);
   }
   for (const ClientId client : ended) {
     this->sessions.erase(client);
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.h
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.h
@@ -40,7 +40,8 @@
   /** Notes where a session stands after a statement or its answer. */
   void OnState(ClientId client, const RelayState& state);
 
-  /** Ends sessions without a transaction as they come to rest. */
+  /** Ends sessions without a transaction as they come to rest after a
+   * statement; one that was just opened has its first still to come. */
   void StartDraining();
   /** Ends sessions as they come to rest, whatever they have open: their
    * transactions are rolled back with them. */
@@ -49,11 +50,17 @@
   std::size_t Count() const { return this->sessions.size(); }
 
  private:
-  bool Ends(const RelayState& state) const;
+  struct Session {
+    RelayState state;
+    /** Whether the client has sent anything since its session was opened. */
+    bool used = false;
+  };
+
+  bool Ends(const Session& session) const;
   void EndResting();
 
   CloseClient close;
-  std::map<ClientId, RelayState> sessions;
+  std::map<ClientId, Session> sessions;
   std::size_t next_owner = 0;
   bool draining = false;
   bool ending_transactions = false;
--- a/src/lacewingferry/decisions/ownership/slot_owners.cc
+++ b/src/lacewingferry/decisions/ownership/slot_owners.cc
@@ -48,4 +48,13 @@
   return shares;
 }
 
+std::vector<NodeId> SlotOwnersOf(const MemberInfo& member,
+                                 const std::vector<ProxyInfo>& proxies) {
+  std::vector<NodeId> owners;
+  for (const SlotShare& share : AssignSlotOwners(member, proxies)) {
+    owners.push_back(share.owner);
+  }
+  return owners;
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/ownership/slot_owners.h
+++ b/src/lacewingferry/decisions/ownership/slot_owners.h
@@ -18,6 +18,10 @@
 std::vector<SlotShare> AssignSlotOwners(const MemberInfo& member,
                                         const std::vector<ProxyInfo>& proxies);
 
+/** The proxies that have a share of a member's slots. */
+std::vector<NodeId> SlotOwnersOf(const MemberInfo& member,
+                                 const std::vector<ProxyInfo>& proxies);
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_OWNERSHIP_SLOT_OWNERS_H_
--- a/tests/correctness/control_api_test.cc
+++ b/tests/correctness/control_api_test.cc
@@ -8,7 +8,7 @@
 namespace lacewingferry::platform {
 namespace {
 
-constexpr std::uint16_t kPort = 8080;
+const Endpoint kListen{"10.0.0.3", 8080};
 constexpr char kBody[] =
     R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"z0",)"
     R"("version":"v1","slots":2,"state":"ready","warmup_left_ms":0,)"
@@ -29,7 +29,7 @@
   request.path = "/instances/i-7f3a/heartbeat";
   request.body = kBody;
   std::optional<HttpResponse> response;
-  MakeControlApi(Follower(knows), kPort)(
+  MakeControlApi(Follower(knows), kListen)(
       request, [&](HttpResponse answer) { response = std::move(answer); });
   return *response;
 }
@@ -44,7 +44,11 @@
 
  public:
   void AnyProcessAcknowledgesWhatIsKnown() {
-    CPPUNIT_ASSERT_EQUAL(200, Beat(true).status);
+    const HttpResponse response = Beat(true);
+    CPPUNIT_ASSERT_EQUAL(200, response.status);
+    // The member stays with the process that knows it.
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"heartbeat_addr":"10.0.0.3:8080"})"),
+                         response.body);
   }
 
   void NewsGoesToTheLeader() {
--- a/tests/correctness/gateway_session_test.cc
+++ b/tests/correctness/gateway_session_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(RemovedRouteIsRefusedFromTheNextOperation);
   CPPUNIT_TEST(OpeningWaitsForTheFirstConfiguration);
   CPPUNIT_TEST(DrainingEndsSessionsAtRest);
+  CPPUNIT_TEST(DrainingRefusesOpeningsThatWait);
   CPPUNIT_TEST(PipelinedStatementsAreAnsweredInOrder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -170,6 +171,20 @@
     CPPUNIT_ASSERT(gateway.Closed(open));
   }
 
+  // A proxy that stopped before it knew any configuration ended while clients
+  // waited for their sessions.
+  void DrainingRefusesOpeningsThatWait() {
+    SessionGateway gateway;
+    const ClientId waiting = gateway.Open("primary");
+    gateway.Run(milliseconds(100));
+    Gateway& decisions = gateway.Decisions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.SessionCount());
+    decisions.StartDraining(gateway.Queue().Now());
+    CPPUNIT_ASSERT(gateway.Closed(waiting));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decisions.SessionCount());
+    CPPUNIT_ASSERT(gateway.Closed(gateway.Open("primary")));
+  }
+
   void PipelinedStatementsAreAnsweredInOrder() {
     SessionGateway gateway;
     Prepare(gateway);
--- a/tests/correctness/http_exchange_test.cc
+++ b/tests/correctness/http_exchange_test.cc
@@ -19,14 +19,15 @@
 /** A server whose answers are given by hand, on a thread of its own. */
 class HeldServer {
  public:
-  HeldServer() : work(boost::asio::make_work_guard(this->io)) {
+  explicit HeldServer(const HttpLimits& limits = HttpLimits())
+      : work(boost::asio::make_work_guard(this->io)) {
     const HttpHandler hold = [this](const HttpRequest&,
                                     const HttpRespond& respond) {
       this->held.set_value(respond);
     };
     this->server = std::make_shared<HttpServer>(
         std::vector<HttpServer::Thread>{{&this->io, hold}},
-        Endpoint{"127.0.0.1", 0}, HttpLimits{});
+        Endpoint{"127.0.0.1", 0}, limits);
     this->server->Start();
     this->thread = std::thread([this] { this->io.run(); });
   }
@@ -61,6 +62,7 @@
   CPPUNIT_TEST_SUITE(HttpExchangeTest);
   CPPUNIT_TEST(CountsUntilTheAnswerIsWritten);
   CPPUNIT_TEST(ConnectionClosedAtRestIsNoLostAnswer);
+  CPPUNIT_TEST(ConnectionThatRestsTooLongIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +96,23 @@
     CPPUNIT_ASSERT_EQUAL(200, second);
   }
 
+  // Members kept a connection to each process of control, until none was left
+  // for the operator.
+  void ConnectionThatRestsTooLongIsClosed() {
+    using boost::asio::ip::tcp;
+    HttpLimits limits;
+    limits.idle_timeout = kRest;
+    HeldServer server(limits);
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), server.Address().port});
+    char byte = 0;
+    boost::system::error_code error;
+    socket.read_some(boost::asio::buffer(&byte, 1), error);
+    CPPUNIT_ASSERT(error == boost::asio::error::eof);
+  }
+
  private:
   /** Until the end of the connection has reached the client. */
   static constexpr std::chrono::milliseconds kRest{100};
--- a/tests/correctness/relayed_session_test.cc
+++ b/tests/correctness/relayed_session_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(OthersHoldNoConnections);
   CPPUNIT_TEST(SessionsFollowTheirGroupAtRest);
   CPPUNIT_TEST(AStoppingProxyEndsRelaysAtRest);
+  CPPUNIT_TEST(ASessionThatWasJustOpenedIsNotEnded);
   CPPUNIT_TEST(AStoppingOwnerTakesNoRelays);
   CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +126,10 @@
     for (int i = 0; i < 3; ++i)
       clients.push_back(place.gateway.Open("primary"));
     Gateway& gateway = place.gateway.Decisions();
+    for (const ClientId client : clients) {
+      gateway.OnRelayState(client, {false, TransactionState::kIdle});
+      gateway.OnRelayState(client, {true, TransactionState::kIdle});
+    }
     gateway.OnRelayState(clients[0], {false, TransactionState::kIdle});
     gateway.OnRelayState(clients[1], {false, TransactionState::kOpen});
     gateway.OnRelayState(clients[2], {true, TransactionState::kIdle});
@@ -139,6 +144,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway.SessionCount());
   }
 
+  // An owner took the session late, when the proxy stopped already: it was
+  // ended with the answer to its opening, and the client's statement met its
+  // end.
+  void ASessionThatWasJustOpenedIsNotEnded() {
+    Place place(false);
+    const ClientId client = place.gateway.Open("primary");
+    Gateway& gateway = place.gateway.Decisions();
+    gateway.StartDraining(place.gateway.Queue().Now());
+    gateway.OnRelayState(client, {false, TransactionState::kIdle});
+    CPPUNIT_ASSERT(!place.gateway.Closed(client));
+    gateway.OnRelayState(client, {true, TransactionState::kIdle});
+    gateway.OnRelayState(client, {false, TransactionState::kIdle});
+    CPPUNIT_ASSERT(place.gateway.Closed(client));
+  }
+
   void AStoppingOwnerTakesNoRelays() {
     Place owner(true);
     owner.gateway.Decisions().StartDraining(owner.gateway.Queue().Now());
