Who relays a session ends it; an owner ends it after answers only; relay_lost names who broke off

The proxy that relays knows what it has passed on, so it ends a session at rest whose owner isn't one any more; the owner ends one only with an answer.

RelayedSessionTest: WhoRelaysEndsSessionsOfAFormerOwner, AnOwnerEndsRelayedSessionsAfterAnswersOnly.

--- a/src/lacewingferry/app/session_front.h
+++ b/src/lacewingferry/app/session_front.h
@@ -23,6 +23,8 @@
   std::function<void(const SessionOpening&, AdmissionHook)> open;
   /** A relayed session sent a statement or got an answer. */
   std::function<void(ClientId, const RelayState&)> relay_state;
+  /** An owner ended a session while a statement waited; client_gone follows. */
+  std::function<void(const std::string& host, const NodeId& owner)> relay_lost;
   /** No owner took a session; client_gone follows. */
   std::function<void(ClientId, const std::string& host)> relay_failed;
   std::function<void(ClientId, const ClientStatement&)> statement;
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -104,6 +104,9 @@
     this->gateway->OnRelayState(client, state);
     this->session_count = this->gateway->SessionCount();
   };
+  hooks.relay_lost = [this](const std::string& host, const NodeId& owner) {
+    this->gateway->OnRelayLost(host, owner);
+  };
   hooks.relay_failed = [this](ClientId client, const std::string& host) {
     this->gateway->OnRelayFailed(client, host);
   };
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -54,6 +54,8 @@
       return "sessions_closed";
     case EventCode::kSessionNotRelayed:
       return "session_not_relayed";
+    case EventCode::kRelayLost:
+      return "relay_lost";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -30,6 +30,7 @@
   kRequestServed = 3103,
   kSessionsClosed = 3104,
   kSessionNotRelayed = 3105,
+  kRelayLost = 3106,
   kReplicaPassedOver = 3201,
   kReplicaTakenBack = 3202,
   kPeerMessageRejected = 4001,
--- a/src/lacewingferry/decisions/gateway/client_session.h
+++ b/src/lacewingferry/decisions/gateway/client_session.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "lacewingferry/decisions/gateway/admission.h"
 #include "lacewingferry/decisions/gateway/statement_run.h"
 
 namespace lacewingferry {
@@ -19,6 +20,7 @@
   ClientId id = 0;
   /** The database name that the client stated. */
   std::string host;
+  SessionOrigin origin = SessionOrigin::kClient;
   std::shared_ptr<SessionState> state = std::make_shared<SessionState>();
   TransactionState transaction = TransactionState::kIdle;
   /** Whether the open transaction has written. */
@@ -38,6 +40,14 @@
   /** The newest commit of the session in each group. */
   std::map<DatabaseId, LogPosition> committed;
 
+  /** Whether it may be ended between two statements. A proxy that relays may
+   * have passed on a statement that isn't read here yet, so it ends such a
+   * session itself, or this proxy does right after an answer. */
+  bool MayEndAtRest() const {
+    return this->origin == SessionOrigin::kClient &&
+           this->RestsIn(TransactionState::kIdle);
+  }
+
   /** Whether nothing runs for it and its transaction is in a state. */
   bool RestsIn(TransactionState state_of_transaction) const {
     return this->running == nullptr &&
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -61,6 +61,13 @@
     this->GroupFor(database).SetView(now, group);
   }
   this->EndSessionsOfOthers();
+  this->relayed.KeepOwners([this](const std::string& host) {
+    const Route* route = this->view->configuration.FindRoute(host);
+    if (route == nullptr) return std::vector<NodeId>();
+    const auto owned = this->view->groups.find(route->database);
+    return owned == this->view->groups.end() ? std::vector<NodeId>()
+                                             : owned->second.deal.owners;
+  });
   this->AdmitWaiting();
 }
 
@@ -135,11 +142,12 @@
   if (!owner) {
     const auto& owners = this->view->groups.at(route->database).deal.owners;
     if (owners.empty()) return Admission{AdmissionVerdict::kStarting, {}};
-    return this->relayed.Add(opening.client, owners);
+    return this->relayed.Add(opening, owners);
   }
   const auto session = std::make_shared<ClientSession>();
   session->id = opening.client;
   session->host = opening.host;
+  session->origin = opening.origin;
   this->sessions[opening.client] = session;
   return Admission{AdmissionVerdict::kAccepted, {}};
 }
@@ -151,7 +159,7 @@
   for (const auto& [id, session] : this->sessions) {
     const Route* route = this->view->configuration.FindRoute(session->host);
     if (route == nullptr || this->OwnsGroup(route->database)) continue;
-    if (session->RestsIn(TransactionState::kIdle)) ended.push_back(id);
+    if (session->MayEndAtRest()) ended.push_back(id);
   }
   for (const ClientId id : ended) {
     this->sessions.erase(id);
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -57,6 +57,8 @@
   void OnRelayState(ClientId client, const RelayState& state) {
     this->relayed.OnState(client, state);
   }
+  /** Records that an owner ended a session while a statement waited. */
+  void OnRelayLost(const std::string& host, const NodeId& owner);
   /** Records that no owner took a session. */
   void OnRelayFailed(ClientId client, const std::string& host);
   void OnStatement(std::chrono::steady_clock::time_point now, ClientId client,
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -56,7 +56,7 @@
   this->relayed.StartDraining();
   std::vector<ClientId> resting;
   for (const auto& [id, session] : this->sessions) {
-    if (session->RestsIn(TransactionState::kIdle)) resting.push_back(id);
+    if (session->MayEndAtRest()) resting.push_back(id);
   }
   for (const ClientId id : resting) {
     this->sessions.erase(id);
@@ -74,6 +74,12 @@
   this->relayed.EndTransactions();
 }
 
+void Gateway::OnRelayLost(const std::string& host, const NodeId& owner) {
+  this->hooks.events.record(Event{EventCode::kRelayLost,
+                                  EventLevel::kWarning,
+                                  {{"host", host}, {"owner", owner.Value()}}});
+}
+
 void Gateway::OnRelayFailed(ClientId client, const std::string& host) {
   this->relayed.Remove(client);
   this->hooks.events.record(
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.cc
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.cc
@@ -4,14 +4,16 @@
 
 namespace lacewingferry {
 
-Admission RelayedSessions::Add(ClientId client,
+Admission RelayedSessions::Add(const SessionOpening& opening,
                                const std::vector<NodeId>& owners) {
   Admission admission{AdmissionVerdict::kRelayed, owners};
   const auto first = this->next_owner++ % owners.size();
   std::rotate(admission.owners.begin(),
               admission.owners.begin() + static_cast<std::ptrdiff_t>(first),
               admission.owners.end());
-  this->sessions[client].state.waits = true;
+  Session& session = this->sessions[opening.client];
+  session.host = opening.host;
+  session.state.waits = true;
   return admission;
 }
 
@@ -32,20 +34,37 @@
   this->close(client);
 }
 
+void RelayedSessions::KeepOwners(
+    const std::function<std::vector<NodeId>(const std::string& host)>&
+        owners_of) {
+  this->EndWhere([&](const Session& session) {
+    const RelayState& state = session.state;
+    const bool rests =
+        !state.waits && state.transaction == TransactionState::kIdle;
+    if (!rests || !session.used) return false;
+    const std::vector<NodeId> owners = owners_of(session.host);
+    return !owners.empty() &&
+           std::find(owners.begin(), owners.end(), state.owner) == owners.end();
+  });
+}
+
 void RelayedSessions::StartDraining() {
   this->draining = true;
-  this->EndResting();
+  this->EndWhere(
+      [this](const Session& session) { return this->Ends(session); });
 }
 
 void RelayedSessions::EndTransactions() {
   this->ending_transactions = true;
-  this->EndResting();
+  this->EndWhere(
+      [this](const Session& session) { return this->Ends(session); });
 }
 
-void RelayedSessions::EndResting() {
+void RelayedSessions::EndWhere(
+    const std::function<bool(const Session&)>& ends) {
   std::vector<ClientId> ended;
   for (const auto& [client, session] : this->sessions) {
-    if (this->Ends(session)) ended.push_back(client);
+    if (ends(session)) ended.push_back(client);
   }
   for (const ClientId client : ended) {
     this->sessions.erase(client);
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.h
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,8 @@
   /** Whether a statement waits for its answer. */
   bool waits = false;
   TransactionState transaction = TransactionState::kIdle;
+  /** The proxy that serves it; empty until one took it. */
+  NodeId owner{};
 };
 
 /** Chooses who serves a session, and ends relayed sessions of a proxy that
@@ -34,12 +37,19 @@
 
   /** Takes a session; the owners come in another order for each, so that each
    * gets its part. */
-  Admission Add(ClientId client, const std::vector<NodeId>& owners);
+  Admission Add(const SessionOpening& opening,
+                const std::vector<NodeId>& owners);
   void Remove(ClientId client) { this->sessions.erase(client); }
 
   /** Notes where a session stands after a statement or its answer. */
   void OnState(ClientId client, const RelayState& state);
 
+  /** Ends sessions at rest whose owner doesn't own their database any more.
+   * Where no owner is known, they stay. */
+  void KeepOwners(
+      const std::function<std::vector<NodeId>(const std::string& host)>&
+          owners_of);
+
   /** Ends sessions without a transaction as they come to rest after a
    * statement; one that was just opened has its first still to come. */
   void StartDraining();
@@ -51,13 +61,14 @@
 
  private:
   struct Session {
+    std::string host;
     RelayState state;
     /** Whether the client has sent anything since its session was opened. */
     bool used = false;
   };
 
   bool Ends(const Session& session) const;
-  void EndResting();
+  void EndWhere(const std::function<bool(const Session&)>& ends);
 
   CloseClient close;
   std::map<ClientId, Session> sessions;
--- a/src/lacewingferry/decisions/ownership/connection_deal.cc
+++ b/src/lacewingferry/decisions/ownership/connection_deal.cc
@@ -27,6 +27,7 @@
                                 const std::vector<NodeId>& proxies,
                                 std::size_t count) {
   std::vector<std::pair<std::uint64_t, NodeId>> ranked;
+  ranked.reserve(proxies.size());
   for (const NodeId& proxy : proxies) {
     ranked.emplace_back(RendezvousWeight(database.Value(), proxy.Value()),
                         proxy);
--- a/src/lacewingferry/decisions/switchover/zone_directory.cc
+++ b/src/lacewingferry/decisions/switchover/zone_directory.cc
@@ -60,6 +60,7 @@
   ZoneProxies proxies;
   proxies.zones = static_cast<std::uint32_t>(this->zones.size());
   const std::string key = std::to_string(proxies.zones);
+  proxies.proxies.reserve(heard.size());
   for (const auto& entry : heard) {
     proxies.proxies.push_back(entry.first);
     proxies.digest += RendezvousWeight(key, entry.first.Value());
--- a/tests/correctness/relayed_session_test.cc
+++ b/tests/correctness/relayed_session_test.cc
@@ -59,6 +59,8 @@
   CPPUNIT_TEST(SessionsFollowTheirGroupAtRest);
   CPPUNIT_TEST(AStoppingProxyEndsRelaysAtRest);
   CPPUNIT_TEST(ASessionThatWasJustOpenedIsNotEnded);
+  CPPUNIT_TEST(WhoRelaysEndsSessionsOfAFormerOwner);
+  CPPUNIT_TEST(AnOwnerEndsRelayedSessionsAfterAnswersOnly);
   CPPUNIT_TEST(AStoppingOwnerTakesNoRelays);
   CPPUNIT_TEST_SUITE_END();
 
@@ -127,8 +129,9 @@
       clients.push_back(place.gateway.Open("primary"));
     Gateway& gateway = place.gateway.Decisions();
     for (const ClientId client : clients) {
-      gateway.OnRelayState(client, {false, TransactionState::kIdle});
-      gateway.OnRelayState(client, {true, TransactionState::kIdle});
+      gateway.OnRelayState(client,
+                           {false, TransactionState::kIdle, kOwners[0]});
+      gateway.OnRelayState(client, {true, TransactionState::kIdle, kOwners[0]});
     }
     gateway.OnRelayState(clients[0], {false, TransactionState::kIdle});
     gateway.OnRelayState(clients[1], {false, TransactionState::kOpen});
@@ -159,6 +162,42 @@
     CPPUNIT_ASSERT(place.gateway.Closed(client));
   }
 
+  void WhoRelaysEndsSessionsOfAFormerOwner() {
+    Place place(false);
+    const ClientId resting = place.gateway.Open("primary");
+    const ClientId waiting = place.gateway.Open("primary");
+    const ClientId staying = place.gateway.Open("primary");
+    Gateway& gateway = place.gateway.Decisions();
+    const TransactionState idle = TransactionState::kIdle;
+    for (const ClientId client : {resting, waiting, staying}) {
+      const NodeId& owner = client == staying ? kOwners[1] : kOwners[0];
+      gateway.OnRelayState(client, {true, idle, owner});
+      gateway.OnRelayState(client, {client == waiting, idle, owner});
+    }
+    place.Deal(false, {});
+    CPPUNIT_ASSERT(!place.gateway.Closed(resting));
+    place.Deal(false, {kOwners[1], kOwners[2]});
+    CPPUNIT_ASSERT(place.gateway.Closed(resting));
+    CPPUNIT_ASSERT(!place.gateway.Closed(waiting));
+    CPPUNIT_ASSERT(!place.gateway.Closed(staying));
+  }
+
+  // A busy owner that lost a group ended sessions whose statements lay unread
+  // in its sockets.
+  void AnOwnerEndsRelayedSessionsAfterAnswersOnly() {
+    Place owner(true);
+    const ClientId client =
+        owner.gateway.Open("primary", SessionOrigin::kProxy);
+    owner.gateway.AskAndWait(client, "LOOKUP 1");
+    owner.Deal(false);
+    CPPUNIT_ASSERT(!owner.gateway.Closed(client));
+    owner.gateway.Decisions().StartDraining(owner.gateway.Queue().Now());
+    CPPUNIT_ASSERT(!owner.gateway.Closed(client));
+    owner.gateway.Ask(client, "LOOKUP 1");
+    owner.gateway.Run(milliseconds(500));
+    CPPUNIT_ASSERT(owner.gateway.Closed(client));
+  }
+
   void AStoppingOwnerTakesNoRelays() {
     Place owner(true);
     owner.gateway.Decisions().StartDraining(owner.gateway.Queue().Now());
--- a/tests/correctness/session_relay_test.cc
+++ b/tests/correctness/session_relay_test.cc
@@ -76,6 +76,7 @@
   std::vector<RelayState> states;
   bool relay_failed = false;
   int gone = 0;
+  int lost = 0;
   std::optional<tcp::socket> client;
 
  private:
@@ -99,6 +100,9 @@
     hooks.relay_state = [this](ClientId, const RelayState& state) {
       this->states.push_back(state);
     };
+    hooks.relay_lost = [this](const std::string&, const NodeId&) {
+      ++this->lost;
+    };
     hooks.relay_failed = [this](ClientId, const std::string&) {
       this->relay_failed = true;
     };
