--- a/tests/correctness/connection_deal_test.cc
+++ b/tests/correctness/connection_deal_test.cc
@@ -19,6 +19,7 @@
     this->rule.max_connections = connections;
     for (std::size_t zone = 0; zone < sizes.size(); ++zone) {
       auto& proxies = this->zones[static_cast<int>(zone)];
+      proxies.reserve(static_cast<std::size_t>(sizes[zone]));
       for (int i = 0; i < sizes[zone]; ++i) {
         proxies.push_back(
             NodeId("10." + std::to_string(zone) + ".0." + std::to_string(i)));
@@ -76,6 +77,7 @@
     const bool kept = rc::check([] {
       const int zones = *rc::gen::inRange(1, 14);
       std::vector<int> sizes;
+      sizes.reserve(static_cast<std::size_t>(zones));
       for (int i = 0; i < zones; ++i) {
         sizes.push_back(*rc::gen::inRange(1, 80));
       }
--- a/tests/correctness/relayed_session_test.cc
+++ b/tests/correctness/relayed_session_test.cc
@@ -124,9 +124,8 @@
 
   void AStoppingProxyEndsRelaysAtRest() {
     Place place(false);
-    std::vector<ClientId> clients;
-    for (int i = 0; i < 3; ++i)
-      clients.push_back(place.gateway.Open("primary"));
+    std::vector<ClientId> clients(3);
+    for (ClientId& client : clients) client = place.gateway.Open("primary");
     Gateway& gateway = place.gateway.Decisions();
     for (const ClientId client : clients) {
       gateway.OnRelayState(client,
