Read the change again: one way to end sessions at rest, a stop's wait in its own file, no search where all groups are owned

- EndSessionsOfOthers and StartDraining ended sessions by the same loop: EndAtRest.
- With each view every session's route was searched, also where this proxy owns all groups, as on both sites of today; that search is left out there.
Owners of a relayed session's database are looked at, not copied.
Behaviour is the same; the tests are untouched.

--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,29 +16,15 @@
 #include "lacewingferry/adapters/http/http_server.h"
 #include "lacewingferry/adapters/nng/peer_socket.h"
 #include "lacewingferry/app/caller_api.h"
-#include "lacewingferry/app/daemon_main.h"
 #include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/proxy_control.h"
+#include "lacewingferry/app/proxy_drain.h"
 #include "lacewingferry/app/rejected_message.h"
 #include "lacewingferry/app/run_io_context.h"
 #include "lacewingferry/app/traffic_thread.h"
 #include "lacewingferry/app/wait_until.h"
 
 namespace lacewingferry {
-namespace {
-
-using std::chrono::milliseconds;
-
-/** How often a planned stop looks whether requests are unfinished. */
-constexpr milliseconds kDrainCheckInterval{50};
-/** Peers that have not yet heard of the stop still send requests for this
- * long. */
-constexpr milliseconds kPeerNoticeTime{1000};
-/** Beyond the drain limit, for a traffic thread to say what it has left. */
-constexpr milliseconds kAnswerGrace{1000};
-
-}  // namespace
-
 /**
  * The control thread is the one that calls Run: it alone touches the control
  * state. Traffic threads get immutable views from it. Messages of peers
@@ -69,9 +54,7 @@
   void RunOnControl(Action action);
   void ArmControlTimer();
   void BeginStop();
-  void LimitStop();
-  void CheckDrained();
-  void EndStop();
+  ProxyDrainHooks DrainHooks();
 
   ProxySettings settings;
   EventPort events;
@@ -80,8 +63,6 @@
   boost::asio::io_context control;
   boost::asio::signal_set signals;
   boost::asio::steady_timer control_timer;
-  boost::asio::steady_timer drain_timer;
-  boost::asio::steady_timer stop_limit;
   std::uint64_t incarnation;
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::shared_ptr<HttpServer> http;
@@ -92,9 +73,7 @@
   /** Whether any database is known; the balancer sends no work before. */
   std::atomic<bool> started{false};
   std::atomic<bool> stopping{false};
-  std::chrono::steady_clock::time_point stop_began;
-  std::size_t counted = 0;
-  std::size_t unfinished = 0;
+  ProxyDrain drain;
 };
 
 ProxyProgram::Impl::Impl(ProxySettings proxy_settings, EventPort event_port,
@@ -105,9 +84,9 @@
       clock(this->hybrid.clock),
       signals(this->control, SIGTERM, SIGINT),
       control_timer(this->control),
-      drain_timer(this->control),
-      stop_limit(this->control),
-      incarnation(IncarnationNow(this->clock)) {
+      incarnation(IncarnationNow(this->clock)),
+      drain(this->control, this->threads, this->settings.drain_limit,
+            this->DrainHooks()) {
   this->MakeTrafficThreads();
   this->peers = std::make_unique<PeerSocket>(
       this->settings.peer_url,
@@ -346,62 +325,23 @@
 void ProxyProgram::Impl::BeginStop() {
   this->events.record(Event{EventCode::kProcessStopping});
   this->stopping = true;
-  this->stop_began = this->clock.now();
   this->state->StartDraining();
   boost::asio::post(this->threads.front()->Io(),
                     [server = this->http] { server->Stop(); });
-  this->LimitStop();
-  this->CheckDrained();
-}
-
-/** A traffic thread that doesn't answer can't be ended either, so the process
- * ends without it. */
-void ProxyProgram::Impl::LimitStop() {
-  this->stop_limit.expires_after(this->settings.drain_limit + kAnswerGrace);
-  this->stop_limit.async_wait([this](boost::system::error_code error) {
-    if (error) return;
-    const std::size_t silent = this->threads.size() - this->counted;
-    this->events.record(
-        Event{EventCode::kInternalError,
-              EventLevel::kError,
-              {{"reason",
-                "the stop is overdue; traffic threads that don't "
-                "answer: " +
-                    std::to_string(silent)}}});
-    std::quick_exit(kExitFailed);
-  });
+  this->drain.Begin();
 }
 
-void ProxyProgram::Impl::CheckDrained() {
-  this->counted = 0;
-  this->unfinished = 0;
-  for (auto& thread : this->threads) {
-    thread->CountUnfinished(
-        [this](std::size_t requests, std::size_t transactions) {
-          boost::asio::post(this->control, [this, requests, transactions] {
-            ++this->counted;
-            this->unfinished += requests + transactions;
-            if (this->counted == this->threads.size()) this->EndStop();
-          });
-        });
-  }
-}
-
-void ProxyProgram::Impl::EndStop() {
-  const auto stopped_for = this->clock.now() - this->stop_began;
-  const bool noticed = stopped_for >= kPeerNoticeTime;
-  // An answer may still be on its way between two threads.
-  const bool idle = this->unfinished == 0 && this->http->Exchanges() == 0;
-  if ((idle && noticed) || stopped_for >= this->settings.drain_limit) {
+ProxyDrainHooks ProxyProgram::Impl::DrainHooks() {
+  ProxyDrainHooks hooks;
+  hooks.exchanges = [this] { return this->http->Exchanges(); };
+  hooks.done = [this] {
     this->state->Leave();
     this->control_timer.cancel();
     this->control.stop();
-    return;
-  }
-  this->drain_timer.expires_after(kDrainCheckInterval);
-  this->drain_timer.async_wait([this](boost::system::error_code error) {
-    if (!error) this->CheckDrained();
-  });
+  };
+  hooks.now = this->clock.now;
+  hooks.events = this->events;
+  return hooks;
 }
 
 ProxyProgram::ProxyProgram(ProxySettings settings, EventPort events,
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -61,13 +61,6 @@
     this->GroupFor(database).SetView(now, group);
   }
   this->EndSessionsOfOthers();
-  this->relayed.KeepOwners([this](const std::string& host) {
-    const Route* route = this->view->configuration.FindRoute(host);
-    if (route == nullptr) return std::vector<NodeId>();
-    const auto owned = this->view->groups.find(route->database);
-    return owned == this->view->groups.end() ? std::vector<NodeId>()
-                                             : owned->second.deal.owners;
-  });
   this->AdmitWaiting();
 }
 
@@ -87,86 +80,6 @@
   this->GroupFor(database).Recall(now, before_term, patience);
 }
 
-void Gateway::Open(steady_clock::time_point now, const SessionOpening& opening,
-                   AdmissionHook done) {
-  const Admission admission = this->Admit(opening);
-  if (admission.verdict != AdmissionVerdict::kStarting || this->draining) {
-    done(admission);
-    return;
-  }
-  this->openings.push_back(
-      Opening{opening, std::move(done), now + this->settings.opening_limit});
-}
-
-void Gateway::AdmitWaiting() {
-  std::vector<Opening> waiting;
-  waiting.swap(this->openings);
-  for (Opening& opening : waiting) {
-    const Admission admission = this->Admit(opening.asked);
-    if (admission.verdict == AdmissionVerdict::kStarting) {
-      this->openings.push_back(std::move(opening));
-    } else {
-      opening.done(admission);
-    }
-  }
-}
-
-/** Refuses openings whose wait is over; a proxy that stops refuses all, since
- * others know more. */
-void Gateway::RefuseLate(steady_clock::time_point now) {
-  const auto late =
-      std::stable_partition(this->openings.begin(), this->openings.end(),
-                            [this, now](const Opening& opening) {
-                              return now < opening.limit && !this->draining;
-                            });
-  const std::vector<Opening> refused(late, this->openings.end());
-  this->openings.erase(late, this->openings.end());
-  for (const Opening& opening : refused) {
-    opening.done(Admission{AdmissionVerdict::kStarting, {}});
-  }
-}
-
-bool Gateway::OwnsGroup(const DatabaseId& database) const {
-  const auto group = this->view->groups.find(database);
-  return group == this->view->groups.end() || group->second.deal.owner;
-}
-
-Admission Gateway::Admit(const SessionOpening& opening) {
-  if (!this->view) return Admission{AdmissionVerdict::kStarting, {}};
-  const Route* route = this->view->configuration.FindRoute(opening.host);
-  if (route == nullptr) return Admission{AdmissionVerdict::kNoDatabase, {}};
-  const bool owner = this->OwnsGroup(route->database);
-  if (opening.origin == SessionOrigin::kProxy && (!owner || this->draining)) {
-    return Admission{AdmissionVerdict::kNotServedHere, {}};
-  }
-  if (!owner) {
-    const auto& owners = this->view->groups.at(route->database).deal.owners;
-    if (owners.empty()) return Admission{AdmissionVerdict::kStarting, {}};
-    return this->relayed.Add(opening, owners);
-  }
-  const auto session = std::make_shared<ClientSession>();
-  session->id = opening.client;
-  session->host = opening.host;
-  session->origin = opening.origin;
-  this->sessions[opening.client] = session;
-  return Admission{AdmissionVerdict::kAccepted, {}};
-}
-
-/** Sessions of groups that others own now are ended at rest, to come back to
- * an owner. */
-void Gateway::EndSessionsOfOthers() {
-  std::vector<ClientId> ended;
-  for (const auto& [id, session] : this->sessions) {
-    const Route* route = this->view->configuration.FindRoute(session->host);
-    if (route == nullptr || this->OwnsGroup(route->database)) continue;
-    if (session->MayEndAtRest()) ended.push_back(id);
-  }
-  for (const ClientId id : ended) {
-    this->sessions.erase(id);
-    this->hooks.close_client(id);
-  }
-}
-
 void Gateway::OnStatement(steady_clock::time_point now, ClientId client,
                           const ClientStatement& statement) {
   const auto found = this->sessions.find(client);
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -27,8 +27,9 @@
  * session itself, and has the others run by the group that the session's route
  * names. Belongs to one traffic thread.
  *
- * gateway.cc serves statements; gateway_time.cc does what is due, ends sessions
- * for a planned stop, and tells where the gateway stands.
+ * gateway.cc serves statements; gateway_admission.cc says who serves a session
+ * and ends those that others serve now; gateway_time.cc does what is due, ends
+ * sessions for a planned stop, and tells where the gateway stands.
  */
 class Gateway {
  public:
@@ -100,6 +101,9 @@
   Admission Admit(const SessionOpening& opening);
   void AdmitWaiting();
   bool OwnsGroup(const DatabaseId& database) const;
+  const ConnectionDeal* DealOf(const std::string& host) const;
+  /** Ends sessions between two statements; returns how many. */
+  std::size_t EndAtRest(const std::function<bool(const ClientSession&)>& ends);
   void EndSessionsOfOthers();
   void RefuseLate(std::chrono::steady_clock::time_point now);
 
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -54,18 +54,12 @@
   this->draining = true;
   this->RefuseLate(now);
   this->relayed.StartDraining();
-  std::vector<ClientId> resting;
-  for (const auto& [id, session] : this->sessions) {
-    if (session->MayEndAtRest()) resting.push_back(id);
-  }
-  for (const ClientId id : resting) {
-    this->sessions.erase(id);
-    this->hooks.close_client(id);
-  }
+  const std::size_t closed =
+      this->EndAtRest([](const ClientSession&) { return true; });
   this->hooks.events.record(
       Event{EventCode::kSessionsClosed,
             EventLevel::kInfo,
-            {{"closed", std::to_string(resting.size())},
+            {{"closed", std::to_string(closed)},
              {"left", std::to_string(this->SessionCount())}}});
 }
 
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.cc
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.cc
@@ -35,16 +35,17 @@
 }
 
 void RelayedSessions::KeepOwners(
-    const std::function<std::vector<NodeId>(const std::string& host)>&
+    const std::function<const std::vector<NodeId>*(const std::string& host)>&
         owners_of) {
   this->EndWhere([&](const Session& session) {
     const RelayState& state = session.state;
     const bool rests =
         !state.waits && state.transaction == TransactionState::kIdle;
     if (!rests || !session.used) return false;
-    const std::vector<NodeId> owners = owners_of(session.host);
-    return !owners.empty() &&
-           std::find(owners.begin(), owners.end(), state.owner) == owners.end();
+    const std::vector<NodeId>* owners = owners_of(session.host);
+    return owners != nullptr && !owners->empty() &&
+           std::find(owners->begin(), owners->end(), state.owner) ==
+               owners->end();
   });
 }
 
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.h
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.h
@@ -47,7 +47,7 @@
   /** Ends sessions at rest whose owner doesn't own their database any more.
    * Where no owner is known, they stay. */
   void KeepOwners(
-      const std::function<std::vector<NodeId>(const std::string& host)>&
+      const std::function<const std::vector<NodeId>*(const std::string& host)>&
           owners_of);
 
   /** Ends sessions without a transaction as they come to rest after a
