Send messages between processes over Asio sockets in place of nng

Cause: nng_close waits without a bound for a connection that was reset while it had bytes to send. PeerSocket called it on the control thread, with the lock that Send needs, so leaders of control hung one after the other; processes that stopped hung in it too. Change: PeerSocket has an io_context and a thread of its own; closing a connection there waits for nobody. The wire stays as it was (the published TCP mapping of the SP protocols), so old and new processes speak with each other; the tests let it speak with nng. What waits for one process is bounded in bytes too, and connections notice a silent other side. TCP options move from platform to the adapter, since both use them. Ruled out: closing on another thread (hangs there and leaks), nng's streams (the same close). Result: PeerThatResetsConnectionsHoldsNothingUp hung with the old socket at the 15th reconnection and passes; PeerSocketTest 8 of 8.

--- a/platform/tcp_options.cc
+++ b/src/lacewingferry/adapters/tcp/tcp_options.cc
@@ -1,10 +1,10 @@
-#include "platform/tcp_options.h"
+#include "lacewingferry/adapters/tcp/tcp_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace lacewingferry::platform {
+namespace lacewingferry {
 namespace {
 
 constexpr int kOn = 1;
@@ -34,4 +34,4 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
 }
 
-}  // namespace lacewingferry::platform
+}  // namespace lacewingferry
--- a/platform/tcp_options.h
+++ b/src/lacewingferry/adapters/tcp/tcp_options.h
@@ -1,17 +1,17 @@
-#ifndef PLATFORM_TCP_OPTIONS_H_
-#define PLATFORM_TCP_OPTIONS_H_
+#ifndef LACEWINGFERRY_ADAPTERS_TCP_TCP_OPTIONS_H_
+#define LACEWINGFERRY_ADAPTERS_TCP_TCP_OPTIONS_H_
 
 // Defines SetTcpOptions, how connections notice a peer that is gone.
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace lacewingferry::platform {
+namespace lacewingferry {
 
 /** Sends small writes at once, and ends the connection when the other side is
  * silent for seconds: a machine without power, or behind a cut, says
  * nothing. */
 void SetTcpOptions(boost::asio::ip::tcp::socket& socket);
 
-}  // namespace lacewingferry::platform
+}  // namespace lacewingferry
 
-#endif  // PLATFORM_TCP_OPTIONS_H_
+#endif  // LACEWINGFERRY_ADAPTERS_TCP_TCP_OPTIONS_H_
--- a/src/lacewingferry/app/fleet_peers.h
+++ b/src/lacewingferry/app/fleet_peers.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <memory>
 
-#include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/adapters/tcp/peer_socket.h"
 #include "lacewingferry/app/hybrid_wall_clock.h"
 #include "lacewingferry/core/fleet_settings.h"
 #include "lacewingferry/decisions/roster/silent_peer_detector.h"
--- a/src/lacewingferry/app/proxy_program.cc
+++ b/src/lacewingferry/app/proxy_program.cc
@@ -14,7 +14,7 @@
 
 #include "lacewingferry/adapters/histogram/request_metrics.h"
 #include "lacewingferry/adapters/http/http_server.h"
-#include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/adapters/tcp/peer_socket.h"
 #include "lacewingferry/app/caller_api.h"
 #include "lacewingferry/app/incarnation.h"
 #include "lacewingferry/app/proxy_control.h"
@@ -28,7 +28,7 @@
 /**
  * The control thread is the one that calls Run: it alone touches the control
  * state. Traffic threads get immutable views from it. Messages of peers
- * arrive on nng's threads and are posted to the thread that they concern.
+ * arrive on PeerSocket's thread and are posted to the thread that they concern.
  */
 class ProxyProgram::Impl {
  public:
