Refuse announcements that would harm other members or messages

A sequence or start beyond all others was taken, and the roster passes over what is older than it; slots were cut to 32 bits; IDs that aren't UTF-8 and services with a line end were taken; times of a configuration beyond the range of a deadline overflowed. Change: numbers have ranges, addresses are IP numbers, names are one ASCII word; times of a configuration beyond a year act as a year, since a valid configuration may not be refused for them.

--- a/tests/error/platform_documents_test.cc
+++ b/tests/error/platform_documents_test.cc
@@ -48,6 +48,18 @@
   return false;
 }
 
+/** Whether an announcement is refused with a value, in JSON, for one field. */
+bool ReportedWith(const std::string& field, const std::string& value) {
+  std::string document = Report().dump();
+  document.insert(document.size() - 1, ",\"" + field + "\":" + value);
+  try {
+    DecodeMemberReport(MemberId("i-7f"), document);
+  } catch (const FindingsError&) {
+    return true;
+  }
+  return false;
+}
+
 class PlatformDocumentsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformDocumentsTest);
   CPPUNIT_TEST(ReadsAWholeConfiguration);
@@ -56,6 +68,10 @@
   CPPUNIT_TEST(CutConfigurationsAreRefused);
   CPPUNIT_TEST(ReadsAnAnnouncement);
   CPPUNIT_TEST(StrangeAnnouncementsNameNobody);
+  CPPUNIT_TEST(NumbersBeyondTheirRangeNameNobody);
+  CPPUNIT_TEST(NamesThatBreakOtherMessagesNameNobody);
+  CPPUNIT_TEST(NestedAnnouncementsAreRead);
+  CPPUNIT_TEST(LongTimesOfAConfigurationStayInRange);
   CPPUNIT_TEST(DamagedDocumentsOnlyThrowFindings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -144,6 +160,78 @@
     CPPUNIT_ASSERT(!Reported(Report()));
   }
 
+  // Another writer's entry with the largest sequence or start made each later
+  // announcement of the true member look outdated.
+  void NumbersBeyondTheirRangeNameNobody() {
+    const std::vector<std::pair<const char*, const char*>> wrong = {
+        {"slots", "-1"},
+        {"slots", "4294967296"},
+        {"slots", "18446744073709551616"},
+        {"slots", "1e400"},
+        {"sequence", "18446744073709551615"},
+        {"sequence", "-4"},
+        {"sequence", "2.5"},
+        {"born", "18446744073709551615"},
+        {"born", "1700000000000000"},
+        {"born", "-1"},
+        {"addr", R"("10.0.0.1:0")"},
+        {"addr", R"("10.0.0.1:65536")"},
+        {"addr", R"("10.0.0.1:-1")"},
+        {"addr", R"("10.0.0.1:99999999999999999999")"},
+        {"addr", R"("member-7:8080")"},
+        {"addr", R"(":8080")"}};
+    for (const auto& [field, value] : wrong) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(field) + " " + value,
+                             ReportedWith(field, value));
+    }
+    CPPUNIT_ASSERT(!ReportedWith("slots", "1"));
+    CPPUNIT_ASSERT(!ReportedWith("addr", R"("10.0.0.1:65535")"));
+  }
+
+  // No JSON document can hold an ID that isn't UTF-8; a line end in a service
+  // would begin a message of its own to a member.
+  void NamesThatBreakOtherMessagesNameNobody() {
+    for (const char* id : {"", "a b", "a\r\nb", "\xff\xfe", "\x7f"}) {
+      CPPUNIT_ASSERT_THROW(DecodeMemberReport(MemberId(id), Report().dump()),
+                           FindingsError);
+    }
+    for (const char* field : {"service", "zone"}) {
+      for (const char* value :
+           {R"("a b")", R"("a\r\nQUERY - PAUSE 9")", R"("a\u0000")"}) {
+        CPPUNIT_ASSERT_MESSAGE(value, ReportedWith(field, value));
+      }
+      CPPUNIT_ASSERT(
+          ReportedWith(field, '"' + std::string(100'000, 'x') + '"'));
+    }
+  }
+
+  void NestedAnnouncementsAreRead() {
+    constexpr std::size_t kDepth = 100'000;
+    const std::string nested =
+        std::string(kDepth, '[') + std::string(kDepth, ']');
+    CPPUNIT_ASSERT(!ReportedWith("note", nested));
+    CPPUNIT_ASSERT(ReportedWith("service", nested));
+  }
+
+  void LongTimesOfAConfigurationStayInRange() {
+    json longest = Configuration();
+    longest["routes"][0]["timeout_ms"] = 18446744073709551615U;
+    longest["routes"][0]["slo_ms"] = 18446744073709551615U;
+    longest["routes"][0]["max_staleness_ms"] = 18446744073709551615U;
+    longest["services"][0]["max_conns"] = 4294967297U;
+    longest["limits"]["tx_idle_ms"] = 18446744073709551615U;
+    const auto read = DecodeConfiguration(longest.dump());
+    // A deadline is a time of today and such a duration.
+    constexpr std::chrono::hours kLongest{24 * 365};
+    const Route& route = read.routes[0];
+    for (const std::chrono::milliseconds time :
+         {route.statement_timeout, route.latency_objective, route.max_staleness,
+          read.transaction_idle}) {
+      CPPUNIT_ASSERT(time > std::chrono::hours(1) && time <= kLongest);
+    }
+    CPPUNIT_ASSERT(read.services[0].max_connections > 1);
+  }
+
   void DamagedDocumentsOnlyThrowFindings() {
     const std::string nested(200'000, '[');
     CPPUNIT_ASSERT_THROW(DecodeConfiguration(nested), FindingsError);
