Log elections that find no majority

Cause: while nobody could lead, no control process logged a line for 21 s. Change: a candidate whose votes don't suffice in time logs control_election_failed with the votes and the quorum, once a second at most. Result: FailedElectionsAreReportedOnceASecond passes; without the event it can't be built.

--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -218,6 +218,7 @@
     VoterRepair* repair = this->replicas[i].repair.get();
     if (repair) repair->OnJoinRequested(this->Local(i), node, voter);
   };
+  hooks.election_failed = this->options.on_election_failed;
   hooks.failed = [](const std::string&) {};
   return hooks;
 }
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -45,6 +45,8 @@
   std::uint64_t seed = 1;
   /** Called with each message sent. */
   std::function<void(const ConsensusMessage&)> on_send;
+  /** Called with each failed election that a replica reports. */
+  std::function<void(const ElectionFailure&)> on_election_failed;
 };
 
 /** Replicas numbered from 0. Violated promises are collected, not thrown. */
--- a/src/lacewingferry/app/control_program.cc
+++ b/src/lacewingferry/app/control_program.cc
@@ -12,7 +12,7 @@
 #include <utility>
 
 #include "lacewingferry/adapters/http/http_server.h"
-#include "lacewingferry/adapters/nng/peer_socket.h"
+#include "lacewingferry/adapters/tcp/peer_socket.h"
 #include "lacewingferry/app/control_replica.h"
 #include "lacewingferry/app/control_replica_settings.h"
 #include "lacewingferry/app/incarnation.h"
@@ -121,6 +121,7 @@
     this->disk_failure = reason;
     this->control.stop();
   };
+  hooks.events = this->parts.events;
   hooks.now = this->parts.hybrid.clock.now;
   return hooks;
 }
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -72,6 +72,14 @@
   raft_hooks.join_requested = [this](const NodeId& node, const VoterId& voter) {
     this->repair.OnJoinRequested(this->hooks.now(), node, voter);
   };
+  raft_hooks.election_failed = [this](const ElectionFailure& failure) {
+    this->hooks.events.record(
+        Event{EventCode::kControlElectionFailed,
+              EventLevel::kWarning,
+              {{"term", std::to_string(failure.term)},
+               {"votes", std::to_string(failure.votes)},
+               {"quorum", std::to_string(failure.quorum)}}});
+  };
   raft_hooks.failed = [this](const std::string& reason) {
     this->hooks.failed(reason);
   };
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -18,6 +18,7 @@
 #include "lacewingferry/decisions/consensus/raft_node.h"
 #include "lacewingferry/decisions/consensus/voter_repair.h"
 #include "lacewingferry/decisions/control/control_state.h"
+#include "lacewingferry/ports/event_port.h"
 
 namespace lacewingferry {
 
@@ -40,6 +41,7 @@
   std::function<void(std::chrono::steady_clock::time_point,
                      const ControlCommand&, const ControlOutcome&)>
       applied;
+  EventPort events;
   /** The disk failed; the replica takes no further part. */
   std::function<void(const std::string& reason)> failed;
   std::function<std::chrono::steady_clock::time_point()> now;
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -132,6 +132,7 @@
     this->disk_failure = reason;
     this->control.stop();
   };
+  hooks.events = this->parts.events;
   hooks.now = this->parts.hybrid.clock.now;
   return hooks;
 }
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -68,6 +68,8 @@
       return "control_lost";
     case EventCode::kControlLeaderChanged:
       return "control_leader_changed";
+    case EventCode::kControlElectionFailed:
+      return "control_election_failed";
     case EventCode::kDatabaseAdopted:
       return "database_adopted";
     case EventCode::kPrimarySuspected:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -37,6 +37,7 @@
   kControlReached = 4002,
   kControlLost = 4003,
   kControlLeaderChanged = 4004,
+  kControlElectionFailed = 4005,
   kDatabaseAdopted = 5001,
   kPrimarySuspected = 5002,
   kInquiryEnded = 5003,
--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -7,8 +7,15 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+namespace {
+
+/** Bounds the log of a group that finds no leader for long. */
+constexpr milliseconds kReportInterval{1000};
+
+}  // namespace
+
 RaftElector::RaftElector(RaftContext& shared, steady_clock::time_point now)
-    : context(shared) {
+    : context(shared), next_report(now) {
   this->ResetDeadline(now);
 }
 
@@ -27,6 +34,7 @@
 
 void RaftElector::OnTick(steady_clock::time_point now) {
   if (now < this->deadline || this->context.role == RaftRole::kLeader) return;
+  this->ReportFailure(now);
   if (!this->context.log.Configuration().IsVoter(this->context.self)) {
     this->RequestJoin(now);
   } else if (this->context.faults.skip_pre_vote) {
@@ -36,6 +44,17 @@
   }
 }
 
+void RaftElector::ReportFailure(steady_clock::time_point now) {
+  const bool candidate = this->context.role == RaftRole::kPreCandidate ||
+                         this->context.role == RaftRole::kCandidate;
+  if (!candidate || now < this->next_report) return;
+  if (!this->context.hooks.election_failed) return;
+  this->next_report = now + kReportInterval;
+  this->context.hooks.election_failed(
+      {this->context.log.Term(), this->votes.size(),
+       this->context.log.Configuration().Quorum()});
+}
+
 void RaftElector::RequestJoin(steady_clock::time_point now) {
   this->context.BecomeFollower();
   const JoinRequest request{this->context.self};
--- a/src/lacewingferry/decisions/consensus/raft_elector.h
+++ b/src/lacewingferry/decisions/consensus/raft_elector.h
@@ -49,6 +49,7 @@
   void StartElection(std::chrono::steady_clock::time_point now);
   void RequestVotes(bool pre_vote);
   void CountVotes(std::chrono::steady_clock::time_point now);
+  void ReportFailure(std::chrono::steady_clock::time_point now);
   void RequestJoin(std::chrono::steady_clock::time_point now);
   void AnswerPreVote(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
@@ -62,6 +63,8 @@
   RaftContext& context;
   std::chrono::steady_clock::time_point deadline;
   std::set<VoterId> votes;
+  /** No failed election is reported before. */
+  std::chrono::steady_clock::time_point next_report;
   /** Whether it has yielded to another candidate since the last
    * ResetDeadline. */
   bool yielded = false;
--- a/src/lacewingferry/decisions/consensus/raft_hooks.h
+++ b/src/lacewingferry/decisions/consensus/raft_hooks.h
@@ -4,6 +4,7 @@
 // Defines RaftHooks, through which a control log replica acts on its
 // environment.
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -23,6 +24,16 @@
   bool self = false;
 };
 
+/** An election in which no majority voted for the candidate in time. */
+struct ElectionFailure {
+  /** The candidate's term; a pre-vote doesn't raise it. */
+  std::uint64_t term = 0;
+  /** The votes granted, with its own. */
+  std::size_t votes = 0;
+  /** The votes that were needed. */
+  std::size_t quorum = 0;
+};
+
 /** Called by a replica on its own thread. A hook must not call the replica
  * directly, but may post a call to run later. */
 struct RaftHooks {
@@ -39,6 +50,8 @@
   std::function<void(const Leadership&)> leadership_changed;
   /** On the leader: a replica outside the configuration asks to join. */
   std::function<void(const NodeId&, const VoterId&)> join_requested;
+  /** Optional. Called once a second at most while elections fail. */
+  std::function<void(const ElectionFailure&)> election_failed;
   /** The disk failed and the replica has stopped. */
   std::function<void(const std::string& reason)> failed;
 };
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(SecondLossAfterRepairIsRepairedToo);
   CPPUNIT_TEST(RefusesUnsafeChanges);
   CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
+  CPPUNIT_TEST(FailedElectionsAreReportedOnceASecond);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +90,28 @@
     RequireNoViolations(group);
   }
 
+  // Without a majority no process logged a line for 21 seconds, so nobody could
+  // tell why no leader was found.
+  void FailedElectionsAreReportedOnceASecond() {
+    GroupOptions options = ReliableNetwork(0);
+    std::vector<ElectionFailure> failures;
+    options.on_election_failed = [&failures](const ElectionFailure& failure) {
+      failures.push_back(failure);
+    };
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    failures.clear();
+    group.Crash(leader);
+    group.Crash((leader + 1) % 3);
+    group.RunFor(milliseconds(5200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, failures.size());
+    for (const ElectionFailure& failure : failures) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, failure.votes);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, failure.quorum);
+    }
+    RequireNoViolations(group);
+  }
+
   void PartitionedLeaderStepsDown() {
     ConsensusGroup group(ReliableNetwork(0));
     const std::size_t leader = AwaitLeader(group);
