Send a large configuration once, and wait for it before the next

Cause: a proxy's report, twice a second, says which configuration it has. While a large one was on its way over a thin link (over a second), each report made control send it whole once more, behind the first on the same connection; two reports without an answer made control reopen the connection, so that it began again. Versions in quick succession were sent one by one. Change: ConfigurationTransfer knows for each proxy what is on its way, for as long as its bytes need over a thin link: no second copy, no newer version and no reopened connection in that time.

--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -43,6 +43,9 @@
   FleetControlHooks hooks;
   hooks.update = [this](const NodeId& to, const ProxyUpdate& update) {
     SwitchoverProxy& proxy = this->proxies.at(to);
+    if (update.configuration) {
+      this->sent_configurations.push_back(update.configuration->version);
+    }
     const bool granted = update.grant && update.grant->refused.empty() &&
                          update.grant->duration.count() > 0;
     if (!proxy.reachable || !granted) return;
@@ -200,6 +203,7 @@
   ProxyReport report;
   report.sequence = this->next_report++;
   report.incarnation = 1;
+  report.configuration_version = this->reported_configuration;
   const DatabaseTerm* term = this->Term();
   if (term != nullptr && term->phase == TermPhase::kSteady) {
     LeaseRenewal renewal;
@@ -218,6 +222,7 @@
   ProxyReport report;
   report.sequence = this->next_report++;
   report.incarnation = 1;
+  report.configuration_version = this->reported_configuration;
   report.unanswered = unanswered;
   this->control->OnReport(this->queue.Now(), node, report);
 }
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -81,6 +81,11 @@
   /** A proxy's report that says how many before it had no answer. */
   void ReportUnanswered(const NodeId& node, std::uint32_t unanswered);
 
+  /** The version of the configuration that all proxies say they have. */
+  std::uint64_t reported_configuration = 0;
+  /** The versions of the configurations that were sent to the proxies. */
+  std::vector<std::uint64_t> sent_configurations;
+
   /** What happened, for the checks. */
   int redials = 0;
   int promotions = 0;
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -70,6 +70,7 @@
 
 void FleetControl::SetConfiguration(ServiceConfiguration next) {
   this->configuration = std::move(next);
+  this->configuration_transfer_time = TransferTime(this->configuration);
 }
 
 void FleetControl::CreateGroupManagers(steady_clock::time_point now) {
@@ -125,9 +126,11 @@
     update.fleet = this->changes.Since(proxy->fleet_revision);
     proxy->fleet_revision = this->changes.Revision();
   }
-  if (proxy->configuration_version < this->configuration.version) {
+  const std::uint64_t version = this->configuration.version;
+  if (proxy->configuration.IsDue(now, version)) {
     update.configuration = this->configuration;
-    proxy->configuration_version = this->configuration.version;
+    proxy->configuration.OnSent(now, version,
+                                this->configuration_transfer_time);
   }
   return update;
 }
@@ -161,10 +164,14 @@
     this->hooks.update(from, reply);
     return;
   }
-  this->RedialIfAnswersLost(from, report, &proxy);
-  proxy = Proxy{report.incarnation,    now,
-                report.fleet_revision, report.configuration_version,
-                report.draining,       proxy.answers_sent + 1};
+  if (report.incarnation > proxy.incarnation) proxy = Proxy{};
+  proxy.incarnation = report.incarnation;
+  proxy.configuration.OnReported(report.configuration_version);
+  this->RedialIfAnswersLost(now, from, report, &proxy);
+  proxy.last_report = now;
+  proxy.fleet_revision = report.fleet_revision;
+  proxy.draining = report.draining;
+  ++proxy.answers_sent;
   ProxyUpdate update = this->UpdateFor(now, &proxy);
   update.sequence = report.sequence;
   this->directory.OnReport(now, from, report.zone, report.draining);
@@ -180,13 +187,15 @@
 /** Reopens the connection to a proxy if enough answers of this leader did not
  * reach it. Reports that the proxy sent before this process led or started had
  * no answer either, which says nothing about the connection. */
-void FleetControl::RedialIfAnswersLost(const NodeId& node,
+void FleetControl::RedialIfAnswersLost(steady_clock::time_point now,
+                                       const NodeId& node,
                                        const ProxyReport& report,
                                        Proxy* proxy) {
   const bool answers_lost = report.unanswered >= kUnansweredUntilRedial &&
                             proxy->answers_sent >= kUnansweredUntilRedial;
-  if (!answers_lost) return;
+  if (!answers_lost || proxy->configuration.IsUnderWay(now)) return;
   proxy->answers_sent = 0;
+  proxy->configuration.OnReopened();
   this->hooks.redial(node);
 }
 
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/fleet_messages.h"
 #include "lacewingferry/decisions/control/control_state.h"
 #include "lacewingferry/decisions/lease/lease_grantor.h"
+#include "lacewingferry/decisions/switchover/configuration_transfer.h"
 #include "lacewingferry/decisions/switchover/fleet_changes.h"
 #include "lacewingferry/decisions/switchover/group_manager.h"
 #include "lacewingferry/decisions/switchover/zone_directory.h"
@@ -120,14 +121,15 @@
     std::chrono::steady_clock::time_point last_report;
     /** The revision that the proxy reported or was sent since. */
     std::uint64_t fleet_revision = 0;
-    std::uint64_t configuration_version = 0;
+    ConfigurationTransfer configuration;
     bool draining = false;
     /** Answers sent by this leader since the connection was last reopened. */
     std::uint32_t answers_sent = 0;
   };
 
   SwitchoverHooks GroupHooks();
-  void RedialIfAnswersLost(const NodeId& node, const ProxyReport& report,
+  void RedialIfAnswersLost(std::chrono::steady_clock::time_point now,
+                           const NodeId& node, const ProxyReport& report,
                            Proxy* proxy);
   void ProcessChanges(std::chrono::steady_clock::time_point now);
   void CreateGroupManagers(std::chrono::steady_clock::time_point now);
@@ -146,6 +148,7 @@
   SwitchoverContext context;
   LeaseGrantor grantor;
   ServiceConfiguration configuration;
+  std::chrono::milliseconds configuration_transfer_time{0};
   bool leader = false;
   bool state_changed = false;
   std::map<NodeId, Proxy> proxies;
--- a/tests/correctness/switchover_test.cc
+++ b/tests/correctness/switchover_test.cc
@@ -43,6 +43,25 @@
   return fleet.Term()->phase == TermPhase::kSteady;
 }
 
+/** A link of 1.4 Mbit/s takes 1.4 s for 250,000 bytes. */
+constexpr milliseconds kTransferOnAThinLink{1400};
+constexpr std::size_t kManyRoutes = 1480;
+
+ServiceConfiguration LargeConfiguration(std::uint64_t version) {
+  ServiceConfiguration configuration;
+  configuration.version = version;
+  configuration.services = {{DatabaseId("db"), 60, 1}};
+  for (std::size_t i = 0; i < kManyRoutes; ++i) {
+    Route route;
+    route.name = "route-" + std::to_string(i);
+    route.host = std::string(100, 'h') + std::to_string(i);
+    route.prefix = "/";
+    route.database = DatabaseId("db");
+    configuration.routes.push_back(route);
+  }
+  return configuration;
+}
+
 class SwitchoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SwitchoverTest);
   CPPUNIT_TEST(AdoptsTheCurrentPrimary);
@@ -61,6 +80,9 @@
   CPPUNIT_TEST(ChosenMemberThatDiesIsReplaced);
   CPPUNIT_TEST(ReplicasLeftPausedByAFormerLeaderAreResumed);
   CPPUNIT_TEST(OnlyLostAnswersOpenANewConnection);
+  CPPUNIT_TEST(ConfigurationOnItsWayIsNotSentAgain);
+  CPPUNIT_TEST(ChangesWaitForTheConfigurationOnItsWay);
+  CPPUNIT_TEST(LostConfigurationIsSentAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -158,6 +180,55 @@
     CPPUNIT_ASSERT_EQUAL(1, fleet.redials);
   }
 
+  // Over a link of 1.4 Mbit/s a large configuration takes longer than the
+  // interval between two reports. Each report made control send it once more,
+  // and reopen the connection on which it was half through.
+  void ConfigurationOnItsWayIsNotSentAgain() {
+    SwitchoverFleet fleet(3, 1);
+    fleet.Start();
+    fleet.sent_configurations.clear();
+    fleet.reported_configuration = 1;
+    fleet.Control().SetConfiguration(LargeConfiguration(2));
+    fleet.Run(kTransferOnAThinLink);
+    fleet.ReportUnanswered(NodeId("p0"), 2);
+    CPPUNIT_ASSERT(fleet.sent_configurations == std::vector<std::uint64_t>{2});
+    CPPUNIT_ASSERT_EQUAL(0, fleet.redials);
+    fleet.reported_configuration = 2;
+    fleet.Run(milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.sent_configurations.size());
+  }
+
+  void ChangesWaitForTheConfigurationOnItsWay() {
+    SwitchoverFleet fleet(3, 1);
+    fleet.Start();
+    fleet.sent_configurations.clear();
+    fleet.reported_configuration = 1;
+    for (std::uint64_t version = 2; version <= 9; ++version) {
+      fleet.Control().SetConfiguration(LargeConfiguration(version));
+      fleet.Run(milliseconds(150));
+    }
+    fleet.reported_configuration = fleet.sent_configurations.at(0);
+    fleet.Run(milliseconds(600));
+    const std::uint64_t first = fleet.reported_configuration;
+    CPPUNIT_ASSERT(first < 9);
+    CPPUNIT_ASSERT(fleet.sent_configurations ==
+                   (std::vector<std::uint64_t>{first, 9}));
+  }
+
+  void LostConfigurationIsSentAgain() {
+    SwitchoverFleet fleet(3, 1);
+    fleet.Start();
+    fleet.sent_configurations.clear();
+    fleet.reported_configuration = 1;
+    ServiceConfiguration small = LargeConfiguration(2);
+    small.routes.resize(3);
+    fleet.Control().SetConfiguration(small);
+    // The shortest time within which any site wants a change in force.
+    fleet.Run(milliseconds(2900));
+    CPPUNIT_ASSERT(fleet.sent_configurations.size() >= 2);
+    CPPUNIT_ASSERT(fleet.sent_configurations.size() <= 3);
+  }
+
   void WaitsForALeaseThatCannotBeRecalled() {
     SwitchoverFleet fleet;
     fleet.Start();
