--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -161,6 +161,7 @@
         self.paused = 0
         self.deaf = False
         self.alive = False
+        self.state = "ready"
         self.work_s = 0.005
         self.sequence = 0
         self.born = 0
@@ -202,6 +203,12 @@
         self.paused = 0
         await self.start()
 
+    def drain(self):
+        """Says before a planned shutdown that it leaves, at once."""
+        self.state = "draining"
+        self.beat.cancel()
+        self.beat = asyncio.ensure_future(self.check_in())
+
     async def check_in(self):
         target = self.controls[0]
         while True:
@@ -212,7 +219,7 @@
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 5,
-                "state": "ready",
+                "state": self.state,
                 "warmup_left_ms": 0,
                 "db_role": self.role,
                 "sequence": self.sequence,
