--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -219,6 +219,8 @@
     if (repair) repair->OnJoinRequested(this->Local(i), node, voter);
   };
   hooks.election_failed = this->options.on_election_failed;
+  hooks.learner_caught_up = this->options.on_learner_caught_up;
+  hooks.snapshot_stored = this->options.on_snapshot_stored;
   hooks.failed = [](const std::string&) {};
   return hooks;
 }
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -47,6 +47,10 @@
   std::function<void(const ConsensusMessage&)> on_send;
   /** Called with each failed election that a replica reports. */
   std::function<void(const ElectionFailure&)> on_election_failed;
+  /** Called when a leader reports that a learner is caught up. */
+  std::function<void(const LearnerCopy&)> on_learner_caught_up;
+  /** Called with each snapshot that a replica reports. */
+  std::function<void(const StoredSnapshot&)> on_snapshot_stored;
 };
 
 /** Replicas numbered from 0. Violated promises are collected, not thrown. */
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -31,6 +31,18 @@
       body);
 }
 
+/** The replicas of a role, each as IDENTITY@NODE, separated by spaces. */
+std::string ListMembers(const ControlConfiguration& configuration,
+                        ControlRole role) {
+  std::string list;
+  for (const ControlMember& member : configuration.members) {
+    if (member.role != role) continue;
+    if (!list.empty()) list += ' ';
+    list += member.voter.Value() + "@" + member.node.Value();
+  }
+  return list;
+}
+
 }  // namespace
 
 ControlReplica::ControlReplica(const ControlReplicaSettings& settings,
@@ -80,13 +92,40 @@
                {"votes", std::to_string(failure.votes)},
                {"quorum", std::to_string(failure.quorum)}}});
   };
+  raft_hooks.learner_caught_up = [this](const LearnerCopy& copy) {
+    this->hooks.events.record(
+        Event{EventCode::kControlLearnerCaughtUp,
+              EventLevel::kInfo,
+              {{"replica", copy.learner.Value()},
+               {"node", copy.node.Value()},
+               {"took_ms", std::to_string(copy.duration.count())},
+               {"bytes", std::to_string(copy.bytes)}}});
+  };
+  raft_hooks.snapshot_stored = [this](const StoredSnapshot& stored) {
+    this->hooks.events.record(
+        Event{EventCode::kControlSnapshotStored,
+              EventLevel::kInfo,
+              {{"index", std::to_string(stored.index)},
+               {"bytes", std::to_string(stored.state_bytes)},
+               {"received", stored.received ? "yes" : "no"}}});
+  };
   raft_hooks.failed = [this](const std::string& reason) {
     this->hooks.failed(reason);
   };
   return raft_hooks;
 }
 
+void ControlReplica::RecordMembers(const ControlEntry& entry) {
+  this->hooks.events.record(Event{
+      EventCode::kControlMembersChanged,
+      EventLevel::kInfo,
+      {{"index", std::to_string(entry.index)},
+       {"voters", ListMembers(entry.configuration, ControlRole::kVoter)},
+       {"learners", ListMembers(entry.configuration, ControlRole::kLearner)}}});
+}
+
 void ControlReplica::Apply(const ControlEntry& entry) {
+  if (entry.kind == EntryKind::kConfiguration) this->RecordMembers(entry);
   if (entry.kind != EntryKind::kCommand) return;
   const auto command = detail::DecodeFields<ControlCommand>(
       entry.payload.data(), entry.payload.size());
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -90,6 +90,7 @@
 
   RaftHooks MakeRaftHooks();
   void Apply(const ControlEntry& entry);
+  void RecordMembers(const ControlEntry& entry);
   void AbandonProposed();
   void Repair(std::chrono::steady_clock::time_point now);
 
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -70,6 +70,12 @@
       return "control_leader_changed";
     case EventCode::kControlElectionFailed:
       return "control_election_failed";
+    case EventCode::kControlMembersChanged:
+      return "control_members_changed";
+    case EventCode::kControlSnapshotStored:
+      return "control_snapshot_stored";
+    case EventCode::kControlLearnerCaughtUp:
+      return "control_learner_caught_up";
     case EventCode::kDatabaseAdopted:
       return "database_adopted";
     case EventCode::kPrimarySuspected:
--- a/src/lacewingferry/decisions/consensus/control_log.cc
+++ b/src/lacewingferry/decisions/consensus/control_log.cc
@@ -49,12 +49,15 @@
   }
 }
 
-/** Estimated encoded size of an entry besides its payload. It is an upper
- * bound for entries without a configuration. */
+/** Estimated encoded size of an entry besides its payload. */
 constexpr std::size_t kEntryOverheadBytes = 32;
 
 }  // namespace
 
+std::size_t EstimatedBytes(const ControlEntry& entry) {
+  return entry.payload.size() + kEntryOverheadBytes;
+}
+
 ControlLog::ControlLog(StoragePort storage_port, LogCodecPort codec_port)
     : storage(std::move(storage_port)), codec(std::move(codec_port)) {
   this->ReadVote();
@@ -162,7 +165,7 @@
   std::size_t bytes = 0;
   for (std::uint64_t index = first; index <= this->LastIndex(); ++index) {
     const ControlEntry& entry = this->At(index);
-    bytes += entry.payload.size() + kEntryOverheadBytes;
+    bytes += EstimatedBytes(entry);
     if (!slice.empty() && bytes > max_bytes) break;
     slice.push_back(entry);
   }
--- a/src/lacewingferry/decisions/consensus/control_log.h
+++ b/src/lacewingferry/decisions/consensus/control_log.h
@@ -16,6 +16,10 @@
 
 namespace lacewingferry {
 
+/** Estimated encoded size of an entry; an upper bound for entries without a
+ * configuration. */
+std::size_t EstimatedBytes(const ControlEntry& entry);
+
 /**
  * The log on disk, with a copy in memory. Each call that changes the log
  * returns after the change is synced to disk, or throws StorageError; after a
--- a/src/lacewingferry/decisions/consensus/follower_progress.h
+++ b/src/lacewingferry/decisions/consensus/follower_progress.h
@@ -19,6 +19,12 @@
    * the leader sends the follower only heartbeats. */
   std::optional<std::chrono::steady_clock::time_point> resend_at;
   std::uint64_t in_flight_last = 0;
+  /** When the leader began to track this follower. */
+  std::chrono::steady_clock::time_point tracked_since;
+  /** Bytes of the entries and snapshots sent since then. */
+  std::uint64_t sent_bytes = 0;
+  /** Whether the follower was caught up once. */
+  bool caught_up = false;
   /** When the newest reply arrived; before the first one, when the leader
    * began to track this follower. */
   std::chrono::steady_clock::time_point last_heard;
--- a/src/lacewingferry/decisions/consensus/raft_context.cc
+++ b/src/lacewingferry/decisions/consensus/raft_context.cc
@@ -26,6 +26,14 @@
   if (since < this->settings.snapshot_entries) return;
   this->log.SaveSnapshot(this->applied_index, this->hooks.take_snapshot(),
                          this->settings.retained_entries);
+  this->ReportSnapshot(false);
+}
+
+void RaftContext::ReportSnapshot(bool received) const {
+  if (!this->hooks.snapshot_stored) return;
+  const SnapshotRecord& snapshot = this->log.Snapshot();
+  this->hooks.snapshot_stored(
+      {snapshot.last_index, snapshot.state.size(), received});
 }
 
 void RaftContext::RestoreSnapshot() {
--- a/src/lacewingferry/decisions/consensus/raft_context.h
+++ b/src/lacewingferry/decisions/consensus/raft_context.h
@@ -52,6 +52,9 @@
    * a snapshot once snapshot_entries were applied since the last one. */
   void CommitUpTo(std::uint64_t index);
 
+  /** Reports the log's snapshot, just stored, to the hooks. */
+  void ReportSnapshot(bool received) const;
+
   /** Restores the state machine from the log's snapshot. */
   void RestoreSnapshot();
 };
--- a/src/lacewingferry/decisions/consensus/raft_follower.cc
+++ b/src/lacewingferry/decisions/consensus/raft_follower.cc
@@ -111,6 +111,7 @@
       this->context.log.InstallSnapshot(request.last_index, request.last_term,
                                         request.configuration, request.state);
       this->context.RestoreSnapshot();
+      this->context.ReportSnapshot(true);
     }
     reply.success = true;
     reply.index = request.last_index;
--- a/src/lacewingferry/decisions/consensus/raft_hooks.h
+++ b/src/lacewingferry/decisions/consensus/raft_hooks.h
@@ -4,6 +4,7 @@
 // Defines RaftHooks, through which a control log replica acts on its
 // environment.
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -34,6 +35,24 @@
   std::size_t quorum = 0;
 };
 
+/** The copy of the log to a learner, from its addition until it may become a
+ * voter. */
+struct LearnerCopy {
+  VoterId learner;
+  NodeId node;
+  std::chrono::milliseconds duration{0};
+  /** Bytes of the entries and snapshots sent to it. */
+  std::uint64_t bytes = 0;
+};
+
+/** A snapshot that a replica has stored. */
+struct StoredSnapshot {
+  std::uint64_t index = 0;
+  std::size_t state_bytes = 0;
+  /** Whether the leader sent it; otherwise it is of the replica's own state. */
+  bool received = false;
+};
+
 /** Called by a replica on its own thread. A hook must not call the replica
  * directly, but may post a call to run later. */
 struct RaftHooks {
@@ -52,6 +71,11 @@
   std::function<void(const NodeId&, const VoterId&)> join_requested;
   /** Optional. Called once a second at most while elections fail. */
   std::function<void(const ElectionFailure&)> election_failed;
+  /** Optional. On the leader: a learner may become a voter. Called once for
+   * each learner and leader. */
+  std::function<void(const LearnerCopy&)> learner_caught_up;
+  /** Optional. */
+  std::function<void(const StoredSnapshot&)> snapshot_stored;
   /** The disk failed and the replica has stopped. */
   std::function<void(const std::string& reason)> failed;
 };
--- a/src/lacewingferry/decisions/consensus/raft_leader.cc
+++ b/src/lacewingferry/decisions/consensus/raft_leader.cc
@@ -26,6 +26,7 @@
     if (!is_new) continue;
     place->second.next = this->context.log.LastIndex() + 1;
     place->second.last_heard = now;
+    place->second.tracked_since = now;
   }
   for (auto it = this->followers.begin(); it != this->followers.end();) {
     const bool gone = configuration.Find(it->first) == nullptr;
@@ -115,6 +116,9 @@
   if (!request.entries.empty()) {
     follower.resend_at = now + this->context.settings.resend;
     follower.in_flight_last = request.entries.back().index;
+    for (const ControlEntry& entry : request.entries) {
+      follower.sent_bytes += EstimatedBytes(entry);
+    }
   }
   this->context.hooks.send(member.node, request);
 }
@@ -157,6 +161,7 @@
   FollowerProgress& follower = this->followers.at(member.voter);
   follower.resend_at = now + this->context.settings.snapshot_resend;
   follower.in_flight_last = snapshot.last_index;
+  follower.sent_bytes += snapshot.state.size();
   this->context.hooks.send(member.node, request);
 }
 
@@ -181,6 +186,7 @@
   const bool waits = follower.resend_at && now < *follower.resend_at;
   const ControlMember* member =
       this->context.log.Configuration().Find(reply.from);
+  this->ReportCaughtUp(now, *member, follower);
   if (!waits && follower.next <= this->context.log.LastIndex()) {
     this->SendEntriesTo(now, ControlMember(*member));
   }
@@ -203,6 +209,26 @@
   if (follower.match >= follower.in_flight_last) follower.resend_at.reset();
 }
 
+bool RaftLeader::IsCaughtUp(std::uint64_t match) const {
+  return match >= this->first_index &&
+         match + this->context.settings.caught_up_entries >=
+             this->context.log.LastIndex();
+}
+
+void RaftLeader::ReportCaughtUp(steady_clock::time_point now,
+                                const ControlMember& member,
+                                FollowerProgress& follower) const {
+  if (follower.caught_up || !this->IsCaughtUp(follower.match)) return;
+  follower.caught_up = true;
+  const bool learner = member.role == ControlRole::kLearner;
+  if (!learner || !this->context.hooks.learner_caught_up) return;
+  this->context.hooks.learner_caught_up(
+      {member.voter, member.node,
+       std::chrono::duration_cast<std::chrono::milliseconds>(
+           now - follower.tracked_since),
+       follower.sent_bytes});
+}
+
 bool RaftLeader::HandleRejection(const AppendReply& reply,
                                  FollowerProgress& follower) const {
   // Entries are resent at once only if the rejection moves the follower's next
@@ -286,9 +312,7 @@
     status.member = member;
     status.last_heard = self ? now : found->second.last_heard;
     status.connected = this->Connected(now, member.voter);
-    status.caught_up =
-        match >= this->first_index &&
-        match + this->context.settings.caught_up_entries >= log.LastIndex();
+    status.caught_up = this->IsCaughtUp(match);
     group.members.push_back(std::move(status));
   }
   return group;
--- a/src/lacewingferry/decisions/consensus/raft_leader.h
+++ b/src/lacewingferry/decisions/consensus/raft_leader.h
@@ -78,6 +78,11 @@
                    const AppendReply& reply, FollowerProgress& follower) const;
   void HandleSuccess(const AppendReply& reply,
                      FollowerProgress& follower) const;
+  /** Whether a replica that stores entries up to `match` may become a voter. */
+  bool IsCaughtUp(std::uint64_t match) const;
+  void ReportCaughtUp(std::chrono::steady_clock::time_point now,
+                      const ControlMember& member,
+                      FollowerProgress& follower) const;
   /** Returns whether the follower's next index was moved back. */
   bool HandleRejection(const AppendReply& reply,
                        FollowerProgress& follower) const;
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(RefusesUnsafeChanges);
   CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
   CPPUNIT_TEST(FailedElectionsAreReportedOnceASecond);
+  CPPUNIT_TEST(CopyToALearnerIsReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -112,6 +113,35 @@
     RequireNoViolations(group);
   }
 
+  // The logs could not tell a long copy from a repair that waited for its turn.
+  void CopyToALearnerIsReported() {
+    GroupOptions options = ReliableNetwork(1);
+    std::vector<LearnerCopy> copies;
+    std::vector<StoredSnapshot> received;
+    options.on_learner_caught_up = [&copies](const LearnerCopy& copy) {
+      copies.push_back(copy);
+    };
+    options.on_snapshot_stored = [&received](const StoredSnapshot& stored) {
+      if (stored.received) received.push_back(stored);
+    };
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    ProposeMany(group, leader, 150);
+    copies.clear();
+    const std::size_t lost = (leader + 1) % 3;
+    group.LoseDisk(lost);
+    group.Start(lost);
+    group.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copies.size());
+    CPPUNIT_ASSERT(copies.front().learner == group.Node(lost).Self());
+    CPPUNIT_ASSERT(copies.front().node == NodeOf(lost));
+    CPPUNIT_ASSERT(copies.front().duration > milliseconds(0));
+    CPPUNIT_ASSERT(copies.front().bytes > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.size());
+    CPPUNIT_ASSERT(received.front().index >= 100);
+    RequireNoViolations(group);
+  }
+
   void PartitionedLeaderStepsDown() {
     ConsensusGroup group(ReliableNetwork(0));
     const std::size_t leader = AwaitLeader(group);
