--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -197,9 +197,10 @@
     this->Send(i, to, message);
   };
   hooks.apply = [this, i](const ControlEntry& e) { this->Apply(i, e); };
-  hooks.take_snapshot = [&replica] {
+  hooks.take_snapshot = [this, &replica] {
     return std::to_string(replica.applied) + ":" +
-           std::to_string(replica.state);
+           std::to_string(replica.state) + ":" +
+           std::string(this->options.state_padding, 'p');
   };
   hooks.restore_snapshot = [&replica](const std::string& state) {
     const auto colon = state.find(':');
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -40,6 +40,8 @@
   double duplication = 0;
   /** Each clock's rate differs from 1 by at most this. */
   double clock_drift = 0;
+  /** Bytes that each snapshot has in addition. */
+  std::size_t state_padding = 0;
   /** A mistake: a replica without its disk keeps its identity. */
   bool keep_identity = false;
   std::uint64_t seed = 1;
--- a/bench/model/memory_disk.cc
+++ b/bench/model/memory_disk.cc
@@ -26,6 +26,14 @@
   this->files = std::move(kept);
 }
 
+std::size_t MemoryDisk::Bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& file : this->files) {
+    for (const std::string& record : file.second) bytes += record.size();
+  }
+  return bytes;
+}
+
 bool MemoryDisk::CrashesNow() {
   if (this->failing) throw StorageError("disk: no space left");
   if (!this->crash_in || --*this->crash_in > 0) return false;
--- a/bench/model/memory_disk.h
+++ b/bench/model/memory_disk.h
@@ -3,6 +3,7 @@
 
 // Defines MemoryDisk, a storage port in memory that can crash in any write.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,9 @@
   /** From now on each write throws StorageError. */
   void FailWrites() { this->failing = true; }
 
+  /** The size of all records on the disk. */
+  std::size_t Bytes() const;
+
   /** A new, empty disk; one file may stay. */
   void Wipe(const std::string& kept_file = {});
 
--- a/src/lacewingferry/decisions/consensus/control_log.cc
+++ b/src/lacewingferry/decisions/consensus/control_log.cc
@@ -172,6 +172,19 @@
   return slice;
 }
 
+std::uint64_t ControlLog::CountWithin(std::uint64_t index,
+                                      std::uint64_t max_entries,
+                                      std::size_t max_bytes) const {
+  std::uint64_t count = 0;
+  std::size_t bytes = 0;
+  while (count < max_entries && index - count > this->BaseIndex()) {
+    bytes += EstimatedBytes(this->At(index - count));
+    if (bytes > max_bytes) break;
+    ++count;
+  }
+  return count;
+}
+
 void ControlLog::Append(const std::vector<ControlEntry>& added) {
   if (added.empty()) return;
   this->storage.append(SegmentName(this->segment), this->Encode(added));
--- a/src/lacewingferry/decisions/consensus/control_log.h
+++ b/src/lacewingferry/decisions/consensus/control_log.h
@@ -62,6 +62,11 @@
   std::vector<ControlEntry> Slice(std::uint64_t first,
                                   std::size_t max_bytes) const;
 
+  /** How many of the entries up to `index` fit into both limits, counted back
+   * from it. */
+  std::uint64_t CountWithin(std::uint64_t index, std::uint64_t max_entries,
+                            std::size_t max_bytes) const;
+
   /** Appends entries with consecutive indexes. The same write truncates
    * existing entries from the first appended index on. */
   void Append(const std::vector<ControlEntry>& added);
--- a/src/lacewingferry/decisions/consensus/raft_context.cc
+++ b/src/lacewingferry/decisions/consensus/raft_context.cc
@@ -1,5 +1,8 @@
 #include "lacewingferry/decisions/consensus/raft_context.h"
 
+#include <string>
+#include <utility>
+
 namespace lacewingferry {
 
 void RaftContext::BecomeFollower() {
@@ -20,12 +23,26 @@
     const ControlEntry entry = this->log.At(this->applied_index + 1);
     this->hooks.apply(entry);
     ++this->applied_index;
+    this->applied_bytes += EstimatedBytes(entry);
   }
-  const std::uint64_t since =
-      this->applied_index - this->log.Snapshot().last_index;
-  if (since < this->settings.snapshot_entries) return;
-  this->log.SaveSnapshot(this->applied_index, this->hooks.take_snapshot(),
-                         this->settings.retained_entries);
+  if (this->SnapshotDue()) this->StoreSnapshot();
+}
+
+bool RaftContext::SnapshotDue() const {
+  const SnapshotRecord& snapshot = this->log.Snapshot();
+  return this->applied_index - snapshot.last_index >=
+             this->settings.snapshot_entries ||
+         this->applied_bytes >=
+             this->settings.SnapshotInterval(snapshot.state.size());
+}
+
+void RaftContext::StoreSnapshot() {
+  std::string state = this->hooks.take_snapshot();
+  const std::uint64_t retained = this->log.CountWithin(
+      this->applied_index, this->settings.retained_entries,
+      this->settings.SnapshotInterval(state.size()) / 2);
+  this->log.SaveSnapshot(this->applied_index, std::move(state), retained);
+  this->applied_bytes = 0;
   this->ReportSnapshot(false);
 }
 
@@ -41,6 +58,7 @@
   this->hooks.restore_snapshot(snapshot.state);
   this->commit_index = snapshot.last_index;
   this->applied_index = snapshot.last_index;
+  this->applied_bytes = 0;
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/consensus/raft_context.h
+++ b/src/lacewingferry/decisions/consensus/raft_context.h
@@ -37,6 +37,8 @@
   NodeId leader_node{};
   std::uint64_t commit_index = 0;
   std::uint64_t applied_index = 0;
+  /** Size of the entries applied since the log's snapshot. */
+  std::size_t applied_bytes = 0;
   /** When the last message from a leader arrived. Initially the start time,
    * since the replica may have replied to a leader just before a restart and
    * must honour that leader's lease. */
@@ -49,9 +51,13 @@
   void AdoptTerm(std::uint64_t term);
 
   /** Raises the commit index and applies the newly committed entries; stores
-   * a snapshot once snapshot_entries were applied since the last one. */
+   * a snapshot when one is due by the number or the size of the entries
+   * applied since the last one. */
   void CommitUpTo(std::uint64_t index);
 
+  bool SnapshotDue() const;
+  void StoreSnapshot();
+
   /** Reports the log's snapshot, just stored, to the hooks. */
   void ReportSnapshot(bool received) const;
 
--- a/src/lacewingferry/decisions/consensus/raft_settings.h
+++ b/src/lacewingferry/decisions/consensus/raft_settings.h
@@ -3,6 +3,7 @@
 
 // Defines RaftSettings, the timeouts and limits of a control log replica.
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -40,10 +41,13 @@
   std::size_t max_append_bytes = 65'536;
   /** Maximum number of uncommitted entries; further proposals are refused. */
   std::uint64_t max_uncommitted_entries = 1024;
-  /** Number of applied entries between two snapshots. */
+  /** Maximum number of applied entries between two snapshots. */
   std::uint64_t snapshot_entries = 1024;
-  /** Number of entries retained before a snapshot, for followers that are
-   * slightly behind. */
+  /** Maximum size of the applied entries between two snapshots, unless the
+   * state is large; see SnapshotInterval. */
+  std::size_t snapshot_bytes = 524'288;
+  /** Maximum number of entries retained before a snapshot, for followers that
+   * are slightly behind. */
   std::uint64_t retained_entries = 128;
   /** A learner at most this many entries behind may become a voter. */
   std::uint64_t caught_up_entries = 16;
@@ -56,6 +60,13 @@
   std::chrono::milliseconds Lease() const {
     return this->election_timeout_min - this->lease_margin;
   }
+
+  /** Maximum size of the applied entries between two snapshots: twice that of
+   * the state, so that a large state isn't stored for each few entries.
+   * Bounds the log on disk, and what is sent to a replica without one. */
+  std::size_t SnapshotInterval(std::size_t state_bytes) const {
+    return std::max(this->snapshot_bytes, 2 * state_bytes);
+  }
 };
 
 /** Throws UserError if the timeouts are inconsistent. */
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -37,6 +37,22 @@
   group.RunFor(milliseconds(500));
 }
 
+/** A configuration of several hundred routes. */
+constexpr std::size_t kLargeEntryBytes = 60'000;
+
+/** Has the leader commit large entries. */
+void ProposeLarge(ConsensusGroup& group, int count) {
+  const std::size_t leader = AwaitLeader(group);
+  for (int i = 0; i < count; ++i) {
+    CPPUNIT_ASSERT(group.Propose(leader, std::string(kLargeEntryBytes, 'r')));
+    group.RunFor(milliseconds(60));
+  }
+  const std::uint64_t before = group.Committed();
+  CPPUNIT_ASSERT(group.Propose(leader, "last"));
+  group.RunFor(milliseconds(500));
+  CPPUNIT_ASSERT(group.Committed() > before);
+}
+
 class RaftGroupTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RaftGroupTest);
   CPPUNIT_TEST(CommitsOnAllReplicas);
@@ -49,6 +65,8 @@
   CPPUNIT_TEST(VoterThatLostItsDiskIsReplacedAutomatically);
   CPPUNIT_TEST(GrowsFromOneFounder);
   CPPUNIT_TEST(SecondLossAfterRepairIsRepairedToo);
+  CPPUNIT_TEST(DisksLostInTurnAfterManyLargeEntriesKeepTheQuorum);
+  CPPUNIT_TEST(LogIsBoundedBySizeAndState);
   CPPUNIT_TEST(RefusesUnsafeChanges);
   CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
   CPPUNIT_TEST(FailedElectionsAreReportedOnceASecond);
@@ -261,6 +279,49 @@
     RequireNoViolations(group);
   }
 
+  // Guards against a quorum that is lost for good when two disks are lost one
+  // after the other: the copy of hundreds of large entries outlasted the time
+  // in which a replaced voter has to be back.
+  void DisksLostInTurnAfterManyLargeEntriesKeepTheQuorum() {
+    GroupOptions options = ReliableNetwork(0);
+    options.repair = RepairSettings{};
+    options.raft = RaftSettings{};
+    options.latency = [](std::size_t, std::size_t) { return milliseconds(20); };
+    ConsensusGroup group(options);
+    ProposeLarge(group, 200);
+    for (int loss = 0; loss < 5; ++loss) {
+      const std::size_t lost = (AwaitLeader(group) + loss) % 3;
+      group.LoseDisk(lost);
+      group.RunFor(milliseconds(3000));
+      group.Start(lost);
+      // As the users' deployments allow for: catch_up_s.
+      group.RunFor(milliseconds(4000));
+    }
+    ProposeLarge(group, 3);
+    RequireNoViolations(group);
+  }
+
+  // Guards against a log that grows with each change of a large configuration
+  // until a start needs more memory than the process may use.
+  void LogIsBoundedBySizeAndState() {
+    for (const std::size_t state_bytes : {100UL, 1'000'000UL}) {
+      GroupOptions options = ReliableNetwork(0);
+      options.raft = RaftSettings{};
+      options.state_padding = state_bytes;
+      ConsensusGroup group(options);
+      const std::size_t bound =
+          options.raft.SnapshotInterval(state_bytes) * 3 / 2 + state_bytes +
+          4 * kLargeEntryBytes;
+      for (int i = 0; i < 30; ++i) {
+        ProposeLarge(group, 10);
+        for (std::size_t disk = 0; disk < group.Size(); ++disk) {
+          CPPUNIT_ASSERT(group.Disk(disk).Bytes() <= bound);
+        }
+      }
+      RequireNoViolations(group);
+    }
+  }
+
   void RefusesUnsafeChanges() {
     ConsensusGroup group(ReliableNetwork(0));
     const std::size_t leader = AwaitLeader(group);
