Replace a lost control disk without waiting for one-second ticks

Cause: the replica asked to join only after an election timeout, and joining, promotion and removal each waited for a tick of one second in ControlReplica. A replica that was removed, or a VM's earlier identity, could also be added again from a join request of up to 5 s before, and take the learner's slot.

Change: RaftNode holds VoterRepair and asks it after each tick and message; the timer of ControlReplica and that of the model are gone. A replica without a vote asks at its start. A join request replaces the earlier ones of its VM and is used once.

--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr milliseconds kRepairInterval{500};
-
 NodeId NodeOf(std::size_t i) { return NodeId("control-" + std::to_string(i)); }
 
 std::size_t IndexOf(const NodeId& node) {
@@ -35,7 +33,6 @@
   }
   this->Found();
   for (std::size_t i = 0; i < size; ++i) this->Start(i);
-  if (this->options.repair) this->RunRepair();
 }
 
 void ConsensusGroup::Found() {
@@ -78,15 +75,13 @@
   parts.self = LoadOrCreateIdentity(replica.disk->Port(), this->options.codec,
                                     this->random);
   parts.settings = this->options.raft;
+  parts.repair = this->options.repair;
   parts.hooks = this->Hooks(i);
   parts.storage = replica.disk->Port();
   parts.codec = this->options.codec;
   parts.seed = this->random();
   parts.faults = this->options.faults;
   replica.node = std::make_unique<RaftNode>(std::move(parts), this->Local(i));
-  if (this->options.repair) {
-    replica.repair = std::make_unique<VoterRepair>(*this->options.repair);
-  }
   this->ScheduleWakeup(i);
 }
 
@@ -178,18 +173,6 @@
   });
 }
 
-void ConsensusGroup::RunRepair() {
-  for (std::size_t i = 0; i < this->Size(); ++i) {
-    this->Input(i, [&](RaftNode& node) {
-      const auto now = this->Local(i);
-      const auto change =
-          this->replicas[i].repair->Decide(now, node.Status(now));
-      if (change) node.ProposeChange(now, *change);
-    });
-  }
-  this->queue.After(kRepairInterval, [this] { this->RunRepair(); });
-}
-
 RaftHooks ConsensusGroup::Hooks(std::size_t i) {
   Replica& replica = this->replicas[i];
   RaftHooks hooks;
@@ -215,10 +198,6 @@
     this->violations.push_back("two leaders in term " +
                                std::to_string(leadership.term));
   };
-  hooks.join_requested = [this, i](const NodeId& node, const VoterId& voter) {
-    VoterRepair* repair = this->replicas[i].repair.get();
-    if (repair) repair->OnJoinRequested(this->Local(i), node, voter);
-  };
   hooks.election_failed = this->options.on_election_failed;
   hooks.learner_caught_up = this->options.on_learner_caught_up;
   hooks.snapshot_stored = this->options.on_snapshot_stored;
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -97,7 +97,6 @@
   struct Replica {
     std::unique_ptr<MemoryDisk> disk;
     std::unique_ptr<RaftNode> node;
-    std::unique_ptr<VoterRepair> repair;
     double clock_rate = 1;
     std::uint64_t applied = 0;
     /** A digest of all commands applied in order. */
@@ -111,7 +110,6 @@
   void Found();
   void Input(std::size_t i, const std::function<void(RaftNode&)>& action);
   void ScheduleWakeup(std::size_t i);
-  void RunRepair();
   void Send(std::size_t from, const NodeId& to,
             const ConsensusMessage& message);
   void Deliver(std::size_t from, std::size_t to,
--- a/bench/model/failover_control.cc
+++ b/bench/model/failover_control.cc
@@ -81,7 +81,6 @@
   hooks.take_snapshot = [] { return std::string(); };
   hooks.restore_snapshot = [](const std::string&) {};
   hooks.leadership_changed = [](const Leadership&) {};
-  hooks.join_requested = [](const NodeId&, const VoterId&) {};
   hooks.failed = [](const std::string&) {};
   return hooks;
 }
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -1,6 +1,5 @@
 #include "lacewingferry/app/control_replica.h"
 
-#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -15,8 +14,6 @@
 
 using std::chrono::steady_clock;
 
-constexpr std::chrono::seconds kRepairInterval{1};
-
 /** The part of a peer message that belongs to the log, if it is one. */
 std::optional<ConsensusMessage> AsConsensus(const PeerBody& body) {
   return std::visit(
@@ -47,7 +44,7 @@
 
 ControlReplica::ControlReplica(const ControlReplicaSettings& settings,
                                ControlReplicaHooks replica_hooks)
-    : hooks(std::move(replica_hooks)), repair(settings.repair) {
+    : hooks(std::move(replica_hooks)) {
   ControlDisk disk = OpenControlDisk(settings.data_folder);
   if (!settings.founders.empty()) {
     FoundControlLogTogether(disk.storage, disk.codec, settings.self,
@@ -56,6 +53,7 @@
   RaftParts parts;
   parts.self = LoadOrCreateIdentity(disk.storage, disk.codec, disk.random);
   parts.settings = settings.raft;
+  parts.repair = settings.repair;
   parts.storage = disk.storage;
   parts.codec = disk.codec;
   parts.hooks = this->MakeRaftHooks();
@@ -81,9 +79,6 @@
   raft_hooks.leadership_changed = [this](const Leadership& leadership) {
     if (!leadership.self) this->AbandonProposed();
   };
-  raft_hooks.join_requested = [this](const NodeId& node, const VoterId& voter) {
-    this->repair.OnJoinRequested(this->hooks.now(), node, voter);
-  };
   raft_hooks.election_failed = [this](const ElectionFailure& failure) {
     this->hooks.events.record(
         Event{EventCode::kControlElectionFailed,
@@ -156,21 +151,10 @@
   return true;
 }
 
-void ControlReplica::OnTick() {
-  const auto now = this->hooks.now();
-  this->raft->OnTick(now);
-  if (now >= this->next_repair) this->Repair(now);
-}
-
-void ControlReplica::Repair(steady_clock::time_point now) {
-  this->next_repair = now + kRepairInterval;
-  if (!this->Serving()) return;
-  const auto change = this->repair.Decide(now, this->raft->Status(now));
-  if (change) this->raft->ProposeChange(now, *change);
-}
+void ControlReplica::OnTick() { this->raft->OnTick(this->hooks.now()); }
 
 steady_clock::time_point ControlReplica::NextWakeup() const {
-  return std::min(this->raft->NextWakeup(), this->next_repair);
+  return this->raft->NextWakeup();
 }
 
 void ControlReplica::Propose(const ControlCommand& command,
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -16,7 +16,6 @@
 #include "lacewingferry/core/control_command.h"
 #include "lacewingferry/core/messages/peer_message.h"
 #include "lacewingferry/decisions/consensus/raft_node.h"
-#include "lacewingferry/decisions/consensus/voter_repair.h"
 #include "lacewingferry/decisions/control/control_state.h"
 #include "lacewingferry/ports/event_port.h"
 
@@ -92,12 +91,9 @@
   void Apply(const ControlEntry& entry);
   void RecordMembers(const ControlEntry& entry);
   void AbandonProposed();
-  void Repair(std::chrono::steady_clock::time_point now);
 
   ControlReplicaHooks hooks;
   ControlState state;
-  VoterRepair repair;
-  std::chrono::steady_clock::time_point next_repair;
   std::map<std::uint64_t, Proposed> proposed;
   /** The command that was applied last. */
   std::uint64_t applied_index = 0;
--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -17,6 +17,11 @@
 RaftElector::RaftElector(RaftContext& shared, steady_clock::time_point now)
     : context(shared), next_report(now) {
   this->ResetDeadline(now);
+  // A replica that isn't a voter grants no votes, so it needn't wait for the
+  // lease of a leader that it may have answered.
+  if (!this->context.log.Configuration().IsVoter(this->context.self)) {
+    this->deadline = now;
+  }
 }
 
 void RaftElector::ResetDeadline(steady_clock::time_point now) {
--- a/src/lacewingferry/decisions/consensus/raft_hooks.h
+++ b/src/lacewingferry/decisions/consensus/raft_hooks.h
@@ -67,8 +67,6 @@
    * stands for the state before the first entry. */
   std::function<void(const std::string&)> restore_snapshot;
   std::function<void(const Leadership&)> leadership_changed;
-  /** On the leader: a replica outside the configuration asks to join. */
-  std::function<void(const NodeId&, const VoterId&)> join_requested;
   /** Optional. Called once a second at most while elections fail. */
   std::function<void(const ElectionFailure&)> election_failed;
   /** Optional. On the leader: a learner may become a voter. Called once for
--- a/src/lacewingferry/decisions/consensus/raft_node.cc
+++ b/src/lacewingferry/decisions/consensus/raft_node.cc
@@ -30,7 +30,9 @@
 }  // namespace
 
 RaftNode::RaftNode(RaftParts parts, steady_clock::time_point now)
-    : context(MakeContext(std::move(parts), now)),
+    : repair(parts.repair ? std::make_optional<VoterRepair>(*parts.repair)
+                          : std::nullopt),
+      context(MakeContext(std::move(parts), now)),
       elector(this->context, now),
       follower(this->context) {
   this->context.RestoreSnapshot();
@@ -83,12 +85,20 @@
       this->elector.OnTick(now);
     }
   });
+  this->Repair(now);
 }
 
 void RaftNode::OnMessage(steady_clock::time_point now, const NodeId& from,
                          const ConsensusMessage& message) {
   if (!this->IsAddressedToSelf(message)) return;
   this->Run(now, [&] { this->Dispatch(now, from, message); });
+  this->Repair(now);
+}
+
+void RaftNode::Repair(steady_clock::time_point now) {
+  if (!this->repair || !this->CanServeReads(now)) return;
+  const auto change = this->repair->Decide(now, this->leader->Status(now));
+  if (change) this->ProposeChange(now, *change);
 }
 
 bool RaftNode::IsAddressedToSelf(const ConsensusMessage& message) const {
@@ -121,7 +131,7 @@
   } else if (const auto* vote = std::get_if<VoteReply>(&message)) {
     this->elector.OnVoteReply(now, *vote);
   } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
-    this->OnJoinRequest(from, join->from);
+    this->OnJoinRequest(now, from, join->from);
   }
 }
 
@@ -129,13 +139,16 @@
                              const VoteRequest& request) {
   // A voter that was removed while it was disconnected still requests votes; it
   // may rejoin as a learner.
-  this->OnJoinRequest(from, request.from);
+  this->OnJoinRequest(now, from, request.from);
   this->elector.OnVoteRequest(now, from, request);
 }
 
-void RaftNode::OnJoinRequest(const NodeId& from, const VoterId& voter) {
+void RaftNode::OnJoinRequest(steady_clock::time_point now, const NodeId& from,
+                             const VoterId& voter) {
   const bool known = this->Configuration().Find(voter) != nullptr;
-  if (this->leader && !known) this->context.hooks.join_requested(from, voter);
+  if (this->leader && this->repair && !known) {
+    this->repair->OnJoinRequested(now, from, voter);
+  }
 }
 
 std::optional<std::uint64_t> RaftNode::Propose(steady_clock::time_point now,
--- a/src/lacewingferry/decisions/consensus/raft_node.h
+++ b/src/lacewingferry/decisions/consensus/raft_node.h
@@ -14,6 +14,7 @@
 #include "lacewingferry/decisions/consensus/raft_elector.h"
 #include "lacewingferry/decisions/consensus/raft_follower.h"
 #include "lacewingferry/decisions/consensus/raft_leader.h"
+#include "lacewingferry/decisions/consensus/voter_repair.h"
 
 namespace lacewingferry {
 
@@ -21,6 +22,9 @@
 struct RaftParts {
   VoterId self;
   RaftSettings settings;
+  /** How the leader replaces lost voters; none where only ProposeChange changes
+   * the replicas. */
+  std::optional<RepairSettings> repair;
   RaftHooks hooks;
   StoragePort storage;
   LogCodecPort codec;
@@ -104,13 +108,17 @@
   bool IsAddressedToSelf(const ConsensusMessage& message) const;
   void OnVoteRequest(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
-  void OnJoinRequest(const NodeId& from, const VoterId& voter);
+  void OnJoinRequest(std::chrono::steady_clock::time_point now,
+                     const NodeId& from, const VoterId& voter);
   /** Creates or destroys the RaftLeader according to the context's role, and
    * reports a change of leadership. */
   void UpdateRole(std::chrono::steady_clock::time_point now);
   void ReportLeadership();
+  /** Proposes the next change of the replicas, if any is due. */
+  void Repair(std::chrono::steady_clock::time_point now);
   void Stop(const std::string& reason);
 
+  std::optional<VoterRepair> repair;
   RaftContext context;
   RaftElector elector;
   RaftFollower follower;
--- a/src/lacewingferry/decisions/consensus/voter_repair.cc
+++ b/src/lacewingferry/decisions/consensus/voter_repair.cc
@@ -61,6 +61,10 @@
 
 void VoterRepair::OnJoinRequested(steady_clock::time_point now,
                                   const NodeId& node, const VoterId& voter) {
+  // A VM has one replica at a time, so an earlier identity of it is gone.
+  for (auto it = this->joiners.begin(); it != this->joiners.end();) {
+    it = it->second.node == node ? this->joiners.erase(it) : std::next(it);
+  }
   this->joiners[voter] = Joiner{node, now};
 }
 
@@ -74,6 +78,8 @@
   if (!change) change = this->PromoteLearner(now, group);
   if (!change) change = this->RemoveLearner(now, group);
   if (!change) change = this->AddLearner(group);
+  // A learner that is removed later comes back only if it asks again.
+  if (change) this->joiners.erase(change->voter);
   return change;
 }
 
--- a/src/lacewingferry/decisions/consensus/voter_repair.h
+++ b/src/lacewingferry/decisions/consensus/voter_repair.h
@@ -44,8 +44,9 @@
   void OnJoinRequested(std::chrono::steady_clock::time_point now,
                        const NodeId& node, const VoterId& voter);
 
-  /** Returns the change to propose now, if any. Call it when the leader's
-   * status may have changed; once a second is enough. */
+  /** Returns the change to propose now, if any. Call it whenever the leader's
+   * status may have changed: each step that waits lengthens the time in which
+   * the group can't bear another loss. */
   std::optional<MembershipChange> Decide(
       std::chrono::steady_clock::time_point now, const GroupStatus& group);
 
--- a/tests/correctness/raft_group_test.cc
+++ b/tests/correctness/raft_group_test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(GrowsFromOneFounder);
   CPPUNIT_TEST(SecondLossAfterRepairIsRepairedToo);
   CPPUNIT_TEST(DisksLostInTurnAfterManyLargeEntriesKeepTheQuorum);
+  CPPUNIT_TEST(ReplacementOfALostDiskWaitsForNoInterval);
   CPPUNIT_TEST(LogIsBoundedBySizeAndState);
   CPPUNIT_TEST(RefusesUnsafeChanges);
   CPPUNIT_TEST(TooManyWaitingProposalsAreRefused);
@@ -301,6 +302,34 @@
     RequireNoViolations(group);
   }
 
+  // Guards against a quorum that still counts a lost disk seconds after the
+  // replica is back: each step of the repair waited for its turn.
+  void ReplacementOfALostDiskWaitsForNoInterval() {
+    // A quarter of the users' catch_up_s; the rest is for the start and the
+    // copy.
+    constexpr milliseconds kReplacement{1000};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      GroupOptions options = ReliableNetwork(0);
+      options.seed = seed;
+      options.repair = RepairSettings{};
+      options.latency = [](std::size_t, std::size_t) {
+        return milliseconds(20);
+      };
+      ConsensusGroup group(options);
+      const std::size_t lost = (AwaitLeader(group) + 1) % 3;
+      const VoterId old = group.Node(lost).Self();
+      group.LoseDisk(lost);
+      group.RunFor(milliseconds(3000));
+      group.Start(lost);
+      group.RunFor(kReplacement);
+      const ControlConfiguration& now =
+          group.Node(*group.Leader()).Configuration();
+      CPPUNIT_ASSERT(now.IsVoter(group.Node(lost).Self()));
+      CPPUNIT_ASSERT(now.Find(old) == nullptr);
+      RequireNoViolations(group);
+    }
+  }
+
   // Guards against a log that grows with each change of a large configuration
   // until a start needs more memory than the process may use.
   void LogIsBoundedBySizeAndState() {
--- a/tests/correctness/voter_repair_test.cc
+++ b/tests/correctness/voter_repair_test.cc
@@ -82,6 +82,8 @@
   CPPUNIT_TEST(KeepsSilentVoterWithoutSpare);
   CPPUNIT_TEST(GrowsFromOneVoter);
   CPPUNIT_TEST(ReplacesVoterThatLostItsDiskAtOnce);
+  CPPUNIT_TEST(JoinerOfAnEarlierIdentityIsForgotten);
+  CPPUNIT_TEST(RemovedLearnerHasToAskAgain);
   CPPUNIT_TEST(NeverLowersTheFailureTolerance);
   CPPUNIT_TEST(RefusesInvalidVoterCounts);
   CPPUNIT_TEST_SUITE_END();
@@ -145,6 +147,28 @@
     CPPUNIT_ASSERT(change && change->kind == ChangeKind::kPromote);
   }
 
+  // Guards against a slot that a VM's lost identity takes from its next one.
+  void JoinerOfAnEarlierIdentityIsForgotten() {
+    VoterRepair repair{RepairSettings{}};
+    repair.OnJoinRequested(kNow, NodeId("n-d"), VoterId("d1"));
+    repair.OnJoinRequested(kNow, NodeId("n-d"), VoterId("d2"));
+    const auto change =
+        repair.Decide(kNow, Group({Voter("a"), Voter("b"), Voter("c")}));
+    CPPUNIT_ASSERT(change && change->kind == ChangeKind::kAddLearner);
+    CPPUNIT_ASSERT(change->voter == VoterId("d2"));
+  }
+
+  // Guards against a lost learner that is removed and added by turns.
+  void RemovedLearnerHasToAskAgain() {
+    VoterRepair repair{RepairSettings{}};
+    const GroupStatus group = Group({Voter("a"), Voter("b"), Voter("c")});
+    repair.OnJoinRequested(kNow, NodeId("n-d"), VoterId("d"));
+    CPPUNIT_ASSERT(repair.Decide(kNow, group));
+    CPPUNIT_ASSERT(!repair.Decide(kNow, group));
+    repair.OnJoinRequested(kNow, NodeId("n-d"), VoterId("d"));
+    CPPUNIT_ASSERT(repair.Decide(kNow, group));
+  }
+
   void NeverLowersTheFailureTolerance() {
     CPPUNIT_ASSERT(rc::check([](const std::vector<bool>& more_voters,
                                 const std::vector<bool>& learners) {
