Ask a follower for its last entry until it is known

Cause: the leader takes a new learner's log for complete and, with nothing to send, checks that with one empty message. When it is lost, heartbeats name only entries that the follower is known to have, are confirmed, and tell the leader nothing. The learner gets the log only with the next change.

Change: while a follower's last entry isn't known, each round asks for it.

--- a/src/lacewingferry/decisions/consensus/raft_leader.cc
+++ b/src/lacewingferry/decisions/consensus/raft_leader.cc
@@ -51,7 +51,10 @@
     if (member.voter == this->context.self) continue;
     const FollowerProgress& follower = this->followers.at(member.voter);
     const bool waits = follower.resend_at && now < *follower.resend_at;
-    if (waits || follower.next > this->context.log.LastIndex()) {
+    // Until the follower's last entry is known, each round asks for it anew.
+    const bool complete = follower.next > this->context.log.LastIndex() &&
+                          follower.match + 1 == follower.next;
+    if (waits || complete) {
       this->SendHeartbeatTo(member);
     } else {
       this->SendEntriesTo(now, member);
--- a/tests/correctness/replica_repair_test.cc
+++ b/tests/correctness/replica_repair_test.cc
@@ -14,6 +14,10 @@
 using tests::ReliableNetwork;
 using tests::RequireNoViolations;
 
+/** How long a replacement may take: a quarter of the users' catch_up_s; the
+ * rest is for the start and a large copy. */
+constexpr milliseconds kReplacement{1000};
+
 /** A configuration of several hundred routes. */
 constexpr std::size_t kLargeEntryBytes = 60'000;
 
@@ -38,6 +42,7 @@
   CPPUNIT_TEST(SecondLossAfterRepairIsRepairedToo);
   CPPUNIT_TEST(DisksLostInTurnAfterManyLargeEntriesKeepTheQuorum);
   CPPUNIT_TEST(ReplacementOfALostDiskWaitsForNoInterval);
+  CPPUNIT_TEST(LearnerWhoseFirstMessageIsLostGetsTheLog);
   CPPUNIT_TEST(LogIsBoundedBySizeAndState);
   CPPUNIT_TEST(CopyToALearnerIsReported);
   CPPUNIT_TEST_SUITE_END();
@@ -122,9 +127,6 @@
   // Guards against a quorum that still counts a lost disk seconds after the
   // replica is back: each step of the repair waited for its turn.
   void ReplacementOfALostDiskWaitsForNoInterval() {
-    // A quarter of the users' catch_up_s; the rest is for the start and the
-    // copy.
-    constexpr milliseconds kReplacement{1000};
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       GroupOptions options = ReliableNetwork(0);
       options.seed = seed;
@@ -147,6 +149,30 @@
     }
   }
 
+  // Guards against a replacement that gets nothing until the next change: the
+  // first message to it was lost, and heartbeats didn't find out what it lacks.
+  void LearnerWhoseFirstMessageIsLostGetsTheLog() {
+    GroupOptions options = ReliableNetwork(0);
+    options.repair = RepairSettings{};
+    ConsensusGroup group(options);
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t lost = (leader + 1) % 3;
+    const VoterId old = group.Node(lost).Self();
+    group.LoseDisk(lost);
+    group.RunFor(milliseconds(3000));
+    group.Cut(leader, lost, true);
+    group.Start(lost);
+    group.RunFor(milliseconds(300));
+    const VoterId replacement = group.Node(lost).Self();
+    CPPUNIT_ASSERT(group.Node(leader).Configuration().Find(replacement));
+    group.Cut(leader, lost, false);
+    group.RunFor(kReplacement);
+    const ControlConfiguration& now = group.Node(leader).Configuration();
+    CPPUNIT_ASSERT(now.IsVoter(replacement));
+    CPPUNIT_ASSERT(now.Find(old) == nullptr);
+    RequireNoViolations(group);
+  }
+
   // Guards against a log that grows with each change of a large configuration
   // until a start needs more memory than the process may use.
   void LogIsBoundedBySizeAndState() {
