Log what a choice of a primary is weighed by

primary_chosen told the position of the member that was chosen and not what it was compared with, so the log of the incident can't tell its hypotheses apart. successor_weighed (5203) names the former primary's answer, the members that answered with their runs and positions, those that didn't, what proxies reported and how many did, the required position with its source, and for how long the process has known it. It is told when the outcome changes. The choice itself is as it was: RequiredOf says where its figure comes from.

Not run yet: the suites beyond SwitchoverTest and SuccessorChoiceTest, which pass.

--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -100,6 +100,8 @@
       return "promotion_called";
     case EventCode::kLeaseRecalled:
       return "lease_recalled";
+    case EventCode::kSuccessorWeighed:
+      return "successor_weighed";
     case EventCode::kNoteAccepted:
       return "note_accepted";
     case EventCode::kNoteRejected:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -53,6 +53,7 @@
   kPrimaryRouted = 5104,
   kPromotionCalled = 5201,
   kLeaseRecalled = 5202,
+  kSuccessorWeighed = 5203,
   kNoteAccepted = 6001,
   kNoteRejected = 6002,
   kOperatorRefused = 6003,
--- a/src/lacewingferry/decisions/switchover/successor_choice.cc
+++ b/src/lacewingferry/decisions/switchover/successor_choice.cc
@@ -14,30 +14,32 @@
          std::tie(b.leaving, b_remote, b.id);
 }
 
-/** The position that a successor must have reached; none while it is not
- * known. */
-std::optional<LogPosition> RequiredPosition(const SuccessorChoiceInput& input) {
+}  // namespace
+
+std::optional<RequiredPosition> RequiredOf(const SuccessorChoiceInput& input) {
+  RequiredPosition required{input.acknowledged, "acknowledged"};
+  const auto raise = [&](const LogPosition& position, const char* source) {
+    if (position >= required.position) required = {position, source};
+  };
   if (input.former_position) {
-    return std::max(*input.former_position, input.acknowledged);
+    raise(*input.former_position, "former");
+    return required;
   }
   if (!input.missing.empty()) return std::nullopt;
-  LogPosition newest =
-      input.acknowledged_wait_over ? LogPosition() : input.acknowledged;
+  if (input.acknowledged_wait_over) required = {LogPosition(), "replicas"};
   for (const PausedReplica& replica : input.paused) {
-    newest = std::max(newest, replica.received);
+    raise(replica.received, "replicas");
   }
-  return newest;
+  return required;
 }
 
-}  // namespace
-
 std::optional<PausedReplica> ChooseSuccessor(
     const SuccessorChoiceInput& input) {
-  const auto required = RequiredPosition(input);
+  const auto required = RequiredOf(input);
   if (!required) return std::nullopt;
   std::optional<PausedReplica> best;
   for (const PausedReplica& replica : input.paused) {
-    if (replica.received < *required) continue;
+    if (replica.received < required->position) continue;
     if (!best || IsPreferred(replica, *best, input.former_zone)) {
       best = replica;
     }
--- a/src/lacewingferry/decisions/switchover/successor_choice.h
+++ b/src/lacewingferry/decisions/switchover/successor_choice.h
@@ -37,6 +37,19 @@
   bool acknowledged_wait_over = false;
 };
 
+/** A position that a successor must have reached, and what it was taken from.
+ */
+struct RequiredPosition {
+  LogPosition position;
+  /** former: the former primary's answer; replicas: the newest position of all
+   * replicas; acknowledged: what proxies reported. */
+  const char* source = "";
+};
+
+/** The position that a successor must have reached; none while it is not
+ * known. */
+std::optional<RequiredPosition> RequiredOf(const SuccessorChoiceInput& input);
+
 /**
  * Chooses a replica that is known to hold every acknowledged commit; none while
  * that is not known of any.
--- a/src/lacewingferry/decisions/switchover/switchover_procedure.cc
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "lacewingferry/decisions/switchover/successor_record.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -17,6 +19,7 @@
     : context(shared),
       entry(database_entry),
       newest_member_term(database_entry.start.term),
+      started_at(now),
       next_round(now),
       promotion_deadline(now + shared.settings.promotion_timeout) {}
 
@@ -216,7 +219,9 @@
 void SwitchoverProcedure::TryChoose(steady_clock::time_point now) {
   if (this->entry.phase != TermPhase::kElecting || !this->leases_expired_at)
     return;
-  const auto chosen = ChooseSuccessor(this->ChoiceInput());
+  const SuccessorChoiceInput input = this->ChoiceInput();
+  const auto chosen = ChooseSuccessor(input);
+  this->RecordDecision(now, input, chosen);
   if (!chosen) return;
   this->StepDownFormerPrimary();
   this->ProposePrimary(now, chosen->id, chosen->received);
@@ -250,6 +255,7 @@
 
 void SwitchoverProcedure::OnAcknowledged(const LogPosition& position) {
   this->acknowledged = std::max(this->acknowledged, position);
+  ++this->acknowledged_reports;
 }
 
 void SwitchoverProcedure::Promote(steady_clock::time_point now) {
@@ -330,4 +336,19 @@
              {"step", step}}});
 }
 
+/** Records a decision whose outcome differs from the last one. */
+void SwitchoverProcedure::RecordDecision(
+    steady_clock::time_point now, const SuccessorChoiceInput& input,
+    const std::optional<PausedReplica>& chosen) {
+  const Event event = MakeSuccessorRecord(
+      {this->entry, this->context.roster, input, chosen,
+       this->acknowledged_reports,
+       std::chrono::duration_cast<std::chrono::milliseconds>(
+           now - this->started_at)});
+  const std::string& outcome = event.fields.back().second;
+  if (outcome == this->recorded_outcome) return;
+  this->recorded_outcome = outcome;
+  this->context.hooks.events.record(event);
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/switchover/switchover_procedure.h
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.h
@@ -4,10 +4,12 @@
 // Defines SwitchoverProcedure, which replaces a group's primary in one term.
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 #include "lacewingferry/core/database_term.h"
 #include "lacewingferry/decisions/switchover/successor_choice.h"
@@ -104,6 +106,9 @@
   DatabaseStamp Stamp() const;
   void Record(EventCode code, EventLevel level, const char* step,
               const MemberId& member) const;
+  void RecordDecision(std::chrono::steady_clock::time_point now,
+                      const SuccessorChoiceInput& input,
+                      const std::optional<PausedReplica>& chosen);
 
   const SwitchoverContext& context;
   DatabaseTerm entry;
@@ -118,6 +123,10 @@
   std::map<MemberId, LogPosition> received;
   std::map<MemberId, LogPosition> paused;
   LogPosition acknowledged;
+  std::size_t acknowledged_reports = 0;
+  std::chrono::steady_clock::time_point started_at;
+  /** The outcome of the last decision that was recorded. */
+  std::string recorded_outcome;
   std::optional<std::chrono::steady_clock::time_point> leases_expired_at;
   std::chrono::steady_clock::time_point next_round;
   std::chrono::steady_clock::time_point next_recall;
