--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kCommitTime{30};
 constexpr milliseconds kPromotionTime{300};
 constexpr milliseconds kReportInterval{500};
+constexpr milliseconds kHeartbeatInterval{1200};
 constexpr milliseconds kTick{10};
 constexpr milliseconds kLag{10};
 
@@ -25,7 +26,10 @@
 SwitchoverFleet::SwitchoverFleet(std::size_t member_count,
                                  std::size_t proxy_count) {
   for (std::size_t i = 0; i < member_count; ++i) {
-    this->members[MemberId("m" + std::to_string(i))].primary = i == 0;
+    const std::string host = "m" + std::to_string(i);
+    SwitchoverMember& member = this->members[MemberId(host)];
+    member.primary = i == 0;
+    member.host = host;
   }
   for (std::size_t i = 0; i < proxy_count; ++i) {
     this->proxies[NodeId("p" + std::to_string(i))];
@@ -56,8 +60,8 @@
       SwitchoverProxy& proxy = this->proxies.at(to);
       if (!proxy.reachable) return;
       proxy.leased_until.reset();
-      const LeaseRecalled recalled{{recall.database, recall.before_term, 1},
-                                   proxy.acknowledged};
+      const LeaseRecalled recalled{
+          {recall.database, recall.before_term, proxy.run}, proxy.acknowledged};
       this->queue.After(kWay, [this, to, recalled] {
         this->control->OnRecalled(this->queue.Now(), to, recalled);
       });
@@ -97,19 +101,23 @@
                           const MemberRequest& request, milliseconds limit,
                           MemberAdminPort::Done done) {
   this->commands.push_back(request.kind);
-  const SwitchoverMember& member = this->members.at(target.member);
-  if (!member.reachable || member.slow) {
+  const auto found = this->members.find(target.member);
+  const bool runs = found != this->members.end() && found->second.reachable;
+  if (!runs || found->second.slow) {
     AdminAnswer none;
-    none.response =
-        member.slow ? MemberResponse::kSlow : MemberResponse::kSilent;
+    none.response = runs ? MemberResponse::kSlow : MemberResponse::kSilent;
     this->queue.After(limit, [done, none] { done(none); });
     return;
   }
-  this->queue.After(kWay, [this, target, request, done] {
-    const AdminAnswer answer =
-        this->AnswerOf(this->members.at(target.member), request);
-    this->queue.After(kWay, [done, answer] { done(answer); });
-  });
+  this->queue.After(
+      kWay, [this, target, request, done, run = found->second.run] {
+        const auto member = this->members.find(target.member);
+        const bool same = member != this->members.end() &&
+                          member->second.run == run && member->second.reachable;
+        const AdminAnswer answer =
+            same ? this->AnswerOf(member->second, request) : AdminAnswer();
+        this->queue.After(kWay, [done, answer] { done(answer); });
+      });
 }
 
 AdminAnswer SwitchoverFleet::AnswerOf(SwitchoverMember& member,
@@ -137,20 +145,23 @@
     done(PromotionResult::kFailed);
     return;
   }
-  if (!this->members.at(call.member).reachable) {
+  const auto member = this->members.find(call.member);
+  if (member == this->members.end() || !member->second.reachable) {
     done(PromotionResult::kMemberDown);
     return;
   }
   done(PromotionResult::kAccepted);
-  if (this->members.at(call.member).primary) return;
+  if (member->second.primary) return;
   this->queue.After(kPromotionTime,
                     [this, id = call.member] { this->TakeEffect(id); });
 }
 
 void SwitchoverFleet::TakeEffect(const MemberId& id) {
+  const auto found = this->members.find(id);
+  if (found == this->members.end() || !found->second.alive) return;
   ++this->promotions;
   this->promoted_at = this->queue.Now();
-  SwitchoverMember& chosen = this->members.at(id);
+  SwitchoverMember& chosen = found->second;
   if (chosen.received < this->acknowledged) this->lost_commit = true;
   for (const auto& item : this->proxies) {
     const auto& until = item.second.leased_until;
@@ -170,24 +181,105 @@
 }
 
 void SwitchoverFleet::Start() {
-  for (const auto& item : this->members) this->Announce(item.first, false);
   this->TakeOffice(true);
+  for (const auto& item : this->members) {
+    this->SendAnnouncement(item.first, false);
+  }
+  this->SendHeartbeats();
   for (const auto& item : this->proxies) this->Report(item.first);
   this->Run(milliseconds(2000));
 }
 
-void SwitchoverFleet::Announce(const MemberId& id, bool leaving,
-                               std::uint64_t run) {
+void SwitchoverFleet::Announce(const MemberId& id, bool leaving) {
+  this->SendAnnouncement(id, leaving);
+  this->Run(kCommitTime);
+}
+
+void SwitchoverFleet::SendAnnouncement(const MemberId& id, bool leaving) {
+  const SwitchoverMember& member = this->members.at(id);
   MemberAnnouncement announcement;
   announcement.info.id = id;
   announcement.info.database = kDatabase;
-  announcement.info.zone = AvailabilityZone("zone-" + id.Value());
-  announcement.info.endpoint = {id.Value(), 5000};
+  announcement.info.zone = AvailabilityZone("zone-" + member.host);
+  announcement.info.endpoint = {member.host, 5000};
   announcement.info.leaving = leaving;
-  announcement.incarnation = run;
-  this->state.Apply(ControlCommand{RosterCommand{EnterMember{announcement}}},
-                    this->next_index++);
-  this->control->OnApplied();
+  announcement.sequence = ++this->sequences[id];
+  announcement.incarnation = member.run;
+  this->control->OnAnnouncement(this->queue.Now(), announcement,
+                                [](AnnouncementResult) {});
+}
+
+/** Has each member that runs and reaches control announce itself. */
+void SwitchoverFleet::SendHeartbeats() {
+  this->queue.After(kHeartbeatInterval, [this] { this->SendHeartbeats(); });
+  for (const auto& [id, member] : this->members) {
+    const MemberAnnouncement* known = this->state.CurrentRoster().Find(id);
+    const bool leaving = known != nullptr && known->info.leaving;
+    if (member.reachable) this->SendAnnouncement(id, leaving);
+  }
+}
+
+void SwitchoverFleet::Crash(const MemberId& id) {
+  SwitchoverMember& member = this->members.at(id);
+  member.alive = false;
+  member.reachable = false;
+  member.receives = false;
+}
+
+MemberId SwitchoverFleet::NewId(const std::string& host) {
+  return MemberId(host + "r" + std::to_string(this->last_run));
+}
+
+MemberId SwitchoverFleet::Restart(const MemberId& id,
+                                  const SwitchoverRestart& restart) {
+  SwitchoverMember member = this->members.at(id);
+  const std::uint64_t newest_term =
+      std::max_element(this->members.begin(), this->members.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.term < b.second.term;
+                       })
+          ->second.term;
+  member.run = ++this->last_run;
+  member.alive = true;
+  member.reachable = true;
+  member.receives = true;
+  member.paused_term = 0;
+  member.primary =
+      member.primary && restart.keeps_log && member.term == newest_term;
+  if (!restart.keeps_log) member.received = LogPosition{};
+  const MemberId next = restart.new_id ? this->NewId(member.host) : id;
+  this->members.erase(id);
+  this->members[next] = member;
+  this->sequences.erase(next);
+  this->SendAnnouncement(next, false);
+  return next;
+}
+
+void SwitchoverFleet::Leave(const MemberId& id) {
+  this->control->OnDeregistration(this->queue.Now(), id,
+                                  [](AnnouncementResult) {});
+  this->Crash(id);
+}
+
+MemberId SwitchoverFleet::Join() {
+  ++this->last_run;
+  const std::string host = "n" + std::to_string(this->last_run);
+  SwitchoverMember member;
+  member.host = host;
+  member.run = this->last_run;
+  member.received = LogPosition{};
+  const MemberId id(host);
+  this->members[id] = member;
+  this->SendAnnouncement(id, false);
+  return id;
+}
+
+void SwitchoverFleet::RestartProxies() {
+  for (auto& item : this->proxies) {
+    item.second.acknowledged = LogPosition{};
+    item.second.leased_until.reset();
+    ++item.second.run;
+  }
 }
 
 void SwitchoverFleet::TakeOffice(bool office) {
@@ -202,13 +294,13 @@
   if (!proxy.reachable || !this->proxies_report || !this->leads) return;
   ProxyReport report;
   report.sequence = this->next_report++;
-  report.incarnation = 1;
+  report.incarnation = proxy.run;
   report.configuration_version = this->reported_configuration;
   const DatabaseTerm* term = this->Term();
   if (term != nullptr && term->phase == TermPhase::kSteady) {
     LeaseRenewal renewal;
     renewal.sequence = report.sequence;
-    renewal.incarnation = 1;
+    renewal.incarnation = proxy.run;
     renewal.databases_revision = report.sequence;
     renewal.lists_databases = true;
     renewal.databases = {{kDatabase, term->term, term->members_revision}};
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -32,12 +32,23 @@
   bool slow = false;
   /** Receives from the primary. */
   bool receives = true;
+  /** Where it listens, and which of the runs of all members it is. */
+  std::string host;
+  std::uint64_t run = 1;
+};
+
+/** What a member that crashed comes back with. */
+struct SwitchoverRestart {
+  bool keeps_log = false;
+  /** It announces itself under another ID, at the same address. */
+  bool new_id = false;
 };
 
 /** A proxy that holds a lease on the group's term. */
 struct SwitchoverProxy {
   /** Takes control's messages. */
   bool reachable = true;
+  std::uint64_t run = 1;
   /** Keeps its lease whatever control says; for the sake of the checks. */
   LogPosition acknowledged;
   std::optional<std::chrono::steady_clock::time_point> leased_until;
@@ -61,7 +72,19 @@
 
   /** Announces all members and lets control adopt the group. */
   void Start();
-  void Announce(const MemberId& id, bool leaving, std::uint64_t run = 1);
+  void Announce(const MemberId& id, bool leaving);
+  /** Ends a member's process; nobody is told. */
+  void Crash(const MemberId& id);
+  /** Starts it again; returns its ID. It leads on if it kept its log, led, and
+   * nobody was promoted meanwhile. */
+  MemberId Restart(const MemberId& id, const SwitchoverRestart& restart);
+  /** A member says farewell and ends. */
+  void Leave(const MemberId& id);
+  /** Adds a replica at an address of its own that receives from now on. */
+  MemberId Join();
+  /** All proxies lose power for a moment: they forget what they acknowledged,
+   * and their leases. */
+  void RestartProxies();
   void TakeOffice(bool office);
   void Run(std::chrono::milliseconds length);
   /** A pause of the whole control process. */
@@ -107,6 +130,9 @@
                const std::function<void(PromotionResult)>& done);
   void TakeEffect(const MemberId& id);
   void Report(const NodeId& node);
+  void SendAnnouncement(const MemberId& id, bool leaving);
+  void SendHeartbeats();
+  MemberId NewId(const std::string& host);
   void Tick();
 
   EventQueue queue;
@@ -114,6 +140,8 @@
   std::unique_ptr<FleetControl> control;
   std::uint64_t next_index = 1;
   std::uint64_t next_report = 1;
+  std::uint64_t last_run = 1;
+  std::map<MemberId, std::uint64_t> sequences;
   std::uint64_t fence = 1;
   std::chrono::steady_clock::time_point suspended_until;
 };
