Check of a replaced primary: allow what it acknowledges once it leads again

The logs show why: control took the successor for lost without a failure that the test had made, and promoted the former primary again, in term 4 and term 3; it acknowledged in that term, as it may. The check knew only the failures of the test.

It now goes by the members' own logs as well: from its next promotion on, a replaced primary may acknowledge again.

--- a/bench/processes/demo.cc
+++ b/bench/processes/demo.cc
@@ -61,7 +61,8 @@
     CreateTables(this->cluster.Plan(), kStartLimit);
     const RunRecord record = this->RunLoad();
     RunVerdict verdict =
-        CheckRun(this->cluster.Plan(), record, this->failures, kCheckLimit);
+        CheckRun(this->cluster.Plan(), record,
+                 {this->failures, this->cluster.Promotions()}, kCheckLimit);
     verdict.CountRefusedSessions(this->cluster.RefusedSessions());
     WriteVerdict(verdict, this->out);
     if (!verdict.Kept()) {
--- a/bench/processes/local_cluster.cc
+++ b/bench/processes/local_cluster.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -188,6 +189,24 @@
   return refused;
 }
 
+std::vector<MemberPromotion> LocalCluster::Promotions() const {
+  const auto wall_now = std::chrono::system_clock::now().time_since_epoch();
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<MemberPromotion> promotions;
+  for (const PlannedMember& member : this->plan.members) {
+    std::ifstream log(this->files.LogOf(member.id.Value()));
+    for (std::string line; std::getline(log, line);) {
+      const auto entry = nlohmann::json::parse(line, nullptr, false);
+      if (entry.is_discarded() || entry.value("event", "") != "promoted")
+        continue;
+      const std::chrono::microseconds told(
+          entry.at("time_us").get<std::int64_t>());
+      promotions.push_back({member.id, now - (wall_now - told)});
+    }
+  }
+  return promotions;
+}
+
 void LocalCluster::ApplyFirstNote(milliseconds limit) {
   const bool applied = PollUntil(limit, [&] {
     return this->RunOperatorCommand("apply", this->plan.controls) == 0;
--- a/bench/processes/local_cluster.h
+++ b/bench/processes/local_cluster.h
@@ -13,6 +13,7 @@
 #include "bench/processes/child_process.h"
 #include "bench/processes/cluster_files.h"
 #include "bench/processes/cluster_plan.h"
+#include "bench/processes/run_check.h"
 
 namespace lacewingferry::processes {
 
@@ -58,6 +59,9 @@
   /** Sessions that members refused because all their slots were in use. */
   std::uint64_t RefusedSessions() const;
 
+  /** The promotions that the members' logs tell. */
+  std::vector<MemberPromotion> Promotions() const;
+
   /** Whether failover works: the control program is there. */
   bool HasControl() const;
 
--- a/bench/processes/run_check.h
+++ b/bench/processes/run_check.h
@@ -23,6 +23,12 @@
   std::chrono::steady_clock::time_point at;
 };
 
+/** A member's promotion in a term of its own, as its log tells. */
+struct MemberPromotion {
+  MemberId member;
+  std::chrono::steady_clock::time_point at;
+};
+
 /** The failover gap of one failure; none if no other member acknowledged a
  * write afterwards. */
 struct FailoverGap {
@@ -64,10 +70,16 @@
   bool Kept() const { return this->broken.empty(); }
 };
 
+/** What happened to the members during a run. */
+struct MemberHistory {
+  std::vector<PrimaryFailure> failures;
+  std::vector<MemberPromotion> promotions;
+};
+
 /** Reads back all rows through the proxies and judges a run. Throws
  * std::runtime_error if a database doesn't answer within the limit. */
 RunVerdict CheckRun(const ClusterPlan& plan, const RunRecord& record,
-                    const std::vector<PrimaryFailure>& failures,
+                    const MemberHistory& history,
                     std::chrono::milliseconds limit);
 
 }  // namespace lacewingferry::processes
