--- a/bench/model/switchover_fleet.cc
+++ b/bench/model/switchover_fleet.cc
@@ -269,7 +269,7 @@
   member.primary =
       member.primary && restart.keeps_log && member.term == newest_term;
   if (!restart.keeps_log) member.received = LogPosition{};
-  const MemberId next = restart.new_id ? this->NewId(member.host) : id;
+  MemberId next = restart.new_id ? this->NewId(member.host) : id;
   this->members.erase(id);
   this->members[next] = member;
   this->sequences.erase(next);
@@ -277,9 +277,13 @@
   return next;
 }
 
-void SwitchoverFleet::Leave(const MemberId& id) {
+void SwitchoverFleet::SayFarewell(const MemberId& id) {
   this->control->OnDeregistration(this->queue.Now(), id,
                                   [](AnnouncementResult) {});
+}
+
+void SwitchoverFleet::Leave(const MemberId& id) {
+  this->SayFarewell(id);
   this->Crash(id);
 }
 
@@ -290,7 +294,7 @@
   member.host = host;
   member.run = this->last_run;
   member.received = LogPosition{};
-  const MemberId id(host);
+  MemberId id(host);
   this->members[id] = member;
   this->SendAnnouncement(id, false);
   return id;
--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -80,6 +80,8 @@
   /** Starts it again; returns its ID. It leads on if it kept its log, led, and
    * nobody was promoted meanwhile. */
   MemberId Restart(const MemberId& id, const SwitchoverRestart& restart);
+  /** A member says farewell; its process goes on until it is ended. */
+  void SayFarewell(const MemberId& id);
   /** A member says farewell and ends. */
   void Leave(const MemberId& id);
   /** Adds a replica at an address of its own that receives from now on. */
--- a/tests/correctness/lost_holder_test.cc
+++ b/tests/correctness/lost_holder_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(HolderThatLeftProvesNothing);
   CPPUNIT_TEST(HolderThatLeftLongAgoIsRemembered);
   CPPUNIT_TEST(HolderThatLeftIsRememberedByANewLeader);
+  CPPUNIT_TEST(HolderCountsUntilItsProcessEnds);
   CPPUNIT_TEST(ChosenHolderThatCameBackEmptyProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +144,24 @@
     AssertServesOnceThePrimaryIsBack(fleet);
   }
 
+  // It acknowledges commits after its farewell, and after the stale replica has
+  // caught up for a moment.
+  void HolderCountsUntilItsProcessEnds() {
+    SwitchoverFleet fleet;
+    StartWithOneHolder(fleet);
+    fleet.SayFarewell(kHolder);
+    RunWithCommits(fleet, milliseconds(800));
+    fleet.members[kStale].receives = true;
+    RunWithCommits(fleet, milliseconds(100));
+    fleet.members[kStale].receives = false;
+    RunWithCommits(fleet, milliseconds(800));
+    fleet.Crash(kHolder);
+    fleet.Crash(kPrimary);
+    fleet.Run(kLongWait);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.promotions);
+    AssertServesOnceThePrimaryIsBack(fleet);
+  }
+
   void ChosenHolderThatCameBackEmptyProvesNothing() {
     SwitchoverFleet fleet;
     StartWithOneHolder(fleet);
