Succession: a gauge, each decision told once, members that are gone forgotten

ferry_databases_without_primary counts databases in a term whose primary isn't confirmed. A decision that alternates with another (a proof without a candidate, then a primary that is kept) was told again each round; each is told once in a term now. What a leader has seen of members that are off the list is dropped, so that it doesn't grow with each restart under a new id.

--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -117,6 +117,8 @@
        {"ferry_control_index", "", number(state.LastIndex())},
        {"ferry_control_replicas", "", number(this->ControlNodes().size())},
        {"ferry_configuration_version", "", number(state.Services().version)},
+       {"ferry_databases_without_primary", "",
+        number(state.Terms().WithoutPrimary())},
        {"ferry_members", "", number(state.CurrentRoster().Members().size())},
        {"ferry_proxies", "", number(this->fleet->ProxyCount(now))}});
 }
--- a/src/lacewingferry/decisions/failover/database_terms.cc
+++ b/src/lacewingferry/decisions/failover/database_terms.cc
@@ -30,6 +30,13 @@
   return ApplyResult::kApplied;
 }
 
+std::size_t DatabaseTerms::WithoutPrimary() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->databases.begin(), this->databases.end(), [](const auto& entry) {
+        return entry.second.phase != TermPhase::kSteady;
+      }));
+}
+
 DatabaseTerm* DatabaseTerms::FindInTerm(const DatabaseId& database,
                                         std::uint64_t term) {
   const auto found = this->databases.find(database);
--- a/src/lacewingferry/decisions/failover/database_terms.h
+++ b/src/lacewingferry/decisions/failover/database_terms.h
@@ -3,6 +3,7 @@
 
 // Defines DatabaseTerms, the control service's replicated state of databases.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -45,6 +46,9 @@
     return this->databases;
   }
 
+  /** How many databases are in a term that has no confirmed primary. */
+  std::size_t WithoutPrimary() const;
+
   /** Increases with each change. */
   std::uint64_t Revision() const { return this->revision; }
 
--- a/src/lacewingferry/decisions/switchover/group_manager.cc
+++ b/src/lacewingferry/decisions/switchover/group_manager.cc
@@ -173,6 +173,7 @@
                                const DatabaseTerm& entry) {
   if (now < this->next_replica_poll) return;
   this->next_replica_poll = now + this->context.settings.replica_poll_interval;
+  this->evidence->KeepOnly(this->Members());
   const std::weak_ptr<GroupManager> weak = this->weak_from_this();
   for (const MemberId& id : this->Members()) {
     if (id == entry.primary) continue;
@@ -264,8 +265,13 @@
 }
 
 void GroupManager::WatchEndedRuns(steady_clock::time_point now) {
-  for (const EndedRun& ended :
-       this->context.ended_runs.Of(this->database).runs) {
+  const std::vector<EndedRun>& runs =
+      this->context.ended_runs.Of(this->database).runs;
+  if (runs.empty()) {
+    this->over_since.clear();
+    this->evidence->ForgetCovered();
+  }
+  for (const EndedRun& ended : runs) {
     if (this->over_since.count(ended.run) > 0) continue;
     if (ended.displaced) {
       this->over_since[ended.run] = now;
--- a/src/lacewingferry/decisions/switchover/run_evidence.cc
+++ b/src/lacewingferry/decisions/switchover/run_evidence.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/switchover/run_evidence.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lacewingferry {
 
@@ -26,6 +27,18 @@
   }
 }
 
+void RunEvidence::KeepOnly(const std::vector<MemberId>& members) {
+  const auto forget_others = [&](auto& known) {
+    for (auto it = known.begin(); it != known.end();) {
+      const bool kept =
+          std::find(members.begin(), members.end(), it->first) != members.end();
+      it = kept ? std::next(it) : known.erase(it);
+    }
+  };
+  forget_others(this->replica_links);
+  forget_others(this->announcements);
+}
+
 void RunEvidence::OnAnnounced(const MemberRun& run,
                               steady_clock::time_point heard_at) {
   this->announcements[run.member] = Announcement{run.incarnation, heard_at};
--- a/src/lacewingferry/decisions/switchover/run_evidence.h
+++ b/src/lacewingferry/decisions/switchover/run_evidence.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "lacewingferry/core/fleet_command.h"
 #include "lacewingferry/core/log_position.h"
@@ -52,6 +53,11 @@
                  std::chrono::steady_clock::time_point opened_at,
                  const PrimarySample& sample);
 
+  /** Forgets what it has on others than these members. */
+  void KeepOnly(const std::vector<MemberId>& members);
+  /** Forgets the ended runs that were covered. */
+  void ForgetCovered() { this->covered_runs.clear(); }
+
   /** Takes an announcement that arrived at this process. */
   void OnAnnounced(const MemberRun& run,
                    std::chrono::steady_clock::time_point heard_at);
--- a/src/lacewingferry/decisions/switchover/switchover_procedure.cc
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.cc
@@ -427,13 +427,13 @@
              {"step", step}}});
 }
 
-/** Records a decision that isn't made of the same as the last one. */
+/** Records a decision unless one that was made of the same was recorded. */
 void SwitchoverProcedure::RecordDecision(
     steady_clock::time_point now, const SuccessorChoiceInput& input,
     const std::optional<SuccessorAnswer>& chosen) {
-  const std::string decision = DescribeDecision(input, chosen);
-  if (decision == this->recorded_decision) return;
-  this->recorded_decision = decision;
+  const bool told =
+      !this->recorded_decisions.insert(DescribeDecision(input, chosen)).second;
+  if (told) return;
   this->context.hooks.events.record(MakeSuccessorRecord(
       {this->entry, input, chosen, this->evidence->Reports(),
        std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/lacewingferry/decisions/switchover/switchover_procedure.h
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.h
@@ -146,8 +146,8 @@
   bool leader_resolved = false;
   std::optional<std::chrono::steady_clock::time_point> leases_expired_at;
   std::chrono::steady_clock::time_point started_at;
-  /** What the last decision that was recorded was made of. */
-  std::string recorded_decision;
+  /** What the decisions that were recorded were made of. */
+  std::set<std::string> recorded_decisions;
   std::chrono::steady_clock::time_point next_round;
   std::chrono::steady_clock::time_point next_recall;
   std::chrono::steady_clock::time_point next_proposal;
--- a/tests/correctness/run_evidence_test.cc
+++ b/tests/correctness/run_evidence_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(AnnouncementAfterTheOpeningProvesItsRun);
   CPPUNIT_TEST(RunWithoutANumberIsNotProvedByAnnouncements);
   CPPUNIT_TEST(OnlyTheConnectionOfTheLastPrimaryLed);
+  CPPUNIT_TEST(MembersThatAreGoneAreForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +74,16 @@
     evidence.OnPrimary(kReplica, At(3), {kPosition, At(30)});
     CPPUNIT_ASSERT(!evidence.LedOn(kPrimary, At(1)));
   }
+
+  void MembersThatAreGoneAreForgotten() {
+    RunEvidence evidence;
+    evidence.OnReplica(kReplica, At(10));
+    evidence.OnPrimary(kPrimary, At(1), {kPosition, At(20)});
+    evidence.KeepOnly({kPrimary, kReplica});
+    CPPUNIT_ASSERT(evidence.ProofOf(kRun, At(10)));
+    evidence.KeepOnly({kPrimary});
+    CPPUNIT_ASSERT(!evidence.ProofOf(kRun, At(10)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunEvidenceTest);
