--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "lacewingferry/decisions/switchover/successor_record.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -19,21 +21,6 @@
  * for lost. */
 constexpr std::uint32_t kUnansweredUntilRedial = 2;
 
-Event MakeCoverRecord(const CoverEndedRuns& cover) {
-  std::string runs;
-  for (const MemberRun& run : cover.runs) {
-    if (!runs.empty()) runs += " ";
-    runs += run.member.Value() + "@" + std::to_string(run.incarnation);
-  }
-  return Event{EventCode::kEndedRunsCovered,
-               EventLevel::kInfo,
-               {{"database", cover.database.Value()},
-                {"term", std::to_string(cover.term)},
-                {"ended", runs},
-                {"floor", std::to_string(cover.position.term) + "." +
-                              std::to_string(cover.position.offset)}}};
-}
-
 }  // namespace
 
 FleetControl::FleetControl(const ControlState& control_state, NodeId self,
--- a/src/lacewingferry/decisions/switchover/successor_record.cc
+++ b/src/lacewingferry/decisions/switchover/successor_record.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/switchover/successor_record.h"
 
 #include <string>
+#include <vector>
 
 namespace lacewingferry {
 namespace {
@@ -40,9 +41,9 @@
   return text;
 }
 
-std::string EndedText(const SuccessorChoiceInput& input) {
+std::string RunsText(const std::vector<MemberRun>& runs) {
   std::string text;
-  for (const MemberRun& run : input.ended) Append(&text, TextOf(run));
+  for (const MemberRun& run : runs) Append(&text, TextOf(run));
   return text;
 }
 
@@ -70,7 +71,7 @@
 std::string DescribeDecision(const SuccessorChoiceInput& input,
                              const std::optional<SuccessorAnswer>& chosen) {
   return OutcomeText(input, chosen) + "|" + AnsweredText(input) + "|" +
-         MissingText(input) + "|" + EndedText(input);
+         MissingText(input) + "|" + RunsText(input.ended);
 }
 
 Event MakeSuccessorRecord(const SuccessorDecision& decision) {
@@ -83,7 +84,7 @@
                 {"leading_term", std::to_string(input.leading_term)},
                 {"answered", AnsweredText(input)},
                 {"missing", MissingText(input)},
-                {"ended", EndedText(input)},
+                {"ended", RunsText(input.ended)},
                 {"floor", TextOf(input.floor)},
                 {"acknowledged", TextOf(input.acknowledged)},
                 {"reports", std::to_string(decision.reports)},
@@ -93,4 +94,13 @@
                 {"outcome", OutcomeText(input, decision.chosen)}}};
 }
 
+Event MakeCoverRecord(const CoverEndedRuns& cover) {
+  return Event{EventCode::kEndedRunsCovered,
+               EventLevel::kInfo,
+               {{"database", cover.database.Value()},
+                {"term", std::to_string(cover.term)},
+                {"ended", RunsText(cover.runs)},
+                {"floor", TextOf(cover.position)}}};
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/switchover/successor_record.h
+++ b/src/lacewingferry/decisions/switchover/successor_record.h
@@ -1,7 +1,8 @@
 #ifndef LACEWINGFERRY_DECISIONS_SWITCHOVER_SUCCESSOR_RECORD_H_
 #define LACEWINGFERRY_DECISIONS_SWITCHOVER_SUCCESSOR_RECORD_H_
 
-// Defines MakeSuccessorRecord, the log entry on one choice of a primary.
+// Defines the log entries on the choice of a primary: MakeSuccessorRecord on
+// one decision, MakeCoverRecord on ended runs that no longer bear on it.
 
 #include <chrono>
 #include <cstddef>
@@ -34,6 +35,9 @@
  * proofs there are and where they come from. */
 Event MakeSuccessorRecord(const SuccessorDecision& decision);
 
+/** Names the ended runs and the position that covers them. */
+Event MakeCoverRecord(const CoverEndedRuns& cover);
+
 }  // namespace lacewingferry
 
 #endif  // LACEWINGFERRY_DECISIONS_SWITCHOVER_SUCCESSOR_RECORD_H_
