MemberAnswers: what members answered in a switchover, off SwitchoverProcedure

switchover_procedure.cc had grown to 443 lines with two jobs: the steps of a term, and which answers count. The second is a class of its own now; no behaviour changes.

--- a/src/lacewingferry/decisions/switchover/switchover_procedure.cc
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.cc
@@ -20,6 +20,7 @@
     : context(shared),
       entry(database_entry),
       evidence(std::move(run_evidence)),
+      answers(shared, this->evidence),
       newest_member_term(database_entry.start.term),
       started_at(now),
       next_round(now),
@@ -82,6 +83,7 @@
     this->RecallLeases(now);
     if (this->context.hooks.leases_expire_at(this->Stamp()) > now) return;
     this->leases_expired_at = now;
+    this->answers.OnLeasesEnded(now);
   }
   this->TryChoose(now);
   this->AskLeader(now);
@@ -108,15 +110,6 @@
                                  : this->context.settings.lost_drain_timeout);
 }
 
-void SwitchoverProcedure::Take(const MemberId& member,
-                               steady_clock::time_point asked_at,
-                               const AdminAnswer& answer) {
-  const MemberAnnouncement* known = this->context.roster.Find(member);
-  if (known == nullptr) return;
-  this->answers[member] = MemberAnswer{answer.status, known->incarnation,
-                                       asked_at, answer.opened_at};
-}
-
 /** Asks the last leader for its position until it answers that it leads or is
  * known not to. Continues while no successor is found, since it may come back
  * with its log. */
@@ -127,8 +120,8 @@
     this->leader_resolved = true;
     return;
   }
-  const MemberAnswer* last = this->FinalAnswer(*known);
-  if (last != nullptr && last->status.primary) return;
+  const MemberStatus* last = this->answers.Final(*known, this->entry);
+  if (last != nullptr && last->primary) return;
   if (this->leader_asked_at &&
       now - *this->leader_asked_at < this->context.settings.poll_interval) {
     return;
@@ -142,21 +135,22 @@
               if (alive) return;
               this->leader_resolved = true;
               if (answer.response != MemberResponse::kAnswered) return;
-              this->Take(id, now, answer);
+              this->answers.Take(id, now, answer);
             });
 }
 
 bool SwitchoverProcedure::WaitForCatchUp(steady_clock::time_point now) {
-  const auto leader = this->answers.find(this->entry.LastLeader());
-  const bool leads =
-      leader != this->answers.end() && leader->second.status.primary;
-  if (!leads || !this->LeaderLeaves() || this->answers.size() > 1) return false;
+  const MemberId& leader = this->entry.LastLeader();
+  const MemberStatus* status = this->answers.Last(leader);
+  const bool leads = status != nullptr && status->primary;
+  if (!leads || !this->LeaderLeaves() || this->answers.HasOtherThan(leader))
+    return false;
   if (now - *this->leases_expired_at > this->context.settings.catch_up_timeout)
     return false;
   for (const auto& item : this->received) {
     const MemberAnnouncement* replica = this->context.roster.Find(item.first);
     const bool stays = replica != nullptr && !replica->info.leaving;
-    if (stays && item.second >= leader->second.status.received) return false;
+    if (stays && item.second >= status->received) return false;
   }
   this->PollReplicas();
   return true;
@@ -179,90 +173,21 @@
 void SwitchoverProcedure::PauseReplicas() {
   const steady_clock::time_point now = this->context.hooks.now();
   for (const MemberId& replica : this->Replicas()) {
-    if (this->FinalAnswer(*this->context.roster.Find(replica)) != nullptr)
-      continue;
+    const MemberAnnouncement& known = *this->context.roster.Find(replica);
+    if (this->answers.Final(known, this->entry) != nullptr) continue;
     this->Ask(replica,
               AdminRequest(MemberRequestKind::kPause, this->PauseTerm()),
               [this, now](steady_clock::time_point answered_at,
                           const MemberId& id, const AdminAnswer& answer) {
                 if (answer.response != MemberResponse::kAnswered) return;
-                this->Take(id, now, answer);
+                this->answers.Take(id, now, answer);
                 this->TryChoose(answered_at);
               });
   }
 }
 
-const SwitchoverProcedure::MemberAnswer* SwitchoverProcedure::FinalAnswer(
-    const MemberAnnouncement& member) const {
-  const auto found = this->answers.find(member.info.id);
-  if (found == this->answers.end()) return nullptr;
-  const MemberAnswer& answer = found->second;
-  if (answer.incarnation != member.incarnation) return nullptr;
-  const bool paused = answer.status.paused_term != 0;
-  const bool after_leases =
-      this->leases_expired_at && answer.asked_at >= *this->leases_expired_at;
-  const bool asked_for_end =
-      answer.status.primary || member.info.id == this->entry.LastLeader();
-  return paused || (after_leases && asked_for_end) ? &answer : nullptr;
-}
-
-SuccessorAnswer SwitchoverProcedure::SuccessorAnswerOf(
-    const MemberAnnouncement& member, const MemberAnswer& answer) const {
-  SuccessorAnswer result;
-  result.run = {member.info.id, member.incarnation};
-  result.zone = member.info.zone;
-  result.received = answer.status.received;
-  result.leaving = member.info.leaving;
-  result.primary = answer.status.primary;
-  result.term = answer.status.term;
-  result.led = this->evidence->LedOn(member.info.id, answer.opened_at);
-  result.proof = this->evidence->ProofOf(result.run, answer.opened_at);
-  return result;
-}
-
-/** Adds the runs that ended. Those that this process knows to be covered raise
- * the floor, though the control log may not say so yet. */
-void SwitchoverProcedure::AddEndedRuns(SuccessorChoiceInput* input) const {
-  const EndedRunsOfDatabase& ended =
-      this->context.ended_runs.Of(this->entry.database);
-  input->floor = std::max(this->entry.start, ended.floor);
-  for (const EndedRun& item : ended.runs) {
-    const auto cover = this->evidence->CoverOf(item.run);
-    if (cover) {
-      input->floor = std::max(input->floor, *cover);
-    } else {
-      input->ended.push_back(item.run);
-    }
-  }
-}
-
-SuccessorChoiceInput SwitchoverProcedure::ChoiceInput() const {
-  SuccessorChoiceInput input;
-  input.leader = this->entry.LastLeader();
-  input.leading_term = this->entry.leading_term;
-  for (const MemberId& id :
-       this->context.roster.MembersOf(this->entry.database)) {
-    const MemberAnnouncement& member = *this->context.roster.Find(id);
-    if (id == input.leader) input.leader_zone = member.info.zone;
-    const MemberAnswer* answer = this->FinalAnswer(member);
-    if (answer != nullptr) {
-      input.answers.push_back(this->SuccessorAnswerOf(member, *answer));
-    } else if (id != input.leader) {
-      input.missing.insert(id);
-    }
-  }
-  this->AddEndedRuns(&input);
-  input.acknowledged = this->evidence->Reported();
-  const auto& sample = this->evidence->LastSample();
-  if (sample &&
-      this->context.hooks.all_reported_since(sample->asked_at, this->Stamp())) {
-    input.reported = std::max(sample->position, input.acknowledged);
-  }
-  return input;
-}
-
 bool SwitchoverProcedure::KeepPrimary(steady_clock::time_point now) {
-  const SuccessorChoiceInput input = this->ChoiceInput();
+  const SuccessorChoiceInput input = this->answers.ChoiceInput(this->entry);
   const SuccessorAnswer* primary = FindPrimary(input);
   if (primary == nullptr || primary->leaving) return false;
   this->RecordDecision(now, input, *primary);
@@ -273,7 +198,7 @@
 void SwitchoverProcedure::TryChoose(steady_clock::time_point now) {
   if (this->entry.phase != TermPhase::kElecting || !this->leases_expired_at)
     return;
-  const SuccessorChoiceInput input = this->ChoiceInput();
+  const SuccessorChoiceInput input = this->answers.ChoiceInput(this->entry);
   const auto chosen = ChooseSuccessor(input);
   this->RecordDecision(now, input, chosen);
   if (chosen) this->ProposePrimary(now, *chosen);
--- a/src/lacewingferry/decisions/switchover/switchover_procedure.h
+++ b/src/lacewingferry/decisions/switchover/switchover_procedure.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "lacewingferry/core/database_term.h"
+#include "lacewingferry/decisions/switchover/member_answers.h"
 #include "lacewingferry/decisions/switchover/run_evidence.h"
 #include "lacewingferry/decisions/switchover/successor_choice.h"
 #include "lacewingferry/decisions/switchover/switchover_context.h"
@@ -73,14 +74,6 @@
   using AnswerHandler =
       std::function<void(std::chrono::steady_clock::time_point, const MemberId&,
                          const AdminAnswer&)>;
-  /** What a member said of itself. */
-  struct MemberAnswer {
-    MemberStatus status;
-    /** The member's run on the list of members at that time. */
-    std::uint64_t incarnation = 0;
-    std::chrono::steady_clock::time_point asked_at;
-    std::chrono::steady_clock::time_point opened_at;
-  };
 
   void Elect(std::chrono::steady_clock::time_point now);
   bool LeaderLeaves() const;
@@ -113,16 +106,6 @@
   void Ask(const MemberId& member, const MemberRequest& request,
            AnswerHandler on_answer);
   std::vector<MemberId> Replicas() const;
-  void Take(const MemberId& member,
-            std::chrono::steady_clock::time_point asked_at,
-            const AdminAnswer& answer);
-  /** A member's answer, if it is of the run on the list of members and the
-   * member can have acknowledged nothing since; nullptr otherwise. */
-  const MemberAnswer* FinalAnswer(const MemberAnnouncement& member) const;
-  SuccessorAnswer SuccessorAnswerOf(const MemberAnnouncement& member,
-                                    const MemberAnswer& answer) const;
-  void AddEndedRuns(SuccessorChoiceInput* input) const;
-  SuccessorChoiceInput ChoiceInput() const;
   std::uint64_t PauseTerm() const { return this->newest_member_term + 1; }
   DatabaseStamp Stamp() const;
   void Record(EventCode code, EventLevel level, const char* step,
@@ -134,11 +117,10 @@
   const SwitchoverContext& context;
   DatabaseTerm entry;
   std::shared_ptr<const RunEvidence> evidence;
+  MemberAnswers answers;
   std::set<MemberId> awaiting_answer;
   /** The highest term that any member of the group has reported. */
   std::uint64_t newest_member_term = 0;
-  /** The last answer of each member that was paused, or that leads or led. */
-  std::map<MemberId, MemberAnswer> answers;
   /** The positions of replicas that aren't paused yet. */
   std::map<MemberId, LogPosition> received;
   std::optional<std::chrono::steady_clock::time_point> leader_asked_at;
