--- a/tests/correctness/lost_holder_test.cc
+++ b/tests/correctness/lost_holder_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(HolderThatLeftIsRememberedByANewLeader);
   CPPUNIT_TEST(HolderCountsUntilItsProcessEnds);
   CPPUNIT_TEST(ChosenHolderThatCameBackEmptyProvesNothing);
+  CPPUNIT_TEST(MembersThatAllCameBackUnderNewIdsServeAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -178,6 +179,22 @@
     AssertServesOnceThePrimaryIsBack(fleet);
   }
 
+  // review/4: the primary came back with its log under another ID, was paused
+  // as if it were a replica, and waited for without an end.
+  void MembersThatAllCameBackUnderNewIdsServeAgain() {
+    SwitchoverFleet fleet;
+    StartWithOneHolder(fleet);
+    for (const MemberId& id : {kPrimary, kStale, kHolder}) fleet.Crash(id);
+    fleet.Run(kDetectionTime);
+    fleet.Restart(kStale, kEmptyUnderANewId);
+    fleet.Restart(kHolder, kEmptyUnderANewId);
+    fleet.Restart(kPrimary, {true, true});
+    const LogPosition before = fleet.acknowledged;
+    RunWithCommits(fleet, milliseconds(5000));
+    CPPUNIT_ASSERT(before < fleet.acknowledged);
+    AssertNothingLost(fleet);
+  }
+
  private:
   static void LoseTheHolderAndThePrimary(const SwitchoverRestart& restart,
                                          bool new_leader) {
