--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -1,5 +1,6 @@
 #include "lacewingferry/app/control_replica.h"
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -40,6 +41,22 @@
   return list;
 }
 
+std::string JoinNodes(const std::vector<NodeId>& nodes) {
+  std::string list;
+  for (const NodeId& node : nodes) {
+    if (!list.empty()) list += ' ';
+    list += node.Value();
+  }
+  return list;
+}
+
+const char* RoleName(const ControlConfiguration& configuration,
+                     const VoterId& replica) {
+  const ControlMember* member = configuration.Find(replica);
+  if (member == nullptr) return "none";
+  return member->role == ControlRole::kVoter ? "voter" : "learner";
+}
+
 }  // namespace
 
 ControlReplica::ControlReplica(const ControlReplicaSettings& settings,
@@ -59,6 +76,21 @@
   parts.hooks = this->MakeRaftHooks();
   parts.seed = disk.random();
   this->raft = std::make_unique<RaftNode>(std::move(parts), this->hooks.now());
+  this->RecordStart(settings.raft.seeds);
+}
+
+void ControlReplica::RecordStart(const std::vector<NodeId>& seeds) {
+  const ControlConfiguration& configuration = this->Configuration();
+  this->hooks.events.record(
+      Event{EventCode::kControlReplicaStarted,
+            EventLevel::kInfo,
+            {{"replica", this->raft->Self().Value()},
+             {"role", RoleName(configuration, this->raft->Self())},
+             {"term", std::to_string(this->raft->Term())},
+             {"index", std::to_string(this->raft->LastIndex())},
+             {"voters", ListMembers(configuration, ControlRole::kVoter)},
+             {"learners", ListMembers(configuration, ControlRole::kLearner)},
+             {"seeds", JoinNodes(seeds)}}});
 }
 
 RaftHooks ControlReplica::MakeRaftHooks() {
@@ -87,6 +119,21 @@
                {"votes", std::to_string(failure.votes)},
                {"quorum", std::to_string(failure.quorum)}}});
   };
+  raft_hooks.join_waiting = [this](const JoinWait& wait) {
+    this->hooks.events.record(
+        Event{EventCode::kControlJoinWaiting,
+              EventLevel::kWarning,
+              {{"replica", wait.replica.Value()},
+               {"asked", JoinNodes(wait.asked)},
+               {"waiting_ms", std::to_string(wait.duration.count())}}});
+  };
+  raft_hooks.join_requested = [this](const VoterId& replica,
+                                     const NodeId& node) {
+    this->hooks.events.record(
+        Event{EventCode::kControlJoinRequested,
+              EventLevel::kInfo,
+              {{"replica", replica.Value()}, {"node", node.Value()}}});
+  };
   raft_hooks.learner_caught_up = [this](const LearnerCopy& copy) {
     this->hooks.events.record(
         Event{EventCode::kControlLearnerCaughtUp,
@@ -173,6 +220,18 @@
   this->proposed[*index] = Proposed{this->raft->Term(), std::move(on_outcome)};
 }
 
+bool ControlReplica::IsMember() const {
+  return this->Configuration().Find(this->raft->Self()) != nullptr;
+}
+
+std::size_t ControlReplica::SilentVoters() const {
+  const GroupStatus group = this->raft->Status(this->hooks.now());
+  return static_cast<std::size_t>(std::count_if(
+      group.members.begin(), group.members.end(), [](const VoterStatus& s) {
+        return s.member.role == ControlRole::kVoter && !s.connected;
+      }));
+}
+
 bool ControlReplica::Serving() const {
   return this->raft->IsLeader() && this->raft->CanServeReads(this->hooks.now());
 }
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -76,6 +76,12 @@
     return this->raft->Configuration();
   }
 
+  /** Whether this replica is a voter or a learner, as far as it knows. */
+  bool IsMember() const;
+
+  /** The voters that this replica doesn't hear while it leads; else 0. */
+  std::size_t SilentVoters() const;
+
   const ControlState& State() const { return this->state; }
   Leadership CurrentLeadership() const {
     return this->raft->CurrentLeadership();
@@ -88,6 +94,7 @@
   };
 
   RaftHooks MakeRaftHooks();
+  void RecordStart(const std::vector<NodeId>& seeds);
   void Apply(const ControlEntry& entry);
   void RecordMembers(const ControlEntry& entry);
   void AbandonProposed();
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -78,6 +78,12 @@
       return "control_snapshot_stored";
     case EventCode::kControlLearnerCaughtUp:
       return "control_learner_caught_up";
+    case EventCode::kControlReplicaStarted:
+      return "control_replica_started";
+    case EventCode::kControlJoinWaiting:
+      return "control_join_waiting";
+    case EventCode::kControlJoinRequested:
+      return "control_join_requested";
     case EventCode::kDatabaseAdopted:
       return "database_adopted";
     case EventCode::kPrimarySuspected:
--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -1,6 +1,8 @@
 #include "lacewingferry/decisions/consensus/raft_elector.h"
 
+#include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace lacewingferry {
 
@@ -9,7 +11,7 @@
 
 namespace {
 
-/** Bounds the log of a group that finds no leader for long. */
+/** Bounds the log of a replica that finds no leader for long. */
 constexpr milliseconds kReportInterval{1000};
 
 }  // namespace
@@ -63,16 +65,34 @@
 void RaftElector::RequestJoin(steady_clock::time_point now) {
   this->context.BecomeFollower();
   const JoinRequest request{this->context.self};
-  for (const NodeId& seed : this->context.settings.seeds) {
-    this->context.hooks.send(seed, request);
-  }
+  std::vector<NodeId> asked = this->NodesToAsk();
+  for (const NodeId& node : asked) this->context.hooks.send(node, request);
+  this->deadline = now + this->context.settings.join_retry;
+  this->ReportJoinWait(now, std::move(asked));
+}
+
+std::vector<NodeId> RaftElector::NodesToAsk() const {
+  std::vector<NodeId> nodes = this->context.settings.seeds;
   for (const ControlMember& member :
        this->context.log.Configuration().members) {
-    if (member.voter != this->context.self) {
-      this->context.hooks.send(member.node, request);
+    const bool listed =
+        std::find(nodes.begin(), nodes.end(), member.node) != nodes.end();
+    if (member.voter != this->context.self && !listed) {
+      nodes.push_back(member.node);
     }
   }
-  this->deadline = now + this->context.settings.join_retry;
+  return nodes;
+}
+
+void RaftElector::ReportJoinWait(steady_clock::time_point now,
+                                 std::vector<NodeId> asked) {
+  const auto waiting = now - this->context.last_leader_contact;
+  if (waiting < kReportInterval || now < this->next_report) return;
+  if (!this->context.hooks.join_waiting) return;
+  this->next_report = now + kReportInterval;
+  this->context.hooks.join_waiting(
+      {this->context.self, std::move(asked),
+       std::chrono::duration_cast<milliseconds>(waiting)});
 }
 
 void RaftElector::StartPreVote(steady_clock::time_point now) {
--- a/src/lacewingferry/decisions/consensus/raft_elector.h
+++ b/src/lacewingferry/decisions/consensus/raft_elector.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <set>
+#include <vector>
 
 #include "lacewingferry/decisions/consensus/raft_context.h"
 
@@ -51,6 +52,11 @@
   void CountVotes(std::chrono::steady_clock::time_point now);
   void ReportFailure(std::chrono::steady_clock::time_point now);
   void RequestJoin(std::chrono::steady_clock::time_point now);
+  /** The nodes that may know the leader: the seeds and the replicas of the
+   * log, each once. */
+  std::vector<NodeId> NodesToAsk() const;
+  void ReportJoinWait(std::chrono::steady_clock::time_point now,
+                      std::vector<NodeId> asked);
   void AnswerPreVote(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
   void YieldTo(std::chrono::steady_clock::time_point now,
@@ -63,7 +69,7 @@
   RaftContext& context;
   std::chrono::steady_clock::time_point deadline;
   std::set<VoterId> votes;
-  /** No failed election is reported before. */
+  /** No failed election and no waiting join is reported before. */
   std::chrono::steady_clock::time_point next_report;
   /** Whether it has yielded to another candidate since the last
    * ResetDeadline. */
--- a/src/lacewingferry/decisions/consensus/raft_hooks.h
+++ b/src/lacewingferry/decisions/consensus/raft_hooks.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "lacewingferry/core/messages/consensus_messages.h"
 
@@ -45,6 +46,15 @@
   std::uint64_t bytes = 0;
 };
 
+/** A replica without a vote that asks to join and hears of no leader. */
+struct JoinWait {
+  VoterId replica;
+  /** Whom it asks. */
+  std::vector<NodeId> asked;
+  /** Since its start or since it last heard a leader. */
+  std::chrono::milliseconds duration{0};
+};
+
 /** A snapshot that a replica has stored. */
 struct StoredSnapshot {
   std::uint64_t index = 0;
@@ -69,6 +79,11 @@
   std::function<void(const Leadership&)> leadership_changed;
   /** Optional. Called once a second at most while elections fail. */
   std::function<void(const ElectionFailure&)> election_failed;
+  /** Optional. Called once a second at most while the replica waits. */
+  std::function<void(const JoinWait&)> join_waiting;
+  /** Optional. On the leader: a replica that isn't known asks to join, with the
+   * node that holds it. Called once for requests that follow each other. */
+  std::function<void(const VoterId&, const NodeId&)> join_requested;
   /** Optional. On the leader: a learner may become a voter. Called once for
    * each learner and leader. */
   std::function<void(const LearnerCopy&)> learner_caught_up;
--- a/src/lacewingferry/decisions/consensus/raft_node.cc
+++ b/src/lacewingferry/decisions/consensus/raft_node.cc
@@ -146,9 +146,10 @@
 void RaftNode::OnJoinRequest(steady_clock::time_point now, const NodeId& from,
                              const VoterId& voter) {
   const bool known = this->Configuration().Find(voter) != nullptr;
-  if (this->leader && this->repair && !known) {
-    this->repair->OnJoinRequested(now, from, voter);
-  }
+  if (!this->leader || !this->repair || known) return;
+  const bool first = this->repair->OnJoinRequested(now, from, voter);
+  const RaftHooks& hooks = this->context.hooks;
+  if (first && hooks.join_requested) hooks.join_requested(voter, from);
 }
 
 std::optional<std::uint64_t> RaftNode::Propose(steady_clock::time_point now,
--- a/src/lacewingferry/decisions/consensus/raft_node.h
+++ b/src/lacewingferry/decisions/consensus/raft_node.h
@@ -88,6 +88,7 @@
   bool IsLeader() const { return this->leader.has_value(); }
   bool Stopped() const { return this->stopped; }
   std::uint64_t Term() const { return this->context.log.Term(); }
+  std::uint64_t LastIndex() const { return this->context.log.LastIndex(); }
   std::uint64_t CommitIndex() const { return this->context.commit_index; }
   const VoterId& Self() const { return this->context.self; }
   Leadership CurrentLeadership() const;
--- a/src/lacewingferry/decisions/consensus/voter_repair.cc
+++ b/src/lacewingferry/decisions/consensus/voter_repair.cc
@@ -59,13 +59,16 @@
   CheckRepairSettings(this->settings);
 }
 
-void VoterRepair::OnJoinRequested(steady_clock::time_point now,
+bool VoterRepair::OnJoinRequested(steady_clock::time_point now,
                                   const NodeId& node, const VoterId& voter) {
+  this->RemoveExpiredJoiners(now);
+  const bool first = this->joiners.count(voter) == 0;
   // A VM has one replica at a time, so an earlier identity of it is gone.
   for (auto it = this->joiners.begin(); it != this->joiners.end();) {
     it = it->second.node == node ? this->joiners.erase(it) : std::next(it);
   }
   this->joiners[voter] = Joiner{node, now};
+  return first;
 }
 
 std::optional<MembershipChange> VoterRepair::Decide(
--- a/src/lacewingferry/decisions/consensus/voter_repair.h
+++ b/src/lacewingferry/decisions/consensus/voter_repair.h
@@ -40,8 +40,9 @@
  public:
   explicit VoterRepair(RepairSettings repair_settings);
 
-  /** Records a join request. */
-  void OnJoinRequested(std::chrono::steady_clock::time_point now,
+  /** Records a join request. Returns whether it is the replica's first that
+   * still counts. */
+  bool OnJoinRequested(std::chrono::steady_clock::time_point now,
                        const NodeId& node, const VoterId& voter);
 
   /** Returns the change to propose now, if any. Call it whenever the leader's
