--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -1,6 +1,7 @@
 #include "bench/model/consensus_group.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "lacewingferry/decisions/consensus/voter_identity.h"
 
@@ -25,8 +26,10 @@
   const std::size_t size = this->options.voters + this->options.spares;
   std::uniform_real_distribution<double> drift(-this->options.clock_drift,
                                                this->options.clock_drift);
+  std::vector<std::size_t> all(size);
+  std::iota(all.begin(), all.end(), 0);
+  this->SetSeeds(all);
   for (std::size_t i = 0; i < size; ++i) {
-    this->options.raft.seeds.push_back(NodeOf(i));
     Replica& replica = this->replicas.emplace_back();
     replica.disk = std::make_unique<MemoryDisk>(this->random());
     replica.clock_rate += drift(this->random);
@@ -104,6 +107,13 @@
   }
 }
 
+void ConsensusGroup::SetSeeds(const std::vector<std::size_t>& seeds) {
+  this->options.raft.seeds.clear();
+  for (const std::size_t i : seeds) {
+    this->options.raft.seeds.push_back(NodeOf(i));
+  }
+}
+
 void ConsensusGroup::Isolate(std::size_t i, bool cut) {
   for (std::size_t other = 0; other < this->Size(); ++other) {
     this->Cut(i, other, cut);
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -77,6 +77,9 @@
   void LoseDisk(std::size_t i);
   /** Whether messages from one replica to another are dropped. */
   void Cut(std::size_t from, std::size_t to, bool cut);
+  /** What the settings name as seeds of replicas that start from now on; at
+   * first all replicas. */
+  void SetSeeds(const std::vector<std::size_t>& seeds);
   /** Cuts a replica off from all others in both directions, or undoes it. */
   void Isolate(std::size_t i, bool cut);
   /** Changes the network's loss and jitter from now on. */
