Let a control VM join again whatever its seeds are

A VM that comes back without its disk knows the three seeds of its settings, which the operator may exchange at any time. It asked these to join, and only a leader acted on the request: the others dropped it. A voter that was replaced while it was away had the same fault with the replicas of its log.

Replicas that don't lead now answer with the leader's node, or with the nodes of their log while they know none (JoinRedirect). A node that gets a leader's message to an identity that it had before asks that leader. A voter without a leader asks to join beside its pre-votes, also its seeds.

--- a/src/lacewingferry/core/messages/consensus_messages.h
+++ b/src/lacewingferry/core/messages/consensus_messages.h
@@ -155,7 +155,8 @@
   }
 };
 
-/** Asks the leader to take in the sender as a learner. */
+/** Asks the leader to take in the sender as a learner. Other replicas answer
+ * with a JoinRedirect. */
 struct JoinRequest {
   VoterId from;
 
@@ -165,10 +166,26 @@
   }
 };
 
+/** Answers a replica that asks to join, or for a vote without being known,
+ * where the one that it asked doesn't lead. */
+struct JoinRedirect {
+  VoterId from;
+  VoterId to;
+  /** The leader's node if it is known; else those of the log's replicas. */
+  std::vector<NodeId> nodes;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor&& visit) {
+    visit("from", self.from);
+    visit("to", self.to);
+    visit("nodes", self.nodes);
+  }
+};
+
 /** Any message between voters. */
 using ConsensusMessage =
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotRequest, JoinRequest>;
+                 SnapshotRequest, JoinRequest, JoinRedirect>;
 
 }  // namespace lacewingferry
 
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -33,7 +33,7 @@
     MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
     MembershipBuckets, MembershipVersions, MembershipPull, PositionProbe,
     PositionSample, SeatClaim, SeatGrant, ProxyReport, ProxyUpdate, LeaseRecall,
-    LeaseRecalled>;
+    LeaseRecalled, JoinRedirect>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "lacewingferry/decisions/consensus/membership_change.h"
+
 namespace lacewingferry {
 
 using std::chrono::milliseconds;
@@ -14,6 +16,14 @@
 /** Bounds the log of a replica that finds no leader for long. */
 constexpr milliseconds kReportInterval{1000};
 
+/** More than a group has replicas, while some of them are being replaced. */
+constexpr std::size_t kMaxLearnedNodes = 2 * kMaxVoters;
+
+void AddOnce(std::vector<NodeId>& nodes, const NodeId& node) {
+  if (std::find(nodes.begin(), nodes.end(), node) != nodes.end()) return;
+  nodes.push_back(node);
+}
+
 }  // namespace
 
 RaftElector::RaftElector(RaftContext& shared, steady_clock::time_point now)
@@ -29,6 +39,7 @@
 void RaftElector::ResetDeadline(steady_clock::time_point now) {
   const RaftSettings& settings = this->context.settings;
   this->yielded = false;
+  this->learned_nodes.clear();
   this->deadline = now + settings.election_timeout_min +
                    this->RandomUpTo(settings.election_timeout_max -
                                     settings.election_timeout_min);
@@ -64,26 +75,47 @@
 
 void RaftElector::RequestJoin(steady_clock::time_point now) {
   this->context.BecomeFollower();
-  const JoinRequest request{this->context.self};
   std::vector<NodeId> asked = this->NodesToAsk();
-  for (const NodeId& node : asked) this->context.hooks.send(node, request);
+  this->SendJoinRequests(asked);
   this->deadline = now + this->context.settings.join_retry;
   this->ReportJoinWait(now, std::move(asked));
 }
 
 std::vector<NodeId> RaftElector::NodesToAsk() const {
-  std::vector<NodeId> nodes = this->context.settings.seeds;
+  std::vector<NodeId> nodes;
+  for (const NodeId& seed : this->context.settings.seeds) AddOnce(nodes, seed);
   for (const ControlMember& member :
        this->context.log.Configuration().members) {
-    const bool listed =
-        std::find(nodes.begin(), nodes.end(), member.node) != nodes.end();
-    if (member.voter != this->context.self && !listed) {
-      nodes.push_back(member.node);
-    }
+    if (member.voter != this->context.self) AddOnce(nodes, member.node);
   }
+  for (const NodeId& node : this->learned_nodes) AddOnce(nodes, node);
   return nodes;
 }
 
+void RaftElector::OnNodesLearned(const std::vector<NodeId>& nodes) {
+  if (!this->context.leader.Empty()) return;
+  std::vector<NodeId> known = this->NodesToAsk();
+  for (const NodeId& node : nodes) {
+    const std::size_t before = known.size();
+    AddOnce(known, node);
+    if (known.size() == before) continue;
+    if (this->learned_nodes.size() == kMaxLearnedNodes) return;
+    this->learned_nodes.push_back(node);
+    this->context.hooks.send(node, JoinRequest{this->context.self});
+  }
+}
+
+void RaftElector::AskToRejoin(steady_clock::time_point now) {
+  if (now < this->next_rejoin) return;
+  this->next_rejoin = now + this->context.settings.join_retry;
+  this->SendJoinRequests(this->NodesToAsk());
+}
+
+void RaftElector::SendJoinRequests(const std::vector<NodeId>& nodes) const {
+  const JoinRequest request{this->context.self};
+  for (const NodeId& node : nodes) this->context.hooks.send(node, request);
+}
+
 void RaftElector::ReportJoinWait(steady_clock::time_point now,
                                  std::vector<NodeId> asked) {
   const auto waiting = now - this->context.last_leader_contact;
@@ -102,6 +134,7 @@
   this->deadline = now + this->context.settings.pre_vote_retry +
                    this->RandomUpTo(this->context.settings.heartbeat);
   this->RequestVotes(true);
+  this->AskToRejoin(now);
   this->CountVotes(now);
 }
 
--- a/src/lacewingferry/decisions/consensus/raft_elector.h
+++ b/src/lacewingferry/decisions/consensus/raft_elector.h
@@ -12,7 +12,10 @@
 namespace lacewingferry {
 
 /**
- * Runs a replica's elections. A voter without a leader first starts a pre-vote
+ * Runs a replica's elections, and finds the leader for one that isn't a voter.
+ * Such a replica asks its seeds and all nodes that it knows to join. Only the
+ * leader takes it in; the others answer with nodes to ask, so that one of them
+ * being a replica is enough. A voter without a leader first starts a pre-vote
  * to find out whether a majority would vote for it, and raises its term only
  * then. A voter that received a leader's message within election_timeout_min
  * ignores both pre-vote and vote requests, so a returning voter can't disrupt
@@ -35,6 +38,10 @@
   /** After the deadline, requests votes or, if not a voter, to join. */
   void OnTick(std::chrono::steady_clock::time_point now);
 
+  /** Takes nodes that may know the leader, and asks those that weren't known to
+   * join. Does nothing while a leader is known. */
+  void OnNodesLearned(const std::vector<NodeId>& nodes);
+
   void OnVoteRequest(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
 
@@ -52,8 +59,12 @@
   void CountVotes(std::chrono::steady_clock::time_point now);
   void ReportFailure(std::chrono::steady_clock::time_point now);
   void RequestJoin(std::chrono::steady_clock::time_point now);
-  /** The nodes that may know the leader: the seeds and the replicas of the
-   * log, each once. */
+  /** Asks to join at each join_retry: the group may have removed this voter,
+   * and none of the voters that its log names may be left. */
+  void AskToRejoin(std::chrono::steady_clock::time_point now);
+  void SendJoinRequests(const std::vector<NodeId>& nodes) const;
+  /** The nodes that may know the leader, each once: the seeds, the replicas of
+   * the log, and the learned nodes. */
   std::vector<NodeId> NodesToAsk() const;
   void ReportJoinWait(std::chrono::steady_clock::time_point now,
                       std::vector<NodeId> asked);
@@ -69,6 +80,10 @@
   RaftContext& context;
   std::chrono::steady_clock::time_point deadline;
   std::set<VoterId> votes;
+  /** What others named as the leader's node since a leader was last heard. */
+  std::vector<NodeId> learned_nodes;
+  /** When a voter without a leader next asks to join. */
+  std::chrono::steady_clock::time_point next_rejoin;
   /** No failed election and no waiting join is reported before. */
   std::chrono::steady_clock::time_point next_report;
   /** Whether it has yielded to another candidate since the last
--- a/src/lacewingferry/decisions/consensus/raft_node.cc
+++ b/src/lacewingferry/decisions/consensus/raft_node.cc
@@ -90,11 +90,22 @@
 
 void RaftNode::OnMessage(steady_clock::time_point now, const NodeId& from,
                          const ConsensusMessage& message) {
-  if (!this->IsAddressedToSelf(message)) return;
+  if (!this->IsAddressedToSelf(message)) {
+    this->OnStrayMessage(now, from, message);
+    return;
+  }
   this->Run(now, [&] { this->Dispatch(now, from, message); });
   this->Repair(now);
 }
 
+void RaftNode::OnStrayMessage(steady_clock::time_point now, const NodeId& from,
+                              const ConsensusMessage& message) {
+  const bool leads = std::holds_alternative<AppendRequest>(message) ||
+                     std::holds_alternative<SnapshotRequest>(message);
+  if (!leads) return;
+  this->Run(now, [&] { this->elector.OnNodesLearned({from}); });
+}
+
 void RaftNode::Repair(steady_clock::time_point now) {
   if (!this->repair || !this->CanServeReads(now)) return;
   const auto change = this->repair->Decide(now, this->leader->Status(now));
@@ -132,6 +143,8 @@
     this->elector.OnVoteReply(now, *vote);
   } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
     this->OnJoinRequest(now, from, join->from);
+  } else if (const auto* redirect = std::get_if<JoinRedirect>(&message)) {
+    this->elector.OnNodesLearned(redirect->nodes);
   }
 }
 
@@ -139,19 +152,36 @@
                              const VoteRequest& request) {
   // A voter that was removed while it was disconnected still requests votes; it
   // may rejoin as a learner.
-  this->OnJoinRequest(now, from, request.from);
+  const bool known = this->Configuration().Find(request.from) != nullptr;
+  if (!known) this->OnJoinRequest(now, from, request.from);
   this->elector.OnVoteRequest(now, from, request);
 }
 
 void RaftNode::OnJoinRequest(steady_clock::time_point now, const NodeId& from,
                              const VoterId& voter) {
+  if (!this->leader) {
+    this->RedirectJoin(from, voter);
+    return;
+  }
   const bool known = this->Configuration().Find(voter) != nullptr;
-  if (!this->leader || !this->repair || known) return;
+  if (!this->repair || known) return;
   const bool first = this->repair->OnJoinRequested(now, from, voter);
   const RaftHooks& hooks = this->context.hooks;
   if (first && hooks.join_requested) hooks.join_requested(voter, from);
 }
 
+void RaftNode::RedirectJoin(const NodeId& to, const VoterId& voter) {
+  JoinRedirect redirect{this->context.self, voter, {}};
+  if (this->context.leader.Empty()) {
+    for (const ControlMember& member : this->Configuration().members) {
+      if (member.node != to) redirect.nodes.push_back(member.node);
+    }
+  } else {
+    redirect.nodes.push_back(this->context.leader_node);
+  }
+  if (!redirect.nodes.empty()) this->context.hooks.send(to, redirect);
+}
+
 std::optional<std::uint64_t> RaftNode::Propose(steady_clock::time_point now,
                                                std::string payload) {
   std::optional<std::uint64_t> index;
--- a/src/lacewingferry/decisions/consensus/raft_node.h
+++ b/src/lacewingferry/decisions/consensus/raft_node.h
@@ -109,8 +109,13 @@
   bool IsAddressedToSelf(const ConsensusMessage& message) const;
   void OnVoteRequest(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
+  /** Takes in a replica that asks to join, or says where the leader may be. */
   void OnJoinRequest(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoterId& voter);
+  void RedirectJoin(const NodeId& to, const VoterId& voter);
+  /** A leader's message to an identity that this node had before. */
+  void OnStrayMessage(std::chrono::steady_clock::time_point now,
+                      const NodeId& from, const ConsensusMessage& message);
   /** Creates or destroys the RaftLeader according to the context's role, and
    * reports a change of leadership. */
   void UpdateRole(std::chrono::steady_clock::time_point now);
--- a/tests/correctness/join_request_test.cc
+++ b/tests/correctness/join_request_test.cc
@@ -1,6 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
+#include <iterator>
 
 #include "tests/support/raft_groups.h"
 
@@ -33,6 +33,10 @@
   return options;
 }
 
+/** How long a VM is away: so short that the identity it lost still votes when
+ * it is back, and so long that the spare has replaced it. */
+constexpr milliseconds kDowntimes[] = {milliseconds(500), milliseconds(4000)};
+
 /** The voters by the leader's log that run under the identity that votes. */
 std::size_t LiveVoters(const ConsensusGroup& group) {
   const auto leader = group.Leader();
@@ -72,16 +76,18 @@
   // seeds were others than the leader, and only a leader acts on its request.
   void LostDiskIsReplacedWhereNoSeedLeads() {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-      ConsensusGroup group(FleetOptions(seed));
-      const std::size_t leader = AwaitLeader(group);
-      group.SetSeeds(Others(leader, 3));
-      const std::size_t lost = (leader + 4) % kReplicas;
-      LoseDiskFor(group, lost, milliseconds(1000));
-      group.RunFor(kCatchUp);
-      RequireVotersAllLive(group);
-      CPPUNIT_ASSERT(group.Node(leader).Configuration().Find(
-          group.Node(lost).Self()) != nullptr);
-      RequireNoViolations(group);
+      for (const milliseconds down : kDowntimes) {
+        ConsensusGroup group(FleetOptions(seed));
+        const std::size_t leader = AwaitLeader(group);
+        group.SetSeeds(Others(leader, 3));
+        const std::size_t lost = (leader + 4) % kReplicas;
+        LoseDiskFor(group, lost, down);
+        group.RunFor(kCatchUp);
+        RequireVotersAllLive(group);
+        CPPUNIT_ASSERT(group.Node(leader).Configuration().Find(
+                           group.Node(lost).Self()) != nullptr);
+        RequireNoViolations(group);
+      }
     }
   }
 
@@ -93,7 +99,7 @@
       const std::size_t leader = AwaitLeader(group);
       group.SetSeeds(Others(leader, 3));
       for (const std::size_t lost : Others(leader, 5)) {
-        LoseDiskFor(group, lost, milliseconds(1000));
+        LoseDiskFor(group, lost, kDowntimes[lost % std::size(kDowntimes)]);
         group.RunFor(kCatchUp);
       }
       CPPUNIT_ASSERT(group.Propose(leader, "acknowledged"));
--- a/tests/correctness/log_codec_test.cc
+++ b/tests/correctness/log_codec_test.cc
@@ -92,6 +92,12 @@
     RequireSample(std::get<AppendRequest>(back.body).entries.at(0));
     const PeerMessage join = SendAndReceive(JoinRequest{VoterId("v3")});
     CPPUNIT_ASSERT(std::get<JoinRequest>(join.body).from == VoterId("v3"));
+    const PeerMessage redirect = SendAndReceive(
+        JoinRedirect{VoterId("v1"), VoterId("v3"), {NodeId("a"), NodeId("b")}});
+    const auto& named = std::get<JoinRedirect>(redirect.body);
+    CPPUNIT_ASSERT(named.from == VoterId("v1") && named.to == VoterId("v3"));
+    CPPUNIT_ASSERT(named.nodes ==
+                   (std::vector<NodeId>{NodeId("a"), NodeId("b")}));
   }
 
   // A control process that starts on the disk of an older version.
