--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -90,7 +90,7 @@
 
 void ConsensusGroup::Crash(std::size_t i) {
   this->replicas[i].node.reset();
-  this->replicas[i].wakeup_time = {};
+  this->replicas[i].wakeup_time.reset();
   ++this->replicas[i].wakeup;
 }
 
@@ -168,7 +168,7 @@
 void ConsensusGroup::ScheduleWakeup(std::size_t i) {
   Replica& replica = this->replicas[i];
   const auto local = replica.node->NextWakeup();
-  if (local == replica.wakeup_time && replica.wakeup != 0) return;
+  if (local == replica.wakeup_time) return;
   replica.wakeup_time = local;
   const std::uint64_t wakeup = ++replica.wakeup;
   if (local == steady_clock::time_point::max()) return;
@@ -178,7 +178,7 @@
       steady_clock::duration(static_cast<steady_clock::rep>(ticks)));
   this->queue.At(due + microseconds(1), [this, i, wakeup] {
     if (this->replicas[i].wakeup != wakeup) return;
-    this->replicas[i].wakeup_time = {};
+    this->replicas[i].wakeup_time.reset();
     this->Input(i, [&](RaftNode& node) { node.OnTick(this->Local(i)); });
   });
 }
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -61,6 +61,9 @@
   explicit ConsensusGroup(GroupOptions group_options);
 
   EventQueue& Queue() { return this->queue; }
+  std::chrono::steady_clock::time_point Now() const {
+    return this->queue.Now();
+  }
   void RunFor(std::chrono::milliseconds duration);
 
   std::size_t Size() const { return this->replicas.size(); }
@@ -105,7 +108,8 @@
     /** A digest of all commands applied in order. */
     std::uint64_t state = 0;
     std::uint64_t wakeup = 0;
-    std::chrono::steady_clock::time_point wakeup_time;
+    /** When its next tick is scheduled for, by its own clock. */
+    std::optional<std::chrono::steady_clock::time_point> wakeup_time;
   };
 
   std::chrono::steady_clock::time_point Local(std::size_t i) const;
