A control process that waits asks the seeds of reloaded settings

A VM that started with seeds that are gone waited for ever, also once its settings were corrected. The replica takes the seeds of the reloaded settings for its next request. JoinRequestTest, WaitingReplicaAsksTheSeedsOfReloadedSettings: without the new seeds the replica stays out.

--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -15,6 +15,12 @@
 
 NodeId NodeOf(std::size_t i) { return NodeId("control-" + std::to_string(i)); }
 
+std::vector<NodeId> NodesOf(const std::vector<std::size_t>& replicas) {
+  std::vector<NodeId> nodes;
+  for (const std::size_t i : replicas) nodes.push_back(NodeOf(i));
+  return nodes;
+}
+
 std::size_t IndexOf(const NodeId& node) {
   return std::stoul(node.Value().substr(node.Value().rfind('-') + 1));
 }
@@ -108,10 +114,12 @@
 }
 
 void ConsensusGroup::SetSeeds(const std::vector<std::size_t>& seeds) {
-  this->options.raft.seeds.clear();
-  for (const std::size_t i : seeds) {
-    this->options.raft.seeds.push_back(NodeOf(i));
-  }
+  this->options.raft.seeds = NodesOf(seeds);
+}
+
+void ConsensusGroup::ReloadSeeds(std::size_t i,
+                                 const std::vector<std::size_t>& seeds) {
+  this->replicas[i].node->SetSeeds(NodesOf(seeds));
 }
 
 void ConsensusGroup::Isolate(std::size_t i, bool cut) {
--- a/bench/model/consensus_group.h
+++ b/bench/model/consensus_group.h
@@ -83,6 +83,8 @@
   /** What the settings name as seeds of replicas that start from now on; at
    * first all replicas. */
   void SetSeeds(const std::vector<std::size_t>& seeds);
+  /** A running replica reads its settings again, with other seeds. */
+  void ReloadSeeds(std::size_t i, const std::vector<std::size_t>& seeds);
   /** Cuts a replica off from all others in both directions, or undoes it. */
   void Isolate(std::size_t i, bool cut);
   /** Changes the network's loss and jitter from now on. */
--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -200,6 +200,10 @@
 
 void ControlReplica::OnTick() { this->raft->OnTick(this->hooks.now()); }
 
+void ControlReplica::SetSeeds(std::vector<NodeId> seeds) {
+  this->raft->SetSeeds(std::move(seeds));
+}
+
 steady_clock::time_point ControlReplica::NextWakeup() const {
   return this->raft->NextWakeup();
 }
--- a/src/lacewingferry/app/control_replica.h
+++ b/src/lacewingferry/app/control_replica.h
@@ -64,6 +64,9 @@
   /** When OnTick has to be called next. */
   std::chrono::steady_clock::time_point NextWakeup() const;
 
+  /** Replaces the nodes that a replica without a leader asks to join. */
+  void SetSeeds(std::vector<NodeId> seeds);
+
   /** Puts a command into the log. The hook gets its outcome once, or nothing
    * if that isn't known. Call from outside the replica's own hooks. */
   void Propose(const ControlCommand& command, OutcomeHook on_outcome);
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -304,7 +304,9 @@
       this->control.stop();
       return;
     }
-    ReloadSettings(this->parts.events, [this] { this->parts.reload(); });
+    ReloadSettings(this->parts.events, [this] {
+      this->replica.SetSeeds(OtherControlNodes(this->parts.reload().node));
+    });
     this->WaitForSignal();
   });
 }
--- a/src/lacewingferry/app/fleet_replica_settings.cc
+++ b/src/lacewingferry/app/fleet_replica_settings.cc
@@ -33,6 +33,14 @@
 
 }  // namespace
 
+std::vector<NodeId> OtherControlNodes(const FleetNodeSettings& settings) {
+  std::vector<NodeId> others;
+  for (const NodeId& node : settings.control) {
+    if (node != settings.address) others.push_back(node);
+  }
+  return others;
+}
+
 ControlReplicaSettings MakeFleetReplicaSettings(
     const FleetControlProgramSettings& settings) {
   ControlReplicaSettings replica;
@@ -40,9 +48,7 @@
   replica.raft = RaftTimes();
   replica.repair = RepairTimes(settings.tolerated_losses);
   replica.self = settings.node.address;
-  for (const NodeId& node : settings.node.control) {
-    if (node != settings.node.address) replica.raft.seeds.push_back(node);
-  }
+  replica.raft.seeds = OtherControlNodes(settings.node);
   if (settings.founding) replica.founders = settings.node.control;
   return replica;
 }
--- a/src/lacewingferry/decisions/consensus/raft_node.cc
+++ b/src/lacewingferry/decisions/consensus/raft_node.cc
@@ -182,6 +182,10 @@
   if (!redirect.nodes.empty()) this->context.hooks.send(to, redirect);
 }
 
+void RaftNode::SetSeeds(std::vector<NodeId> seeds) {
+  this->context.settings.seeds = std::move(seeds);
+}
+
 std::optional<std::uint64_t> RaftNode::Propose(steady_clock::time_point now,
                                                std::string payload) {
   std::optional<std::uint64_t> index;
--- a/src/lacewingferry/decisions/consensus/raft_node.h
+++ b/src/lacewingferry/decisions/consensus/raft_node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "lacewingferry/decisions/consensus/membership_change.h"
 #include "lacewingferry/decisions/consensus/raft_context.h"
@@ -71,6 +72,9 @@
   void OnMessage(std::chrono::steady_clock::time_point now, const NodeId& from,
                  const ConsensusMessage& message);
 
+  /** Replaces the seeds of the settings, for the next request to join. */
+  void SetSeeds(std::vector<NodeId> seeds);
+
   /** Appends a command on the leader and returns its index. The command is
    * committed once hooks.apply is called with that index and the same term;
    * after a change of leader another entry may have that index. None if this
--- a/tests/correctness/join_request_test.cc
+++ b/tests/correctness/join_request_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(DisksLostInTurnWhereNoSeedLeadsKeepTheQuorum);
   CPPUNIT_TEST(LostDiskIsReplacedWhereNoSeedIsAReplica);
   CPPUNIT_TEST(RemovedVoterFindsALeaderThatItsLogDoesntName);
+  CPPUNIT_TEST(WaitingReplicaAsksTheSeedsOfReloadedSettings);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,6 +160,28 @@
     }
   }
 
+  // Guards against a VM that waits for ever with seeds that are gone, though
+  // its settings were corrected meanwhile.
+  void WaitingReplicaAsksTheSeedsOfReloadedSettings() {
+    ConsensusGroup group(FleetOptions(1));
+    const std::size_t leader = AwaitLeader(group);
+    const std::size_t lost = (leader + 1) % kReplicas;
+    const std::size_t gone = (leader + 2) % kReplicas;
+    group.LoseDisk(lost);
+    // The spare replaces it, so that the leader sends it nothing any more.
+    group.RunFor(kCatchUp);
+    group.Crash(gone);
+    group.SetSeeds({gone});
+    group.Start(lost);
+    group.RunFor(kCatchUp);
+    const VoterId replica = group.Node(lost).Self();
+    CPPUNIT_ASSERT(!group.Node(leader).Configuration().Find(replica));
+    group.ReloadSeeds(lost, {leader});
+    group.RunFor(kCatchUp);
+    CPPUNIT_ASSERT(group.Node(leader).Configuration().Find(replica));
+    RequireNoViolations(group);
+  }
+
  private:
   /** The next replicas after one, in the order of their numbers. */
   static std::vector<std::size_t> Others(std::size_t than, std::size_t count) {
