--- a/standin/platform/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -21,6 +21,7 @@
 constexpr milliseconds kCallTimeout{2000};
 constexpr char kGroup[] = "db";
 constexpr int kOk = 200;
+const std::vector<std::size_t> kAllControls{0, 1, 2};
 
 std::string MakeFolder() {
   const auto base = std::filesystem::temp_directory_path() / "ferry-XXXXXX";
@@ -73,7 +74,9 @@
     plan.control.push_back({this->ControlHost(i), this->control_port});
   }
   this->standin = std::make_unique<PlatformStandin>(plan);
-  for (std::size_t i = 0; i < kControls; ++i) this->StartControl(i, true);
+  for (std::size_t i = 0; i < kControls; ++i) {
+    this->StartControl(i, true, kAllControls);
+  }
   for (std::size_t i = 0; i < kProxies; ++i) this->StartProxy(i);
 }
 
@@ -93,25 +96,32 @@
   return "127.0.0." + std::to_string(21 + number);
 }
 
-std::string PlatformFleet::CommonSettings(const std::string& name,
-                                          const std::string& host) const {
+std::string PlatformFleet::CommonSettings(
+    const std::string& name, const std::string& host,
+    const std::vector<std::size_t>& seeds) const {
   std::ostringstream out;
   out << "name: " << name << "\naddress: " << host << "\nzone: z0\n"
       << "regions: {z0: r0, z1: r1, z2: r2}\npeer_port: " << this->peer_port
-      << "\nmetrics_port: " << this->metrics_port << "\ncontrol: ["
-      << this->ControlHost(0) << ":1, " << this->ControlHost(1) << ":1, "
-      << this->ControlHost(2) << ":1]\nlog:\n  output: stdout\n";
+      << "\nmetrics_port: " << this->metrics_port << "\ncontrol: [";
+  const char* separator = "";
+  for (const std::size_t seed : seeds) {
+    out << separator << this->ControlHost(seed) << ":1";
+    separator = ", ";
+  }
+  out << "]\nlog:\n  output: stdout\n";
   return out.str();
 }
 
-void PlatformFleet::StartControl(std::size_t number, bool founding) {
+void PlatformFleet::StartControl(std::size_t number, bool founding,
+                                 const std::vector<std::size_t>& seeds) {
   const std::string name = ControlName(number);
   const std::string host = this->ControlHost(number);
   const std::string disk = this->folder + "/" + name;
   std::filesystem::create_directories(disk);
   const std::string path = this->folder + "/" + name + ".yaml";
-  std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
-                      << ":" << this->control_port << "\ndata_folder: " << disk
+  std::ofstream(path) << this->CommonSettings(name, host, seeds)
+                      << "listen: " << host << ":" << this->control_port
+                      << "\ndata_folder: " << disk
                       << "\nfounding: " << (founding ? "true" : "false")
                       << "\ntolerated_losses: 1\npromotion: 127.0.0.1:"
                       << this->promotion_port << "\n";
@@ -125,9 +135,9 @@
   const std::string name = ProxyName(number);
   const std::string host = this->ProxyHost(number);
   const std::string path = this->folder + "/" + name + ".yaml";
-  std::ofstream(path) << this->CommonSettings(name, host) << "listen: " << host
-                      << ":" << this->client_port << "\nreadiness: " << host
-                      << ":" << this->ready_port
+  std::ofstream(path) << this->CommonSettings(name, host, kAllControls)
+                      << "listen: " << host << ":" << this->client_port
+                      << "\nreadiness: " << host << ":" << this->ready_port
                       << "\nrelay_port: " << this->relay_port << "\n";
   this->proxies[number] = std::make_unique<processes::ChildProcess>(
       std::vector<std::string>{this->programs + "/ferrysessiond", "--settings",
@@ -136,7 +146,30 @@
 }
 
 void PlatformFleet::RestartControl(std::size_t number) {
-  this->StartControl(number, false);
+  this->StartControl(number, false, kAllControls);
+}
+
+void PlatformFleet::RestartControlWithoutDisk(
+    std::size_t number, const std::vector<std::size_t>& seeds) {
+  std::filesystem::remove_all(this->folder + "/" + ControlName(number));
+  this->StartControl(number, false, seeds);
+}
+
+std::optional<double> PlatformFleet::ControlGauge(std::size_t number,
+                                                  const std::string& name) {
+  try {
+    processes::HttpClient client(
+        {this->ControlHost(number), this->metrics_port});
+    std::istringstream page(client.Get("/metrics", kCallTimeout).body);
+    for (std::string line; std::getline(page, line);) {
+      if (line.rfind(name + " ", 0) == 0) {
+        return std::stod(line.substr(name.size() + 1));
+      }
+    }
+    return std::nullopt;
+  } catch (const processes::HttpFailure&) {
+    return std::nullopt;
+  }
 }
 
 void PlatformFleet::RestartProxy(std::size_t number) {
--- a/standin/platform/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,13 @@
   }
   /** Starts a process again with its disk. */
   void RestartControl(std::size_t number);
+  /** Starts a process of control, that has ended, with an empty disk and other
+   * processes of control as its seeds. */
+  void RestartControlWithoutDisk(std::size_t number,
+                                 const std::vector<std::size_t>& seeds);
+  /** A gauge of a process of control; none while it gives no answer. */
+  std::optional<double> ControlGauge(std::size_t number,
+                                     const std::string& name);
   void RestartProxy(std::size_t number);
 
   Endpoint ClientAddress(std::size_t proxy) const;
@@ -73,9 +81,10 @@
   std::string LogPath(const std::string& name) const;
   std::string ControlHost(std::size_t number) const;
   std::string ProxyHost(std::size_t number) const;
-  std::string CommonSettings(const std::string& name,
-                             const std::string& host) const;
-  void StartControl(std::size_t number, bool founding);
+  std::string CommonSettings(const std::string& name, const std::string& host,
+                             const std::vector<std::size_t>& seeds) const;
+  void StartControl(std::size_t number, bool founding,
+                    const std::vector<std::size_t>& seeds);
   void StartProxy(std::size_t number);
 
   std::string folder;
