RaftJoiner: what finds the leader, off RaftElector

One class asked for votes and looked for the leader. The requests to join, the nodes that others named and the report of a wait stand in a class of their own; a voter's request to join is bounded by the same interval. A redirect with many nodes is read only as far as nodes are kept. ListNodes in place of JoinNodes, which had nothing to do with joining.

--- a/src/lacewingferry/app/control_replica.cc
+++ b/src/lacewingferry/app/control_replica.cc
@@ -41,7 +41,7 @@
   return list;
 }
 
-std::string JoinNodes(const std::vector<NodeId>& nodes) {
+std::string ListNodes(const std::vector<NodeId>& nodes) {
   std::string list;
   for (const NodeId& node : nodes) {
     if (!list.empty()) list += ' ';
@@ -90,7 +90,7 @@
              {"index", std::to_string(this->raft->LastIndex())},
              {"voters", ListMembers(configuration, ControlRole::kVoter)},
              {"learners", ListMembers(configuration, ControlRole::kLearner)},
-             {"seeds", JoinNodes(seeds)}}});
+             {"seeds", ListNodes(seeds)}}});
 }
 
 RaftHooks ControlReplica::MakeRaftHooks() {
@@ -124,7 +124,7 @@
         Event{EventCode::kControlJoinWaiting,
               EventLevel::kWarning,
               {{"replica", wait.replica.Value()},
-               {"asked", JoinNodes(wait.asked)},
+               {"asked", ListNodes(wait.asked)},
                {"waiting_ms", std::to_string(wait.duration.count())}}});
   };
   raft_hooks.join_requested = [this](const VoterId& replica,
--- a/src/lacewingferry/decisions/consensus/raft_context.h
+++ b/src/lacewingferry/decisions/consensus/raft_context.h
@@ -15,6 +15,9 @@
 
 namespace lacewingferry {
 
+/** Shortest interval between two reports of a replica that finds no leader. */
+constexpr std::chrono::milliseconds kReportInterval{1000};
+
 /** The role of a replica in its term. */
 enum class RaftRole : std::uint8_t {
   kFollower,
@@ -23,7 +26,7 @@
   kLeader,
 };
 
-/** The state shared by RaftElector, RaftFollower and RaftLeader. */
+/** The state shared by RaftElector, RaftJoiner, RaftFollower and RaftLeader. */
 struct RaftContext {
   VoterId self{};
   RaftSettings settings;
--- a/src/lacewingferry/decisions/consensus/raft_elector.cc
+++ b/src/lacewingferry/decisions/consensus/raft_elector.cc
@@ -1,33 +1,15 @@
 #include "lacewingferry/decisions/consensus/raft_elector.h"
 
-#include <algorithm>
 #include <tuple>
-#include <utility>
-
-#include "lacewingferry/decisions/consensus/membership_change.h"
 
 namespace lacewingferry {
 
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-namespace {
-
-/** Bounds the log of a replica that finds no leader for long. */
-constexpr milliseconds kReportInterval{1000};
-
-/** More than a group has replicas, while some of them are being replaced. */
-constexpr std::size_t kMaxLearnedNodes = 2 * kMaxVoters;
-
-void AddOnce(std::vector<NodeId>& nodes, const NodeId& node) {
-  if (std::find(nodes.begin(), nodes.end(), node) != nodes.end()) return;
-  nodes.push_back(node);
-}
-
-}  // namespace
-
-RaftElector::RaftElector(RaftContext& shared, steady_clock::time_point now)
-    : context(shared), next_report(now) {
+RaftElector::RaftElector(RaftContext& shared, RaftJoiner& shared_joiner,
+                         steady_clock::time_point now)
+    : context(shared), joiner(shared_joiner), next_report(now) {
   this->ResetDeadline(now);
   // A replica that isn't a voter grants no votes, so it needn't wait for the
   // lease of a leader that it may have answered.
@@ -39,7 +21,6 @@
 void RaftElector::ResetDeadline(steady_clock::time_point now) {
   const RaftSettings& settings = this->context.settings;
   this->yielded = false;
-  this->learned_nodes.clear();
   this->deadline = now + settings.election_timeout_min +
                    this->RandomUpTo(settings.election_timeout_max -
                                     settings.election_timeout_min);
@@ -54,7 +35,9 @@
   if (now < this->deadline || this->context.role == RaftRole::kLeader) return;
   this->ReportFailure(now);
   if (!this->context.log.Configuration().IsVoter(this->context.self)) {
-    this->RequestJoin(now);
+    this->context.BecomeFollower();
+    this->joiner.RequestJoin(now);
+    this->deadline = now + this->context.settings.join_retry;
   } else if (this->context.faults.skip_pre_vote) {
     this->StartElection(now);
   } else {
@@ -73,60 +56,6 @@
        this->context.log.Configuration().Quorum()});
 }
 
-void RaftElector::RequestJoin(steady_clock::time_point now) {
-  this->context.BecomeFollower();
-  std::vector<NodeId> asked = this->NodesToAsk();
-  this->SendJoinRequests(asked);
-  this->deadline = now + this->context.settings.join_retry;
-  this->ReportJoinWait(now, std::move(asked));
-}
-
-std::vector<NodeId> RaftElector::NodesToAsk() const {
-  std::vector<NodeId> nodes;
-  for (const NodeId& seed : this->context.settings.seeds) AddOnce(nodes, seed);
-  for (const ControlMember& member :
-       this->context.log.Configuration().members) {
-    if (member.voter != this->context.self) AddOnce(nodes, member.node);
-  }
-  for (const NodeId& node : this->learned_nodes) AddOnce(nodes, node);
-  return nodes;
-}
-
-void RaftElector::OnNodesLearned(const std::vector<NodeId>& nodes) {
-  if (!this->context.leader.Empty()) return;
-  std::vector<NodeId> known = this->NodesToAsk();
-  for (const NodeId& node : nodes) {
-    const std::size_t before = known.size();
-    AddOnce(known, node);
-    if (known.size() == before) continue;
-    if (this->learned_nodes.size() == kMaxLearnedNodes) return;
-    this->learned_nodes.push_back(node);
-    this->context.hooks.send(node, JoinRequest{this->context.self});
-  }
-}
-
-void RaftElector::AskToRejoin(steady_clock::time_point now) {
-  if (now < this->next_rejoin) return;
-  this->next_rejoin = now + this->context.settings.join_retry;
-  this->SendJoinRequests(this->NodesToAsk());
-}
-
-void RaftElector::SendJoinRequests(const std::vector<NodeId>& nodes) const {
-  const JoinRequest request{this->context.self};
-  for (const NodeId& node : nodes) this->context.hooks.send(node, request);
-}
-
-void RaftElector::ReportJoinWait(steady_clock::time_point now,
-                                 std::vector<NodeId> asked) {
-  const auto waiting = now - this->context.last_leader_contact;
-  if (waiting < kReportInterval || now < this->next_report) return;
-  if (!this->context.hooks.join_waiting) return;
-  this->next_report = now + kReportInterval;
-  this->context.hooks.join_waiting(
-      {this->context.self, std::move(asked),
-       std::chrono::duration_cast<milliseconds>(waiting)});
-}
-
 void RaftElector::StartPreVote(steady_clock::time_point now) {
   this->context.BecomeFollower();
   this->context.role = RaftRole::kPreCandidate;
@@ -134,7 +63,7 @@
   this->deadline = now + this->context.settings.pre_vote_retry +
                    this->RandomUpTo(this->context.settings.heartbeat);
   this->RequestVotes(true);
-  this->AskToRejoin(now);
+  this->joiner.RequestJoin(now);
   this->CountVotes(now);
 }
 
--- a/src/lacewingferry/decisions/consensus/raft_node.cc
+++ b/src/lacewingferry/decisions/consensus/raft_node.cc
@@ -33,7 +33,8 @@
     : repair(parts.repair ? std::make_optional<VoterRepair>(*parts.repair)
                           : std::nullopt),
       context(MakeContext(std::move(parts), now)),
-      elector(this->context, now),
+      joiner(this->context),
+      elector(this->context, this->joiner, now),
       follower(this->context) {
   this->context.RestoreSnapshot();
 }
@@ -103,7 +104,7 @@
   const bool leads = std::holds_alternative<AppendRequest>(message) ||
                      std::holds_alternative<SnapshotRequest>(message);
   if (!leads) return;
-  this->Run(now, [&] { this->elector.OnNodesLearned({from}); });
+  this->Run(now, [&] { this->joiner.OnNodesLearned({from}); });
 }
 
 void RaftNode::Repair(steady_clock::time_point now) {
@@ -129,11 +130,11 @@
                         const ConsensusMessage& message) {
   if (const auto* append = std::get_if<AppendRequest>(&message)) {
     if (this->follower.OnAppendRequest(now, from, *append)) {
-      this->elector.ResetDeadline(now);
+      this->OnLeaderHeard(now);
     }
   } else if (const auto* snapshot = std::get_if<SnapshotRequest>(&message)) {
     if (this->follower.OnSnapshotRequest(now, from, *snapshot)) {
-      this->elector.ResetDeadline(now);
+      this->OnLeaderHeard(now);
     }
   } else if (const auto* reply = std::get_if<AppendReply>(&message)) {
     if (this->leader) this->leader->OnAppendReply(now, *reply);
@@ -144,10 +145,15 @@
   } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
     this->OnJoinRequest(now, from, join->from);
   } else if (const auto* redirect = std::get_if<JoinRedirect>(&message)) {
-    this->elector.OnNodesLearned(redirect->nodes);
+    this->joiner.OnNodesLearned(redirect->nodes);
   }
 }
 
+void RaftNode::OnLeaderHeard(steady_clock::time_point now) {
+  this->elector.ResetDeadline(now);
+  this->joiner.ForgetLearnedNodes();
+}
+
 void RaftNode::OnVoteRequest(steady_clock::time_point now, const NodeId& from,
                              const VoteRequest& request) {
   // A voter that was removed while it was disconnected still requests votes; it
--- a/src/lacewingferry/decisions/consensus/raft_node.h
+++ b/src/lacewingferry/decisions/consensus/raft_node.h
@@ -14,6 +14,7 @@
 #include "lacewingferry/decisions/consensus/raft_context.h"
 #include "lacewingferry/decisions/consensus/raft_elector.h"
 #include "lacewingferry/decisions/consensus/raft_follower.h"
+#include "lacewingferry/decisions/consensus/raft_joiner.h"
 #include "lacewingferry/decisions/consensus/raft_leader.h"
 #include "lacewingferry/decisions/consensus/voter_repair.h"
 
@@ -111,6 +112,7 @@
   void Dispatch(std::chrono::steady_clock::time_point now, const NodeId& from,
                 const ConsensusMessage& message);
   bool IsAddressedToSelf(const ConsensusMessage& message) const;
+  void OnLeaderHeard(std::chrono::steady_clock::time_point now);
   void OnVoteRequest(std::chrono::steady_clock::time_point now,
                      const NodeId& from, const VoteRequest& request);
   /** Takes in a replica that asks to join, or says where the leader may be. */
@@ -130,6 +132,7 @@
 
   std::optional<VoterRepair> repair;
   RaftContext context;
+  RaftJoiner joiner;
   RaftElector elector;
   RaftFollower follower;
   std::optional<RaftLeader> leader;
