ProcessesJoinTest waits until the lost identity is removed

The test killed the leader as soon as the replacement knew that it was a learner and the leader had three voters, one of which was the identity that was lost: two losses at once for a deployment that bears one.

--- a/tests/correctness/processes_join_test.cc
+++ b/tests/correctness/processes_join_test.cc
@@ -44,8 +44,11 @@
     const std::size_t seed = (leader + 2) % PlatformFleet::kControls;
     fleet.Control(lost).Kill();
     fleet.RestartControlWithoutDisk(lost, {seed});
+    // First it is a fourth replica, then a fourth voter; three are left once
+    // the identity that it lost is removed.
     const bool joined = PollUntil(kFleetDeadline, [&] {
       return fleet.ControlGauge(lost, "ferry_control_joining") == 0.0 &&
+             fleet.ControlGauge(leader, "ferry_control_replicas") == 3.0 &&
              fleet.ControlGauge(leader, "ferry_control_voters") == 3.0 &&
              fleet.ControlGauge(leader, "ferry_control_voters_silent") == 0.0;
     });
