--- a/bench/model/consensus_group.cc
+++ b/bench/model/consensus_group.cc
@@ -17,6 +17,7 @@
 
 std::vector<NodeId> NodesOf(const std::vector<std::size_t>& replicas) {
   std::vector<NodeId> nodes;
+  nodes.reserve(replicas.size());
   for (const std::size_t i : replicas) nodes.push_back(NodeOf(i));
   return nodes;
 }
