--- a/src/lacewingferry/decisions/consensus/raft_joiner.h
+++ b/src/lacewingferry/decisions/consensus/raft_joiner.h
@@ -14,7 +14,7 @@
  * Asks to join the group, at most once per join_retry: the seeds, the replicas
  * of the log, and the nodes that others named. Only the leader takes a replica
  * in. All others answer with the leader's node, or with those that they know,
- * so that one reachable replica is enough, whatever the seeds are.
+ * so that one reachable replica among the nodes asked is enough.
  */
 class RaftJoiner {
  public:
--- a/tests/correctness/processes_join_test.cc
+++ b/tests/correctness/processes_join_test.cc
@@ -1,6 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <csignal>
 #include <optional>
 
 #include "bench/processes/poll_until.h"
