--- a/bench/model/session_gateway.cc
+++ b/bench/model/session_gateway.cc
@@ -150,6 +150,9 @@
   };
   hooks.ended = [](const StatementRun&, const ClientReply&,
                    std::chrono::nanoseconds) {};
+  hooks.request_permits = [this](const PermitRequest& request) {
+    if (this->on_permit_request) this->on_permit_request(request);
+  };
   hooks.events = EventPort{[](const Event&) {}};
   return hooks;
 }
@@ -160,6 +163,7 @@
 }
 
 void SessionGateway::Publish() {
+  IndexCustomers(&this->view);
   this->gateway->SetView(this->queue.Now(),
                          std::make_shared<GatewayView>(this->view));
 }
@@ -193,9 +197,10 @@
                             this->members.PositionOf(primary));
 }
 
-ClientId SessionGateway::Open(const std::string& host, SessionOrigin origin) {
+ClientId SessionGateway::Open(const std::string& host, SessionOrigin origin,
+                              const std::string& key) {
   const ClientId client = ++this->last_client;
-  this->gateway->Open(this->queue.Now(), {client, host, origin},
+  this->gateway->Open(this->queue.Now(), {client, host, origin, key},
                       [this, client](const Admission& admission) {
                         this->admissions[client] = admission;
                         const bool served =
--- a/bench/model/session_gateway.h
+++ b/bench/model/session_gateway.h
@@ -5,6 +5,7 @@
 // time.
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -46,7 +47,8 @@
   void Vouch();
 
   ClientId Open(const std::string& host,
-                SessionOrigin origin = SessionOrigin::kClient);
+                SessionOrigin origin = SessionOrigin::kClient,
+                const std::string& key = "");
   /** What became of a session's opening. */
   const std::map<ClientId, Admission>& Admissions() const {
     return this->admissions;
@@ -73,6 +75,8 @@
 
   /** The view that Publish publishes. */
   GatewayView view;
+  /** Gets the gateway's requests for permits, if it is set. */
+  std::function<void(const PermitRequest&)> on_permit_request;
 
  private:
   GatewayHooks Hooks();
--- a/bench/model/session_members.cc
+++ b/bench/model/session_members.cc
@@ -31,7 +31,9 @@
 
 void SessionMembers::Open(LinkId link, const LinkTarget& target) {
   this->links[link].member = target.member;
-  const Member& member = this->members.at(target.member);
+  this->links[link].customer = target.customer;
+  Member& member = this->members.at(target.member);
+  ++member.openings;
   if (member.traits.silent) return;
   this->queue.After(member.traits.way, [this, link] {
     const auto found = this->links.find(link);
@@ -156,8 +158,9 @@
       break;
   }
   if (!request.id.Empty()) {
-    this->runs.push_back({link.member, request.id, text, id, link.values,
-                          link.in_transaction, member.log, this->queue.Now()});
+    this->runs.push_back({link.member, request.id, text, id, link.customer,
+                          link.values, link.in_transaction, member.log,
+                          this->queue.Now()});
   }
   if (text.rfind("BEGIN", 0) == 0) {
     link.in_transaction = true;
--- a/bench/model/session_members.h
+++ b/bench/model/session_members.h
@@ -45,6 +45,8 @@
   RequestId id;
   std::string text;
   LinkId link = 0;
+  /** In whose name the connection was opened. */
+  CustomerId customer;
   /** The connection's values when it ran. */
   std::map<std::string, std::string> values;
   bool in_transaction = false;
@@ -91,6 +93,10 @@
   }
   LogPosition PositionOf(const MemberId& id) const;
   std::size_t OpenLinks(const MemberId& id) const;
+  /** How many connections were opened to a member. */
+  std::size_t Openings(const MemberId& id) const {
+    return this->members.at(id).openings;
+  }
   std::size_t MostBusy(const MemberId& id) const {
     return this->members.at(id).most_busy;
   }
@@ -101,11 +107,13 @@
     bool alive = true;
     std::size_t busy = 0;
     std::size_t most_busy = 0;
+    std::size_t openings = 0;
     std::deque<std::function<void()>> waiting;
     LogPosition log;
   };
   struct Link {
     MemberId member;
+    CustomerId customer;
     bool open = false;
     std::map<std::string, std::string> values;
     std::map<std::string, MemberRequest> prepared;
--- a/src/lacewingferry/adapters/histogram/gauge_text.cc
+++ b/src/lacewingferry/adapters/histogram/gauge_text.cc
@@ -17,6 +17,8 @@
     out << gauge.name;
     if (!gauge.database.empty()) {
       out << "{database=\"" << gauge.database << "\"}";
+    } else if (!gauge.customer.empty()) {
+      out << "{customer=\"" << gauge.customer << "\"}";
     }
     out << " " << gauge.value << "\n";
   }
--- a/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
+++ b/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
@@ -1,5 +1,6 @@
 #include "lacewingferry/adapters/yaml/fleet_settings_reader.h"
 
+#include <cmath>
 #include <limits>
 
 #include "lacewingferry/adapters/yaml/document_walk.h"
@@ -63,6 +64,37 @@
   detail::ReadLog(walk, root, &node->log);
 }
 
+/** Reads a number of 0 or more, with a fraction or without. */
+void ReadDecimal(DocumentWalk* walk, const YAML::Node& mapping, const char* key,
+                 double* target) {
+  const YAML::Node* value = walk->Find(mapping, key, Need::kOptional);
+  if (value == nullptr) return;
+  double number = -1;
+  const bool read = value->IsScalar() &&
+                    YAML::convert<double>::decode(*value, number) &&
+                    std::isfinite(number) && number >= 0;
+  if (read) {
+    *target = number;
+  } else {
+    walk->Note(*value,
+               std::string("'") + key + "' must be a number of 0 or more");
+  }
+}
+
+void ReadLimits(DocumentWalk* walk, const YAML::Node& root,
+                CustomerLimitSettings* limits) {
+  const YAML::Node* mapping =
+      walk->Find(root, "customer_limits", Need::kOptional);
+  if (mapping == nullptr) return;
+  if (!walk->ExpectMapping(*mapping, "customer_limits",
+                           {"window", "overrun", "slack"})) {
+    return;
+  }
+  walk->ReadDuration(*mapping, "window", Need::kOptional, &limits->window);
+  ReadDecimal(walk, *mapping, "overrun", &limits->overrun);
+  ReadDecimal(walk, *mapping, "slack", &limits->slack);
+}
+
 void ReadFlag(DocumentWalk* walk, const YAML::Node& root, const char* key,
               bool* target) {
   std::string text;
@@ -104,7 +136,7 @@
           root, "the settings of a control process of a fleet",
           {"name", "address", "zone", "regions", "peer_port", "metrics_port",
            "control", "log", "listen", "data_folder", "founding",
-           "tolerated_losses", "promotion", "stop_limit"})) {
+           "tolerated_losses", "promotion", "customer_limits", "stop_limit"})) {
     ReadNode(&walk, root, &settings.node);
     walk.ReadEndpoint(root, "listen", Need::kRequired, &settings.listen);
     walk.ReadText(root, "data_folder", Need::kRequired, &settings.data_folder);
@@ -112,6 +144,7 @@
     walk.ReadNumber(root, "tolerated_losses", Need::kRequired, 0, kMostLosses,
                     &settings.tolerated_losses);
     walk.ReadEndpoint(root, "promotion", Need::kRequired, &settings.promotion);
+    ReadLimits(&walk, root, &settings.limits);
     walk.ReadDuration(root, "stop_limit", Need::kOptional,
                       &settings.stop_limit);
   }
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/adapters/http/http_server.h"
@@ -49,6 +50,7 @@
  private:
   ControlReplicaHooks ReplicaHooks();
   FleetControlHooks FleetHooks();
+  FleetControlSettings FleetSettings() const;
   void OnMessage(const NodeId& from, const PeerBody& body);
   void Redirect(const NodeId& to);
   void OnApplied();
@@ -94,7 +96,7 @@
       });
   this->fleet = std::make_unique<FleetControl>(
       this->replica.State(), this->parts.settings.node.address,
-      this->FleetHooks());
+      this->FleetHooks(), this->FleetSettings());
   this->orders = std::make_unique<FleetOrders>(
       this->control, this->replica, *this->fleet, this->OrderHooks());
   this->http = std::make_shared<HttpServer>(
@@ -112,25 +114,26 @@
   const ControlState& state = this->replica.State();
   const PromotionCounts& promotions = this->fleet->Promotions();
   const auto number = [](auto value) { return static_cast<double>(value); };
-  return FormatGauges(
-      {{"ferry_control_leads", "", this->Leads() ? 1.0 : 0.0},
-       {"ferry_control_term", "", number(known.term)},
-       {"ferry_control_index", "", number(state.LastIndex())},
-       {"ferry_control_replicas", "", number(this->ControlNodes().size())},
-       {"ferry_control_voters", "",
-        number(this->replica.Configuration().VoterCount())},
-       {"ferry_control_voters_silent", "",
-        number(this->replica.SilentVoters())},
-       {"ferry_control_joining", "", this->replica.IsMember() ? 0.0 : 1.0},
-       {"ferry_configuration_version", "", number(state.Services().version)},
-       {"ferry_databases_without_primary", "",
-        number(state.Terms().WithoutPrimary())},
-       {"ferry_promotion_calls", "", number(promotions.Ended())},
-       {"ferry_promotion_calls_unknown", "",
-        number(promotions.Ended(PromotionResult::kUnknown))},
-       {"ferry_unchosen_primaries", "", number(promotions.unchosen_primaries)},
-       {"ferry_members", "", number(state.CurrentRoster().Members().size())},
-       {"ferry_proxies", "", number(this->fleet->ProxyCount(now))}});
+  std::vector<Gauge> gauges = {
+      {"ferry_control_leads", "", this->Leads() ? 1.0 : 0.0},
+      {"ferry_control_term", "", number(known.term)},
+      {"ferry_control_index", "", number(state.LastIndex())},
+      {"ferry_control_replicas", "", number(this->ControlNodes().size())},
+      {"ferry_control_voters", "",
+       number(this->replica.Configuration().VoterCount())},
+      {"ferry_control_voters_silent", "", number(this->replica.SilentVoters())},
+      {"ferry_control_joining", "", this->replica.IsMember() ? 0.0 : 1.0},
+      {"ferry_configuration_version", "", number(state.Services().version)},
+      {"ferry_databases_without_primary", "",
+       number(state.Terms().WithoutPrimary())},
+      {"ferry_promotion_calls", "", number(promotions.Ended())},
+      {"ferry_promotion_calls_unknown", "",
+       number(promotions.Ended(PromotionResult::kUnknown))},
+      {"ferry_unchosen_primaries", "", number(promotions.unchosen_primaries)},
+      {"ferry_members", "", number(state.CurrentRoster().Members().size())},
+      {"ferry_proxies", "", number(this->fleet->ProxyCount(now))}};
+  this->fleet->AddPermitGauges(now, &gauges);
+  return FormatGauges(std::move(gauges));
 }
 
 ControlReplicaHooks FleetControlProgram::Impl::ReplicaHooks() {
@@ -163,6 +166,9 @@
                {"holder", to.Value()}}});
     this->peers->Send(to, recall);
   };
+  hooks.permits = [this](const NodeId& to, const PermitGrant& grant) {
+    this->peers->Send(to, grant);
+  };
   hooks.redial = [this](const NodeId& node) { this->peers->Redial(node); };
   hooks.propose = [this](const ControlCommand& command,
                          std::function<void(bool)> done) {
@@ -182,6 +188,15 @@
   return hooks;
 }
 
+FleetControlSettings FleetControlProgram::Impl::FleetSettings() const {
+  const CustomerLimitSettings& limits = this->parts.settings.limits;
+  FleetControlSettings settings;
+  settings.permits.tolerance.window = limits.window;
+  settings.permits.tolerance.overrun = limits.overrun;
+  settings.permits.tolerance.slack = limits.slack;
+  return settings;
+}
+
 bool FleetControlProgram::Impl::Leads() const {
   return this->in_office && this->replica.Serving();
 }
@@ -229,6 +244,8 @@
     this->fleet->OnReport(now, from, *report);
   } else if (const auto* recalled = std::get_if<LeaseRecalled>(&body)) {
     this->fleet->OnRecalled(now, from, *recalled);
+  } else if (const auto* request = std::get_if<PermitRequest>(&body)) {
+    this->fleet->OnPermitRequest(now, from, *request);
   }
   this->Advance();
 }
--- a/src/lacewingferry/app/session_proxy_program.cc
+++ b/src/lacewingferry/app/session_proxy_program.cc
@@ -120,6 +120,11 @@
           this->Arm();
         });
   };
+  traffic_parts.request_permits = [this](const PermitRequest& request) {
+    boost::asio::post(this->control, [this, request] {
+      this->client.RequestPermits(request);
+    });
+  };
   return traffic_parts;
 }
 
@@ -141,6 +146,13 @@
     this->peers.Send(to, recalled);
   };
   hooks.redial = [this](const NodeId& node) { this->peers.Redial(node); };
+  hooks.request_permits = [this](const NodeId& to,
+                                 const PermitRequest& request) {
+    this->peers.Send(to, request);
+  };
+  hooks.permits = [this](const PermitGrant& grant) {
+    this->traffic.OnPermits(grant);
+  };
   hooks.publish = [this](GatewayViewPtr view) {
     this->traffic.SetView(std::move(view));
   };
@@ -171,6 +183,9 @@
     this->client.OnRecall(now, from, *recall);
   } else if (const auto* redirect = std::get_if<ControlRedirect>(&body)) {
     this->client.OnRedirect(now, *redirect);
+  } else if (const auto* grant = std::get_if<PermitGrant>(&body)) {
+    this->client.OnPermits(*grant);
+    return;
   }
   this->Arm();
 }
--- a/src/lacewingferry/app/session_traffic.cc
+++ b/src/lacewingferry/app/session_traffic.cc
@@ -85,6 +85,7 @@
   };
   hooks.close_link = [this](LinkId link) { this->front.close_link(link); };
   hooks.recalled = this->parts.recalled;
+  hooks.request_permits = this->parts.request_permits;
   hooks.ended = [this](const StatementRun& run, const ClientReply& reply,
                        std::chrono::nanoseconds took) {
     this->Measure(run, reply, took);
@@ -199,6 +200,12 @@
       });
 }
 
+void SessionTraffic::OnPermits(const PermitGrant& grant) {
+  this->Post([this, grant](steady_clock::time_point now) {
+    this->gateway->OnPermits(now, grant);
+  });
+}
+
 void SessionTraffic::StartDraining() {
   this->Post([this](steady_clock::time_point now) {
     this->gateway->StartDraining(now);
--- a/src/lacewingferry/app/session_traffic.h
+++ b/src/lacewingferry/app/session_traffic.h
@@ -33,6 +33,8 @@
   std::function<void(const DatabaseId&, std::uint64_t before_term,
                      const LogPosition& acknowledged)>
       recalled;
+  /** Sends a request to control. Called on the traffic thread. */
+  std::function<void(const PermitRequest&)> request_permits;
 };
 
 /** Runs the gateway with its sockets on a thread of its own. All calls may come
@@ -57,6 +59,7 @@
                   const LogPosition& position);
   void Recall(const DatabaseId& database, std::uint64_t before_term,
               std::chrono::milliseconds patience);
+  void OnPermits(const PermitGrant& grant);
   void StartDraining();
   void EndTransactions();
 
--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -58,6 +58,12 @@
       return "relay_lost";
     case EventCode::kUnconfirmedWriteAcknowledged:
       return "unconfirmed_write_acknowledged";
+    case EventCode::kKeyRefused:
+      return "key_refused";
+    case EventCode::kKeyWithdrawn:
+      return "key_withdrawn";
+    case EventCode::kCustomerLimited:
+      return "customer_limited";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
@@ -118,6 +124,10 @@
       return "promotion_ended";
     case EventCode::kUnchosenPrimary:
       return "unchosen_primary";
+    case EventCode::kFormerLeasesAwaited:
+      return "former_leases_awaited";
+    case EventCode::kPermitsLost:
+      return "permits_lost";
     case EventCode::kNoteAccepted:
       return "note_accepted";
     case EventCode::kNoteRejected:
--- a/src/lacewingferry/core/fleet_settings.h
+++ b/src/lacewingferry/core/fleet_settings.h
@@ -47,6 +47,18 @@
   std::chrono::milliseconds stop_limit{5000};
 };
 
+/** Over which time customers' rate limits count, and how far the fleet may
+ * exceed them. */
+struct CustomerLimitSettings {
+  /** In any window of this length a customer may start rate x window + burst
+   * operations; 0: the limit counts over any time. */
+  std::chrono::milliseconds window{0};
+  /** As a part of what a limit allows in the window. */
+  double overrun = 0;
+  /** Operations on top of that. */
+  double slack = 0;
+};
+
 /** The settings of a control process of the fleet. */
 struct FleetControlProgramSettings {
   FleetNodeSettings node;
@@ -59,6 +71,7 @@
   std::uint64_t tolerated_losses = 1;
   /** Where promotions are asked for. */
   Endpoint promotion;
+  CustomerLimitSettings limits;
   std::chrono::milliseconds stop_limit{5000};
 };
 
--- a/src/lacewingferry/core/gauge.h
+++ b/src/lacewingferry/core/gauge.h
@@ -13,6 +13,8 @@
   /** The database that the value is about; empty for the whole process. */
   std::string database;
   double value = 0;
+  /** The customer that the value is about; empty for all. */
+  std::string customer{};
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/core/member_request.h
+++ b/src/lacewingferry/core/member_request.h
@@ -25,6 +25,9 @@
   DatabaseId database;
   MemberId member;
   Endpoint endpoint;
+  /** The customer in whose name the connection is opened; empty for the
+   * system's own. */
+  CustomerId customer{};
 };
 
 /** What a member is asked to do on a connection. */
--- a/src/lacewingferry/core/messages/peer_message.h
+++ b/src/lacewingferry/core/messages/peer_message.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/forward_messages.h"
 #include "lacewingferry/core/messages/lease_messages.h"
 #include "lacewingferry/core/messages/membership_messages.h"
+#include "lacewingferry/core/messages/permit_messages.h"
 #include "lacewingferry/core/messages/position_messages.h"
 #include "lacewingferry/core/messages/seat_messages.h"
 
@@ -33,7 +34,7 @@
     MemberInquiry, NodeHeartbeat, NodeProbe, MembershipDigest,
     MembershipBuckets, MembershipVersions, MembershipPull, PositionProbe,
     PositionSample, SeatClaim, SeatGrant, ProxyReport, ProxyUpdate, LeaseRecall,
-    LeaseRecalled, JoinRedirect>;
+    LeaseRecalled, JoinRedirect, PermitRequest, PermitGrant>;
 
 /** A message with its sender. */
 struct PeerMessage {
--- a/src/lacewingferry/core/service_configuration.h
+++ b/src/lacewingferry/core/service_configuration.h
@@ -2,11 +2,13 @@
 #define LACEWINGFERRY_CORE_SERVICE_CONFIGURATION_H_
 
 // Defines ServiceConfiguration, which database names callers may use, what
-// their reads are promised, and which group of members serves them.
+// their reads are promised, which group of members serves them, and which
+// customers may call.
 
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +43,10 @@
   DatabaseId database;
   /** For kBounded and kSession. */
   std::chrono::milliseconds max_staleness{0};
+  /** Whether callers need no customer's key. */
+  bool open_to_all = false;
 
+  static constexpr std::uint32_t kFirstFields = 9;
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("name", self.name);
@@ -53,6 +58,46 @@
     visit("priority", self.priority);
     visit("database", self.database);
     visit("max_staleness", self.max_staleness);
+    visit("open_to_all", self.open_to_all);
+  }
+};
+
+/** How many operations a customer may start, over the whole fleet: a token
+ * bucket. */
+struct RateLimit {
+  /** Operations per second. */
+  double rate = 0;
+  /** Operations that may be started at once after a pause. */
+  double burst = 0;
+
+  friend bool operator==(const RateLimit& a, const RateLimit& b) {
+    return a.rate == b.rate && a.burst == b.burst;
+  }
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor&& visit) {
+    visit("rate", self.rate);
+    visit("burst", self.burst);
+  }
+};
+
+/** On whose behalf sessions act. */
+struct Customer {
+  CustomerId id;
+  /** Each identifies the customer; secret, so never logged or passed on to
+   * members. */
+  std::vector<std::string> keys;
+  /** 0 is the most urgent. */
+  std::uint32_t priority = 0;
+  /** None: the customer isn't limited. */
+  std::optional<RateLimit> limit;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor&& visit) {
+    visit("id", self.id);
+    visit("keys", self.keys);
+    visit("priority", self.priority);
+    visit("limit", self.limit);
   }
 };
 
@@ -80,6 +125,8 @@
   std::vector<ServiceRule> services;
   /** A transaction idle for longer may be ended. */
   std::chrono::milliseconds transaction_idle{0};
+  /** If there are none, callers need no key. */
+  std::vector<Customer> customers{};
 
   /** The route of a database name; nullptr if there is none. */
   const Route* FindRoute(const std::string& host) const {
@@ -97,12 +144,19 @@
     return found == this->services.end() ? nullptr : &*found;
   }
 
+  /** Whether callers of the route need a customer's key. */
+  bool NeedsKey(const Route& route) const {
+    return !this->customers.empty() && !route.open_to_all;
+  }
+
+  static constexpr std::uint32_t kFirstFields = 4;
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor&& visit) {
     visit("version", self.version);
     visit("routes", self.routes);
     visit("services", self.services);
     visit("transaction_idle", self.transaction_idle);
+    visit("customers", self.customers);
   }
 };
 
--- a/src/lacewingferry/decisions/gateway/admission.h
+++ b/src/lacewingferry/decisions/gateway/admission.h
@@ -27,6 +27,8 @@
   /** The database name that the client requested. */
   std::string host;
   SessionOrigin origin = SessionOrigin::kClient;
+  /** What the client presents to identify its customer. */
+  std::string key{};
 };
 
 /** Whether and where a new session is served. */
@@ -39,6 +41,8 @@
   kNotServedHere,
   /** No route has the requested database name. */
   kNoDatabase,
+  /** The route needs a customer's key, and the client's is none. */
+  kUnknownKey,
   /** This proxy has no configuration yet, or does not know which proxies own
    * the database. */
   kStarting,
--- a/src/lacewingferry/decisions/gateway/client_session.h
+++ b/src/lacewingferry/decisions/gateway/client_session.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "lacewingferry/decisions/gateway/admission.h"
@@ -22,6 +23,13 @@
   /** The database name that the client requested. */
   std::string host;
   SessionOrigin origin = SessionOrigin::kClient;
+  /** What the client identified its customer with. */
+  std::string key;
+  /** The customer; empty if the route needs none. */
+  CustomerId customer;
+  std::uint32_t customer_priority = 0;
+  /** When this proxy learned that the key was withdrawn. */
+  std::optional<std::chrono::steady_clock::time_point> key_withdrawn_at;
   std::shared_ptr<SessionState> state = std::make_shared<SessionState>();
   TransactionState transaction = TransactionState::kIdle;
   /** Whether the open transaction has written. */
--- a/src/lacewingferry/decisions/gateway/fleet_client.cc
+++ b/src/lacewingferry/decisions/gateway/fleet_client.cc
@@ -217,6 +217,17 @@
   this->holder->OnRelease(now, LeaseRelease{database, before_term});
 }
 
+void FleetClient::RequestPermits(PermitRequest request) {
+  if (this->leader.Empty()) return;
+  request.incarnation = this->incarnation;
+  this->hooks.request_permits(this->leader, request);
+}
+
+void FleetClient::OnPermits(const PermitGrant& grant) {
+  // Permits of another run of this proxy aren't this one's to use.
+  if (grant.incarnation == this->incarnation) this->hooks.permits(grant);
+}
+
 void FleetClient::OnTick(steady_clock::time_point now) {
   this->current_time = now;
   const milliseconds limit = this->AnswerTimeout();
--- a/src/lacewingferry/decisions/gateway/fleet_client.h
+++ b/src/lacewingferry/decisions/gateway/fleet_client.h
@@ -14,6 +14,7 @@
 
 #include "lacewingferry/core/messages/failover_messages.h"
 #include "lacewingferry/core/messages/fleet_messages.h"
+#include "lacewingferry/core/messages/permit_messages.h"
 #include "lacewingferry/decisions/gateway/gateway_view.h"
 #include "lacewingferry/decisions/lease/lease_holder.h"
 #include "lacewingferry/ports/event_port.h"
@@ -26,6 +27,10 @@
   std::function<void(const NodeId&, const ProxyReport&)> report;
   /** Tells a control process that a lease was given up. */
   std::function<void(const NodeId&, const LeaseRecalled&)> recalled;
+  /** Asks a control process for permits. */
+  std::function<void(const NodeId&, const PermitRequest&)> request_permits;
+  /** Passes granted permits to the traffic thread. */
+  std::function<void(const PermitGrant&)> permits;
   /** Reopens the connection to a control process. */
   std::function<void(const NodeId&)> redial;
   /** Passes a new view to the traffic thread. */
@@ -99,6 +104,10 @@
                          const DatabaseId& database, std::uint64_t before_term,
                          const LogPosition& acknowledged);
 
+  /** Sends the traffic thread's request to the control leader. */
+  void RequestPermits(PermitRequest request);
+  void OnPermits(const PermitGrant& grant);
+
   void OnTick(std::chrono::steady_clock::time_point now);
   std::chrono::steady_clock::time_point NextWakeup() const;
 
--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -29,7 +29,8 @@
 Gateway::Gateway(GatewayHooks gateway_hooks, GatewaySettings gateway_settings)
     : hooks(std::move(gateway_hooks)),
       settings(std::move(gateway_settings)),
-      relayed([this](ClientId client) { this->hooks.close_client(client); }) {}
+      relayed([this](ClientId client) { this->hooks.close_client(client); }),
+      limits(this->LimitsHooks()) {}
 
 GroupTraffic& Gateway::GroupFor(const DatabaseId& database) {
   auto& group = this->groups[database];
@@ -56,12 +57,18 @@
 }
 
 void Gateway::SetView(steady_clock::time_point now, GatewayViewPtr next) {
+  const bool reconfigured = !this->view || this->view->configuration.version !=
+                                               next->configuration.version;
   this->view = std::move(next);
   for (const auto& [database, group] : this->view->groups) {
     this->GroupFor(database).SetView(now, group);
   }
+  if (reconfigured) {
+    this->limits.SetCustomers(now, this->view->configuration.customers);
+    this->CheckKeys(now);
+  }
   this->CloseSessionsNotOwned();
-  this->AdmitPendingOpenings();
+  this->AdmitPendingOpenings(now);
 }
 
 void Gateway::SetLease(const DatabaseId& database, std::uint64_t term,
@@ -166,6 +173,12 @@
 void Gateway::Run(steady_clock::time_point now, const SessionPtr& session,
                   const ClientStatement& statement) {
   const bool open = session->transaction == TransactionState::kOpen;
+  if (!open && session->key_withdrawn_at) {
+    this->Answer(now, session,
+                 FailureReply(StatementError::kUnauthorized,
+                              "the customer's key was withdrawn"));
+    return;
+  }
   if (!open) {
     const Route* route = this->view->configuration.FindRoute(session->host);
     if (route == nullptr) {
@@ -190,7 +203,11 @@
     session->transaction_database = session->route.database;
   }
   if (open && run->writes && !run->commits) session->transaction_wrote = true;
-  this->GroupFor(session->route.database).Submit(now, run);
+  if (open) {
+    this->GroupFor(run->database).Submit(now, run);
+  } else {
+    this->limits.Submit(now, run);
+  }
 }
 
 RunPtr Gateway::CreateRun(steady_clock::time_point now,
@@ -201,6 +218,8 @@
   run->client = session->id;
   run->statement = statement;
   run->database = route.database;
+  run->customer = session->customer;
+  run->customer_priority = session->customer_priority;
   run->latency_objective = route.latency_objective;
   run->max_staleness = route.max_staleness;
   run->consistency = route.consistency;
@@ -225,6 +244,7 @@
 
 void Gateway::OnStatementEnded(steady_clock::time_point now, const RunPtr& run,
                                ClientReply reply) {
+  if (reply.error && run->attempts == 0) this->limits.GiveBack(*run);
   this->hooks.ended(*run, reply, now - run->arrived);
   this->RecordEvent(now, run, reply);
   const auto found = this->sessions.find(run->client);
@@ -273,6 +293,7 @@
     return;
   }
   const bool ends = this->draining || reply.elsewhere ||
+                    session->key_withdrawn_at ||
                     !this->OwnsGroup(session->route.database);
   if (ends && session->IsIdleIn(TransactionState::kIdle)) {
     this->sessions.erase(session->id);
@@ -296,6 +317,7 @@
   const bool has_work = session->running != nullptr ||
                         session->transaction == TransactionState::kOpen;
   if (!has_work) return;
+  this->limits.CancelClient(client);
   this->GroupFor(session->route.database).CancelClient(now, client);
 }
 
@@ -318,6 +340,8 @@
 
 void Gateway::OnTick(steady_clock::time_point now) {
   for (const auto& item : this->groups) item.second->OnTick(now);
+  this->limits.OnTick(now);
+  this->EndWithdrawnSessions(now);
   this->ExpireIdleTransactions(now);
   this->RefuseExpiredOpenings(now);
 }
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "lacewingferry/core/gauge.h"
 #include "lacewingferry/decisions/gateway/admission.h"
 #include "lacewingferry/decisions/gateway/client_session.h"
+#include "lacewingferry/decisions/gateway/customer_limits.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
 #include "lacewingferry/decisions/gateway/gateway_view.h"
 #include "lacewingferry/decisions/gateway/group_traffic.h"
@@ -29,6 +30,7 @@
  *
  * gateway.cc handles statements. gateway_admission.cc decides which proxy
  * serves a session and closes sessions whose group has moved to other proxies.
+ * gateway_customers.cc handles customers' keys and rate limits.
  * gateway_time.cc handles timers, closes sessions for a planned stop and
  * reports metrics.
  */
@@ -51,6 +53,12 @@
               const DatabaseId& database, std::uint64_t before_term,
               std::chrono::milliseconds grace_period);
 
+  /** Passes on control's answer to a request for permits. */
+  void OnPermits(std::chrono::steady_clock::time_point now,
+                 const PermitGrant& grant) {
+    this->limits.OnGrant(now, grant);
+  }
+
   /** Opens a session. While no configuration or no owner of the database is
    * known, the answer is delayed by up to
    * GatewaySettings::session_open_timeout. */
@@ -103,9 +111,12 @@
     std::chrono::steady_clock::time_point deadline;
   };
 
-  Admission Admit(const SessionOpening& opening);
-  void AdmitPendingOpenings();
+  Admission Admit(std::chrono::steady_clock::time_point now,
+                  const SessionOpening& opening);
+  void AdmitPendingOpenings(std::chrono::steady_clock::time_point now);
   bool OwnsGroup(const DatabaseId& database) const;
+  bool ServesHere(std::chrono::steady_clock::time_point now, const Route& route,
+                  const CustomerId& customer) const;
   const ConnectionAllocation* AllocationForHost(const std::string& host) const;
   /** Closes the idle sessions of direct clients for which should_close is true;
    * returns how many. */
@@ -114,6 +125,15 @@
   void CloseSessionsNotOwned();
   void RefuseExpiredOpenings(std::chrono::steady_clock::time_point now);
 
+  CustomerLimitsHooks LimitsHooks();
+  bool HoldsKey(const std::string& host, const std::string& key,
+                const CustomerId& customer) const;
+  void CheckKeys(std::chrono::steady_clock::time_point now);
+  void EndWithdrawnSessions(std::chrono::steady_clock::time_point now);
+  void RecordWithdrawnKeys(const std::map<CustomerId, std::size_t>& ended);
+  void RecordRefusedKey(std::chrono::steady_clock::time_point now,
+                        const std::string& host);
+
   void Serve(std::chrono::steady_clock::time_point now,
              const SessionPtr& session, const ClientStatement& statement);
   bool ServeInFailedTransaction(std::chrono::steady_clock::time_point now,
@@ -151,6 +171,13 @@
   std::map<ClientId, SessionPtr> sessions;
   std::vector<PendingOpening> pending_openings;
   RelayedSessions relayed;
+  CustomerLimits limits;
+  /** When a configuration last withdrew keys of sessions. */
+  std::optional<std::chrono::steady_clock::time_point> keys_withdrawn_at;
+  /** Openings that were refused for their key and not reported yet, and when
+   * some were reported last. */
+  std::size_t refused_keys = 0;
+  std::optional<std::chrono::steady_clock::time_point> refused_keys_reported_at;
   LinkId last_link = 0;
   bool draining = false;
 };
--- a/src/lacewingferry/decisions/gateway/gateway_admission.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_admission.cc
@@ -1,16 +1,36 @@
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "lacewingferry/decisions/gateway/gateway.h"
+#include "lacewingferry/decisions/ownership/rendezvous.h"
 
 namespace lacewingferry {
+namespace {
 
 using std::chrono::steady_clock;
 
+/** The owners in the order in which a customer's sessions try them. A customer
+ * keeps to one of them, whose connections in its name are then used often. */
+std::vector<NodeId> RankOwners(const DatabaseId& database,
+                               const CustomerId& customer,
+                               std::vector<NodeId> owners) {
+  if (customer.Empty()) return owners;
+  const std::string key = database.Value() + '/' + customer.Value();
+  std::sort(owners.begin(), owners.end(),
+            [&](const NodeId& a, const NodeId& b) {
+              return RendezvousWeight(key, a.Value()) >
+                     RendezvousWeight(key, b.Value());
+            });
+  return owners;
+}
+
+}  // namespace
+
 void Gateway::Open(steady_clock::time_point now, const SessionOpening& opening,
                    AdmissionHook done) {
-  const Admission admission = this->Admit(opening);
+  const Admission admission = this->Admit(now, opening);
   if (admission.result != AdmissionResult::kStarting || this->draining) {
     done(admission);
     return;
@@ -19,11 +39,11 @@
       opening, std::move(done), now + this->settings.session_open_timeout});
 }
 
-void Gateway::AdmitPendingOpenings() {
+void Gateway::AdmitPendingOpenings(steady_clock::time_point now) {
   std::vector<PendingOpening> waiting;
   waiting.swap(this->pending_openings);
   for (PendingOpening& pending : waiting) {
-    const Admission admission = this->Admit(pending.opening);
+    const Admission admission = this->Admit(now, pending.opening);
     if (admission.result == AdmissionResult::kStarting) {
       this->pending_openings.push_back(std::move(pending));
     } else {
@@ -52,11 +72,33 @@
   return group == this->view->groups.end() || group->second.allocation.owner;
 }
 
-Admission Gateway::Admit(const SessionOpening& opening) {
+/** Whether this proxy is an owner of the route's group and may start operations
+ * of the customer. An owner that control doesn't answer leaves customers with a
+ * rate limit to the other owners. */
+bool Gateway::ServesHere(steady_clock::time_point now, const Route& route,
+                         const CustomerId& customer) const {
+  if (!this->OwnsGroup(route.database)) return false;
+  const auto group = this->view->groups.find(route.database);
+  const bool others = group != this->view->groups.end() &&
+                      group->second.allocation.owners.size() > 1;
+  return !others || !this->limits.LacksControl(now, customer);
+}
+
+Admission Gateway::Admit(steady_clock::time_point now,
+                         const SessionOpening& opening) {
   if (!this->view) return Admission{AdmissionResult::kStarting, {}};
   const Route* route = this->view->configuration.FindRoute(opening.host);
   if (route == nullptr) return Admission{AdmissionResult::kNoDatabase, {}};
-  const bool owner = this->OwnsGroup(route->database);
+  const Customer* customer = nullptr;
+  if (this->view->configuration.NeedsKey(*route)) {
+    customer = this->view->FindCustomer(opening.key);
+    if (customer == nullptr) {
+      this->RecordRefusedKey(now, opening.host);
+      return Admission{AdmissionResult::kUnknownKey, {}};
+    }
+  }
+  const CustomerId customer_id = customer ? customer->id : CustomerId();
+  const bool owner = this->ServesHere(now, *route, customer_id);
   if (opening.origin == SessionOrigin::kProxy && (!owner || this->draining)) {
     return Admission{AdmissionResult::kNotServedHere, {}};
   }
@@ -64,12 +106,16 @@
     const auto& owners =
         this->view->groups.at(route->database).allocation.owners;
     if (owners.empty()) return Admission{AdmissionResult::kStarting, {}};
-    return this->relayed.Add(opening, owners);
+    return this->relayed.Add(opening, customer_id,
+                             RankOwners(route->database, customer_id, owners));
   }
   const auto session = std::make_shared<ClientSession>();
   session->id = opening.client;
   session->host = opening.host;
   session->origin = opening.origin;
+  session->key = opening.key;
+  session->customer = customer_id;
+  session->customer_priority = customer ? customer->priority : 0;
   this->sessions[opening.client] = session;
   return Admission{AdmissionResult::kAccepted, {}};
 }
--- a/src/lacewingferry/decisions/gateway/gateway_hooks.h
+++ b/src/lacewingferry/decisions/gateway/gateway_hooks.h
@@ -13,6 +13,7 @@
 #include "lacewingferry/core/client_statement.h"
 #include "lacewingferry/core/member_request.h"
 #include "lacewingferry/core/messages/lease_messages.h"
+#include "lacewingferry/core/messages/permit_messages.h"
 #include "lacewingferry/decisions/gateway/statement_run.h"
 #include "lacewingferry/ports/event_port.h"
 
@@ -41,6 +42,9 @@
   std::function<void(const StatementRun&, const ClientReply&,
                      std::chrono::nanoseconds took)>
       ended;
+  /** Asks control for permits for operations of customers with a rate limit.
+   * Gateway::OnPermits follows, unless a message is lost. */
+  std::function<void(const PermitRequest&)> request_permits;
   EventPort events;
 };
 
@@ -76,6 +80,9 @@
   /** How long a session opening may wait for the first configuration or a known
    * owner. Clients time out shortly after this. */
   std::chrono::milliseconds session_open_timeout{1700};
+  /** How long a transaction may go on after its customer's key was
+   * withdrawn. */
+  std::chrono::milliseconds withdrawn_key_grace{2000};
 };
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -40,7 +40,8 @@
 
 steady_clock::time_point Gateway::NextWakeup(
     steady_clock::time_point now) const {
-  steady_clock::time_point next = now + kSweepInterval;
+  steady_clock::time_point next =
+      std::min(now + kSweepInterval, this->limits.NextWakeup(now));
   for (const auto& item : this->groups) {
     const auto due = item.second->NextWakeup(now);
     if (due) next = std::min(next, *due);
@@ -96,6 +97,7 @@
   for (const auto& [database, group] : this->groups) {
     group->AddGauges(now, database.Value(), &gauges);
   }
+  this->limits.AddGauges(&gauges);
   return gauges;
 }
 
--- a/src/lacewingferry/decisions/gateway/gateway_view.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_view.cc
@@ -2,6 +2,17 @@
 
 namespace lacewingferry {
 
+void IndexCustomers(GatewayView* view) {
+  const std::vector<Customer>& customers = view->configuration.customers;
+  view->customers_by_key.clear();
+  for (std::size_t i = 0; i < customers.size(); ++i) {
+    for (const std::string& key : customers[i].keys) {
+      view->customers_by_key[key] = i;
+    }
+  }
+  for (auto& item : view->groups) item.second.by_customer = !customers.empty();
+}
+
 GatewayViewPtr MakeGatewayView(const FleetState& fleet,
                                const ServiceConfiguration& configuration,
                                const ProxyPeers& peers) {
@@ -22,6 +33,7 @@
     if (found == view->groups.end()) continue;
     found->second.members.push_back(member.info);
   }
+  IndexCustomers(view.get());
   return view;
 }
 
--- a/src/lacewingferry/decisions/gateway/gateway_view.h
+++ b/src/lacewingferry/decisions/gateway/gateway_view.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "lacewingferry/core/messages/fleet_messages.h"
@@ -25,14 +27,30 @@
   /** How many connections to each member this proxy may hold, and which proxies
    * serve the group's sessions if this one does not. */
   ConnectionAllocation allocation;
+  /** Whether connections are opened in customers' names. */
+  bool by_customer = false;
 };
 
 /** A snapshot of the routes and groups. */
 struct GatewayView {
   ServiceConfiguration configuration;
   std::map<DatabaseId, GroupView> groups;
+  /** The place of each key's customer in the configuration; see
+   * IndexCustomers. */
+  std::unordered_map<std::string, std::size_t> customers_by_key;
+
+  /** The customer that a key identifies; nullptr for an unknown key. */
+  const Customer* FindCustomer(const std::string& key) const {
+    const auto found = this->customers_by_key.find(key);
+    return found == this->customers_by_key.end()
+               ? nullptr
+               : &this->configuration.customers[found->second];
+  }
 };
 
+/** Fills in what follows from the configuration's customers. */
+void IndexCustomers(GatewayView* view);
+
 using GatewayViewPtr = std::shared_ptr<const GatewayView>;
 
 /** The proxies of the fleet and the identifier of this one. */
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -1,9 +1,11 @@
 #include "lacewingferry/decisions/gateway/group_traffic.h"
 
 #include <algorithm>
-#include <iterator>
+#include <cstddef>
 #include <utility>
 
+#include "lacewingferry/decisions/gateway/waiting_order.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -162,10 +164,7 @@
 
 void GroupTraffic::Submit(steady_clock::time_point now, const RunPtr& run) {
   if (this->TryDispatch(now, run)) return;
-  const auto place = std::upper_bound(this->waiting.begin(),
-                                      this->waiting.end(), run, ServedBefore);
-  const auto ahead =
-      static_cast<std::size_t>(std::distance(this->waiting.begin(), place));
+  const std::size_t ahead = CountServedBefore(this->waiting, run);
   const auto passed = now - run->arrived;
   if (!run->in_transaction && !run->least_position && this->LeaseExpired(now)) {
     ClientReply refusal =
@@ -182,6 +181,7 @@
     this->Fail(now, run, StatementError::kBusy, "too many wait");
     return;
   }
+  const auto place = this->waiting.begin() + static_cast<std::ptrdiff_t>(ahead);
   this->waiting.insert(place, run);
 }
 
@@ -264,7 +264,7 @@
   const bool reserve =
       pool.Info().id == this->view.term.primary && run->least_position;
   if (reserve) cost = cost * kPrimaryReadCostPercent / 100;
-  if (!pool.FindIdle(*run->session)) cost += pool.ExpectedTime();
+  if (!pool.FindIdle(*run->session, run->customer)) cost += pool.ExpectedTime();
   return cost + kDistancePenalties[this->DistanceOf(pool.Info())];
 }
 
@@ -277,6 +277,7 @@
     this->SendPinned(now, run);
     return true;
   }
+  if (this->AwaitsLink(now, run)) return false;
   const std::vector<MemberPool*> candidates = this->Candidates(now, run);
   // It is worth waiting for the cheapest member that has a connection, but not
   // for one that cannot be reached.
@@ -288,28 +289,68 @@
         best != candidates.end() &&
         this->Cost(*pool, run) > this->Cost(**best, run) * kMaxCostRatio;
     if (too_slow) break;
-    const auto idle = pool->FindIdle(*run->session);
+    const auto idle = pool->FindIdle(*run->session, run->customer);
     if (idle) {
       this->Send(now, *pool, *idle, run);
       return true;
     }
-    if (pool->MayOpen(now)) this->OpenLink(now, *pool);
+    if (this->view.by_customer) {
+      if (this->TryOpenFor(now, *pool, run)) return false;
+    } else if (pool->MayOpen(now)) {
+      this->OpenLink(now, *pool, CustomerId());
+    }
   }
   return false;
 }
 
+/** Whether the connection that was opened for a statement is still being
+ * opened. One that takes long is no longer waited for. */
+bool GroupTraffic::AwaitsLink(steady_clock::time_point now,
+                              const RunPtr& run) const {
+  const auto member = this->member_of_link.find(run->awaited_link);
+  if (member == this->member_of_link.end()) return false;
+  const MemberPool& pool = *this->pools.at(member->second);
+  const Link& link = pool.Links().at(run->awaited_link);
+  return link.phase == LinkPhase::kOpening &&
+         now - link.since <= this->settings.hedge_delay;
+}
+
+/** Opens a connection for a statement in its customer's name, if need be in
+ * place of an idle one of another customer. Each statement waits for one
+ * connection at a time, so that a burst opens no more than it can use. */
+bool GroupTraffic::TryOpenFor(steady_clock::time_point now, MemberPool& pool,
+                              const RunPtr& run) {
+  if (!pool.MayOpenFor(now) || pool.OpeningStalls(now)) return false;
+  const auto replaced = pool.FindReplaceable(now);
+  if (replaced) this->DropIdleLink(*replaced);
+  run->awaited_link = this->OpenLink(now, pool, run->customer);
+  return true;
+}
+
+/** Closes a connection that nothing uses. */
+void GroupTraffic::DropIdleLink(LinkId link) {
+  this->hooks.close_link(link);
+  this->PoolOf(link)->Remove(link);
+  this->member_of_link.erase(link);
+}
+
+/** Opens the first connection to a member before a statement needs it. In whose
+ * name it has to be is known only then, if sessions have customers. */
 void GroupTraffic::EnsureLink(steady_clock::time_point now, MemberPool& pool) {
+  if (this->view.by_customer) return;
   if (pool.Links().empty() && pool.MayOpen(now) && !pool.Info().leaving) {
-    this->OpenLink(now, pool);
+    this->OpenLink(now, pool, CustomerId());
   }
 }
 
-void GroupTraffic::OpenLink(steady_clock::time_point now, MemberPool& pool) {
+LinkId GroupTraffic::OpenLink(steady_clock::time_point now, MemberPool& pool,
+                              const CustomerId& customer) {
   const LinkId link = this->traffic_hooks.next_link();
-  pool.Add(now, link);
+  pool.Add(now, link).customer = customer;
   this->member_of_link[link] = pool.Info().id;
-  this->hooks.open_link(
-      link, LinkTarget{this->database, pool.Info().id, pool.Info().endpoint});
+  this->hooks.open_link(link, LinkTarget{this->database, pool.Info().id,
+                                         pool.Info().endpoint, customer});
+  return link;
 }
 
 MemberPool* GroupTraffic::PoolOf(LinkId link) {
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -146,7 +146,13 @@
                    const RunPtr& run);
   std::chrono::microseconds Cost(const MemberPool& pool,
                                  const RunPtr& run) const;
-  void OpenLink(std::chrono::steady_clock::time_point now, MemberPool& pool);
+  LinkId OpenLink(std::chrono::steady_clock::time_point now, MemberPool& pool,
+                  const CustomerId& customer);
+  bool AwaitsLink(std::chrono::steady_clock::time_point now,
+                  const RunPtr& run) const;
+  bool TryOpenFor(std::chrono::steady_clock::time_point now, MemberPool& pool,
+                  const RunPtr& run);
+  void DropIdleLink(LinkId link);
   void Send(std::chrono::steady_clock::time_point now, MemberPool& pool,
             LinkId link, const RunPtr& run);
   void SendPinned(std::chrono::steady_clock::time_point now, const RunPtr& run);
@@ -209,7 +215,7 @@
   std::map<LinkId, Flight> flights;
   /** The connections of open transactions. */
   std::map<ClientId, LinkId> pinned;
-  /** Waiting statements, in the order of ServedBefore. */
+  /** Waiting statements, in the order of SortFairly. */
   std::vector<RunPtr> waiting;
   PositionHistory history;
   TermLease lease;
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -31,6 +31,8 @@
                         LinkId link, const RunPtr& run) {
   Link& used = *pool.Find(link);
   used.phase = LinkPhase::kBusy;
+  pool.OnUsed(now, &used);
+  run->awaited_link = 0;
   ++run->attempts;
   run->hedge_at = now + this->settings.hedge_delay;
   run->links.insert(link);
@@ -90,6 +92,7 @@
     this->history.Add(opened->since, *position);
   }
   opened->phase = LinkPhase::kIdle;
+  opened->last_used = now;
   pool->OnOpened();
   this->ServeWaiting(now);
 }
--- a/src/lacewingferry/decisions/gateway/group_traffic_time.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_time.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "lacewingferry/decisions/gateway/group_traffic.h"
+#include "lacewingferry/decisions/gateway/waiting_order.h"
 
 namespace lacewingferry {
 namespace {
@@ -32,7 +33,7 @@
   }
   // Statements that were submitted meanwhile are merged in.
   for (const RunPtr& run : this->waiting) remaining.push_back(run);
-  std::stable_sort(remaining.begin(), remaining.end(), ServedBefore);
+  SortFairly(&remaining);
   this->waiting = std::move(remaining);
   this->serving_waiting = false;
 }
--- a/src/lacewingferry/decisions/gateway/member_pool.cc
+++ b/src/lacewingferry/decisions/gateway/member_pool.cc
@@ -1,6 +1,8 @@
 #include "lacewingferry/decisions/gateway/member_pool.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace lacewingferry {
 namespace {
@@ -14,6 +16,11 @@
 /** A leaving primary is sent new statements for this long at most, since it may
  * stop a few seconds after it announced that it leaves. */
 constexpr milliseconds kMaxLeavingPrimaryUse{4000};
+/** Connections in customers' names that are opened at a time. More than one,
+ * since the statements that wait need different ones. */
+constexpr std::uint32_t kMaxOpenings = 2;
+/** A customer whose use has decayed to less than this counts as unused. */
+constexpr double kForgottenUse = 0.01;
 
 }  // namespace
 
@@ -50,10 +57,11 @@
   return surplus;
 }
 
-std::optional<LinkId> MemberPool::FindIdle(const SessionState& session) const {
+std::optional<LinkId> MemberPool::FindIdle(const SessionState& session,
+                                           const CustomerId& customer) const {
   std::optional<LinkId> found;
   for (const auto& [id, link] : this->links) {
-    if (link.phase != LinkPhase::kIdle) continue;
+    if (link.phase != LinkPhase::kIdle || link.customer != customer) continue;
     if (link.state.Matches(session)) return id;
     // A connection without settings needs no reset.
     if (!found || link.state.values.empty()) found = id;
@@ -72,6 +80,60 @@
          this->OpeningCount() == 0;
 }
 
+bool MemberPool::MayOpenFor(steady_clock::time_point now) const {
+  const bool room = this->links.size() < this->limit ||
+                    this->FindReplaceable(now).has_value();
+  return this->limit > 0 && room && now >= this->next_open &&
+         this->OpeningCount() < kMaxOpenings;
+}
+
+std::optional<LinkId> MemberPool::FindReplaceable(
+    steady_clock::time_point now) const {
+  if (this->links.size() < this->limit) return std::nullopt;
+  using Rank = std::pair<double, steady_clock::time_point>;
+  std::optional<std::pair<Rank, LinkId>> least_used;
+  for (const auto& [id, link] : this->links) {
+    const bool reserved =
+        !link.used && now - link.last_used < this->settings.hedge_delay;
+    if (link.phase != LinkPhase::kIdle || reserved) continue;
+    const Rank rank{this->UseOfEachLink(now, link.customer), link.last_used};
+    if (!least_used || rank < least_used->first) least_used = {rank, id};
+  }
+  if (!least_used) return std::nullopt;
+  return least_used->second;
+}
+
+double MemberPool::UseOfEachLink(steady_clock::time_point now,
+                                 const CustomerId& customer) const {
+  const auto use = this->use_by_customer.find(customer);
+  if (use == this->use_by_customer.end()) return 0;
+  const auto count = std::count_if(
+      this->links.begin(), this->links.end(),
+      [&](const auto& item) { return item.second.customer == customer; });
+  return use->second.At(now) / static_cast<double>(std::max<long>(count, 1));
+}
+
+void MemberPool::OnUsed(steady_clock::time_point now, Link* link) {
+  link->last_used = now;
+  link->used = true;
+  if (link->customer.Empty()) return;
+  this->use_by_customer[link->customer].Add(now);
+  for (auto it = this->use_by_customer.begin();
+       it != this->use_by_customer.end();) {
+    const bool unused = it->second.At(now) < kForgottenUse;
+    it = unused ? this->use_by_customer.erase(it) : std::next(it);
+  }
+}
+
+bool MemberPool::OpeningStalls(steady_clock::time_point now) const {
+  return std::any_of(this->links.begin(), this->links.end(),
+                     [&](const auto& item) {
+                       const Link& link = item.second;
+                       return link.phase == LinkPhase::kOpening &&
+                              now - link.since > this->settings.hedge_delay;
+                     });
+}
+
 bool MemberPool::MayHavePosition(steady_clock::time_point now,
                                  const LogPosition& position) const {
   if (position <= this->reported) return true;
@@ -94,6 +156,7 @@
 Link& MemberPool::Add(steady_clock::time_point now, LinkId link) {
   Link& added = this->links[link];
   added.since = now;
+  added.last_used = now;
   return added;
 }
 
--- a/src/lacewingferry/decisions/gateway/member_pool.h
+++ b/src/lacewingferry/decisions/gateway/member_pool.h
@@ -13,6 +13,7 @@
 
 #include "lacewingferry/core/routing_view.h"
 #include "lacewingferry/decisions/gateway/gateway_hooks.h"
+#include "lacewingferry/decisions/gateway/recent_use.h"
 #include "lacewingferry/decisions/gateway/session_state.h"
 
 namespace lacewingferry {
@@ -31,8 +32,14 @@
 struct Link {
   LinkPhase phase = LinkPhase::kOpening;
   LinkState state;
+  /** Only this customer's statements may use it. */
+  CustomerId customer;
   /** When the connection attempt began. */
   std::chrono::steady_clock::time_point since;
+  /** When it was last sent a statement; at first, when it was opened. */
+  std::chrono::steady_clock::time_point last_used;
+  /** Whether it was sent a statement. */
+  bool used = false;
 };
 
 /** The connections to one member. Selects idle connections, and tracks when the
@@ -54,15 +61,27 @@
    * this proxy does not own the group. */
   std::vector<LinkId> ExcessLinks(bool owner) const;
 
-  /** The idle connection that needs the least preparation for a session; none
-   * if no connection is idle. */
-  std::optional<LinkId> FindIdle(const SessionState& session) const;
+  /** The customer's idle connection that needs the least preparation for a
+   * session; none if none is idle. */
+  std::optional<LinkId> FindIdle(const SessionState& session,
+                                 const CustomerId& customer) const;
 
   /** Whether another connection may be opened now. Connections are opened one
    * at a time: opening occupies a slot of the member for longer than a
    * statement does, so many at once would keep the member from serving. */
   bool MayOpen(std::chrono::steady_clock::time_point now) const;
 
+  /** Whether a connection may be opened in a customer's name now, if need be in
+   * place of an idle one. */
+  bool MayOpenFor(std::chrono::steady_clock::time_point now) const;
+
+  /** The idle connection that a new one may replace: of the customer that uses
+   * each of its connections least, and of these the one that was unused for the
+   * longest time; but none that was just opened for a statement. None while the
+   * limit leaves room for another. */
+  std::optional<LinkId> FindReplaceable(
+      std::chrono::steady_clock::time_point now) const;
+
   /** Whether any connection is open. */
   bool Connected() const { return this->links.size() > this->OpeningCount(); }
 
@@ -91,6 +110,8 @@
     return this->Count(LinkPhase::kOpening);
   }
 
+  /** Records that a connection is sent a statement. */
+  void OnUsed(std::chrono::steady_clock::time_point now, Link* link);
   /** Records a successful answer: its response time and the member's log
    * position. */
   void OnAnswer(std::chrono::microseconds took,
@@ -101,6 +122,10 @@
   void OnOpened();
   void OnLost(std::chrono::steady_clock::time_point now, bool while_opening);
 
+  /** Whether a connection attempt takes so long that the member may be
+   * unreachable. */
+  bool OpeningStalls(std::chrono::steady_clock::time_point now) const;
+
   /** When the member may be both sent a request and connected to again; used
    * for timers. */
   std::chrono::steady_clock::time_point NextAvailable() const {
@@ -109,12 +134,16 @@
 
  private:
   std::uint32_t Count(LinkPhase phase) const;
+  double UseOfEachLink(std::chrono::steady_clock::time_point now,
+                       const CustomerId& customer) const;
 
   MemberInfo info;
   const GatewaySettings& settings;
   std::optional<std::chrono::steady_clock::time_point> leaving_since;
   std::uint32_t limit = 1;
   std::map<LinkId, Link> links;
+  /** How much each customer used the connections lately. */
+  std::map<CustomerId, RecentUse> use_by_customer;
   /** A moving average of the response time. */
   std::chrono::microseconds estimate;
   std::chrono::steady_clock::time_point unavailable_until;
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.cc
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.cc
@@ -5,14 +5,19 @@
 namespace lacewingferry {
 
 Admission RelayedSessions::Add(const SessionOpening& opening,
+                               const CustomerId& customer,
                                const std::vector<NodeId>& owners) {
   Admission admission{AdmissionResult::kRelayed, owners};
-  const auto first = this->next_owner++ % owners.size();
-  std::rotate(admission.owners.begin(),
-              admission.owners.begin() + static_cast<std::ptrdiff_t>(first),
-              admission.owners.end());
+  if (customer.Empty()) {
+    const auto first = this->next_owner++ % owners.size();
+    std::rotate(admission.owners.begin(),
+                admission.owners.begin() + static_cast<std::ptrdiff_t>(first),
+                admission.owners.end());
+  }
   Session& session = this->sessions[opening.client];
   session.host = opening.host;
+  session.key = opening.key;
+  session.customer = customer;
   session.state.awaiting_answer = true;
   return admission;
 }
@@ -50,6 +55,25 @@
   });
 }
 
+std::size_t RelayedSessions::MarkWithdrawn(const HoldsKey& holds_key) {
+  std::size_t marked = 0;
+  for (auto& item : this->sessions) {
+    Session& session = item.second;
+    session.key_withdrawn =
+        !holds_key(session.host, session.key, session.customer);
+    marked += session.key_withdrawn;
+  }
+  return marked;
+}
+
+void RelayedSessions::CloseWithdrawn(bool also_open) {
+  this->CloseWhere([also_open](const Session& session) {
+    const RelayState& state = session.state;
+    return session.key_withdrawn && !state.awaiting_answer &&
+           (also_open || state.transaction == TransactionState::kIdle);
+  });
+}
+
 void RelayedSessions::StartDraining() {
   this->draining = true;
   this->CloseWhere(
--- a/src/lacewingferry/decisions/gateway/relayed_sessions.h
+++ b/src/lacewingferry/decisions/gateway/relayed_sessions.h
@@ -35,9 +35,10 @@
   explicit RelayedSessions(CloseClient close_client)
       : close(std::move(close_client)) {}
 
-  /** Adds a session. The list of owners is rotated for each session, which
-   * spreads sessions evenly over the owners. */
-  Admission Add(const SessionOpening& opening,
+  /** Adds a session. Without a customer the list of owners is rotated for each
+   * session, which spreads sessions evenly over the owners; with one it is in
+   * the order in which to try them. */
+  Admission Add(const SessionOpening& opening, const CustomerId& customer,
                 const std::vector<NodeId>& owners);
   void Remove(ClientId client) { this->sessions.erase(client); }
 
@@ -50,6 +51,16 @@
       const std::function<const std::vector<NodeId>*(const std::string& host)>&
           owners_of);
 
+  /** Whether a session that was opened with a key for a customer may go on. */
+  using HoldsKey = std::function<bool(
+      const std::string& host, const std::string& key, const CustomerId&)>;
+  /** Marks the sessions whose key was withdrawn; returns how many are marked.
+   */
+  std::size_t MarkWithdrawn(const HoldsKey& holds_key);
+  /** Closes marked sessions that wait for no answer: idle ones, and if
+   * `also_open` those in a transaction, which rolls it back. */
+  void CloseWithdrawn(bool also_open);
+
   /** From now on, closes each session that is idle outside a transaction. A
    * session whose client has sent nothing yet stays open, because its first
    * statement may be on its way. */
@@ -63,9 +74,12 @@
  private:
   struct Session {
     std::string host;
+    std::string key;
+    CustomerId customer;
     RelayState state;
     /** Whether the client has sent a statement. */
     bool has_sent = false;
+    bool key_withdrawn = false;
   };
 
   bool ShouldClose(const Session& session) const;
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -23,6 +23,12 @@
   ClientStatement statement;
   /** The group that executes it. */
   DatabaseId database;
+  /** Whose connections to members execute it; empty if sessions need no
+   * customer. */
+  CustomerId customer;
+  std::uint32_t customer_priority = 0;
+  /** The account that the permit of its operation was taken from. */
+  std::optional<std::uint64_t> permit_account;
   /** Copied from the session's route; later route changes do not affect this
    * run. */
   std::chrono::milliseconds latency_objective{0};
@@ -52,6 +58,8 @@
   int attempts = 0;
   /** The connections on which it is in flight. */
   std::set<LinkId> links;
+  /** The connection that was opened for it; 0 for none. */
+  LinkId awaited_link = 0;
   /** Whether it was also sent to a second member, and when that is due. */
   bool hedged = false;
   std::chrono::steady_clock::time_point hedge_at;
--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/switchover/fleet_control.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,9 @@
 constexpr milliseconds kTickInterval{100};
 /** The shortest interval between two rounds of updates to all proxies. */
 constexpr milliseconds kUpdateInterval{50};
+/** A leader whose process started less than this before may have started with
+ * the whole fleet. */
+constexpr milliseconds kFleetStart{5000};
 /** After this many unanswered reports in a row the answers to a proxy are taken
  * for lost. */
 constexpr std::uint32_t kUnansweredUntilRedial = 2;
@@ -44,7 +48,9 @@
               control_state.Terms(), control_state.CurrentRoster(),
               control_state.Ended(), std::move(self)},
       grantor(control_state.Terms(), this->settings.lease),
-      directory(this->settings.proxy_report_timeout) {}
+      permits(this->settings.permits, this->PermitHooks()),
+      directory(this->settings.proxy_report_timeout),
+      started_at(this->hooks.now()) {}
 
 SwitchoverHooks FleetControl::GroupHooks() {
   SwitchoverHooks group_hooks;
@@ -81,12 +87,38 @@
   return group_hooks;
 }
 
+PermitGrantorHooks FleetControl::PermitHooks() const {
+  PermitGrantorHooks permit_hooks;
+  permit_hooks.lost = [this](const NodeId& proxy, std::uint64_t lost) {
+    this->hooks.events.record(
+        Event{EventCode::kPermitsLost,
+              EventLevel::kInfo,
+              {{"holder", proxy.Value()}, {"permits", std::to_string(lost)}}});
+  };
+  permit_hooks.limited = [this](const CustomerId& customer,
+                                const RateLimit& limit, std::uint64_t out) {
+    std::ostringstream rate;
+    rate << limit.rate;
+    std::ostringstream burst;
+    burst << limit.burst;
+    this->hooks.events.record(Event{EventCode::kCustomerLimited,
+                                    EventLevel::kInfo,
+                                    {{"customer", customer.Value()},
+                                     {"rate", rate.str()},
+                                     {"burst", burst.str()},
+                                     {"permits", std::to_string(out)}}});
+  };
+  return permit_hooks;
+}
+
 void FleetControl::OnLeadership(steady_clock::time_point now, bool leads) {
   this->leader = leads;
   this->grantor.OnLeadership(now, leads);
+  this->permits.OnLeadership(now, leads, this->hooks.fence());
   this->managers.clear();
   this->proxies.clear();
-  this->directory.Reset(now);
+  this->directory.Reset(now, now - this->started_at < kFleetStart);
+  if (leads) this->RecordWaits();
   this->last_tick.reset();
   this->update_pending = false;
   if (!leads) return;
@@ -95,9 +127,21 @@
   this->CreateGroupManagers(now);
 }
 
+/** Tells what a new leader waits out, since nobody tells it what its
+ * predecessor granted. */
+void FleetControl::RecordWaits() const {
+  this->hooks.events.record(Event{
+      EventCode::kFormerLeasesAwaited,
+      EventLevel::kInfo,
+      {{"leases_ms", std::to_string(this->settings.lease.duration.count())},
+       {"permits_ms",
+        std::to_string(this->settings.permits.duration.count())}}});
+}
+
 void FleetControl::SetConfiguration(ServiceConfiguration next) {
   this->configuration = std::move(next);
   this->configuration_transfer_time = TransferTime(this->configuration);
+  this->permits.SetCustomers(this->hooks.now(), this->configuration.customers);
 }
 
 void FleetControl::CreateGroupManagers(steady_clock::time_point now) {
@@ -201,7 +245,8 @@
   ++proxy.answers_sent;
   ProxyUpdate update = this->UpdateFor(now, &proxy);
   update.sequence = report.sequence;
-  this->directory.OnReport(now, from, report.zone, report.draining);
+  this->directory.OnReport(now, from, report.zone, report.draining,
+                           report.zone_digest != 0);
   const auto zone = this->directory.ProxiesIn(now, report.zone);
   if (zone && zone->digest != report.zone_digest) update.zone = zone;
   if (report.renewal) {
@@ -246,6 +291,13 @@
   this->ProcessChanges(now);
 }
 
+void FleetControl::OnPermitRequest(steady_clock::time_point now,
+                                   const NodeId& from,
+                                   const PermitRequest& request) {
+  const auto grant = this->permits.OnRequest(now, from, request);
+  if (grant) this->hooks.permits(from, *grant);
+}
+
 void FleetControl::OnAnnouncement(
     steady_clock::time_point now, const MemberAnnouncement& announcement,
     std::function<void(AnnouncementResult)> done) {
@@ -322,6 +374,7 @@
   if (!this->leader) return;
   this->DetectSuspension(now);
   this->directory.DropSilent(now);
+  this->permits.OnTick(now);
   this->ProcessChanges(now);
   for (const auto& item : this->managers) {
     if (item.second->NextWakeup() <= now) item.second->OnTick(now);
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -16,6 +16,7 @@
 #include "lacewingferry/core/messages/fleet_messages.h"
 #include "lacewingferry/decisions/control/control_state.h"
 #include "lacewingferry/decisions/lease/lease_grantor.h"
+#include "lacewingferry/decisions/rate_limit/permit_grantor.h"
 #include "lacewingferry/decisions/switchover/configuration_transfer.h"
 #include "lacewingferry/decisions/switchover/fleet_changes.h"
 #include "lacewingferry/decisions/switchover/group_manager.h"
@@ -27,6 +28,7 @@
 struct FleetControlHooks {
   std::function<void(const NodeId&, const ProxyUpdate&)> update;
   std::function<void(const NodeId&, const LeaseRecall&)> recall;
+  std::function<void(const NodeId&, const PermitGrant&)> permits;
   /** Closes the connection to a process and opens a new one. */
   std::function<void(const NodeId&)> redial;
   /** Appends a command to the control log and reports whether it was
@@ -49,6 +51,7 @@
 struct FleetControlSettings {
   LeaseTiming lease = MakeSessionLeaseTiming();
   SwitchoverSettings switchover;
+  PermitGrantorSettings permits;
   /** A proxy whose last report is older gets no updates and no share of the
    * members' connections. */
   std::chrono::milliseconds proxy_report_timeout{4000};
@@ -108,6 +111,10 @@
                 const ProxyReport& report);
   void OnRecalled(std::chrono::steady_clock::time_point now, const NodeId& from,
                   const LeaseRecalled& recalled);
+  /** Takes a proxy's request for permits of customers with a rate limit. The
+   * caller has checked that this process is the leader. */
+  void OnPermitRequest(std::chrono::steady_clock::time_point now,
+                       const NodeId& from, const PermitRequest& request);
 
   /** Takes a member's announcement or deregistration. */
   void OnAnnouncement(std::chrono::steady_clock::time_point now,
@@ -126,6 +133,13 @@
   /** What became of promotions since the process started. */
   const PromotionCounts& Promotions() const { return this->promotions; }
 
+  /** Appends the permits of customers with a rate limit, if this process
+   * leads. */
+  void AddPermitGauges(std::chrono::steady_clock::time_point now,
+                       std::vector<Gauge>* gauges) const {
+    this->permits.AddGauges(now, gauges);
+  }
+
   /** The number of proxies that reported lately and are not draining. */
   std::uint32_t ProxyCount(std::chrono::steady_clock::time_point now) const;
 
@@ -142,6 +156,8 @@
   };
 
   SwitchoverHooks GroupHooks();
+  PermitGrantorHooks PermitHooks() const;
+  void RecordWaits() const;
   void RedialIfAnswersLost(std::chrono::steady_clock::time_point now,
                            const NodeId& node, const ProxyReport& report,
                            Proxy* proxy);
@@ -161,6 +177,7 @@
   FleetControlSettings settings;
   SwitchoverContext context;
   LeaseGrantor grantor;
+  PermitGrantor permits;
   PromotionCounts promotions;
   ServiceConfiguration configuration;
   std::chrono::milliseconds configuration_transfer_time{0};
@@ -168,6 +185,7 @@
   bool state_changed = false;
   std::map<NodeId, Proxy> proxies;
   ZoneDirectory directory;
+  std::chrono::steady_clock::time_point started_at;
   FleetChanges changes;
   /** Whether a change has not been sent to the proxies yet, and the earliest
    * time to send it. */
--- a/src/lacewingferry/decisions/switchover/zone_directory.cc
+++ b/src/lacewingferry/decisions/switchover/zone_directory.cc
@@ -12,19 +12,34 @@
 
 /** Long enough for proxies to find a new control leader and report to it. */
 constexpr milliseconds kReportCollectionTime{1500};
+/** Proxies that start together find the leader closer together than this. */
+constexpr milliseconds kJoinPause{200};
 
 }  // namespace
 
-void ZoneDirectory::Reset(steady_clock::time_point now) {
+void ZoneDirectory::Reset(steady_clock::time_point now, bool just_started) {
   this->zones.clear();
   this->cache.clear();
   this->complete_from = now + kReportCollectionTime;
+  this->last_joined = now;
+  this->started_with_fleet = just_started;
+  this->lists_in_use = false;
+  this->given = false;
+}
+
+bool ZoneDirectory::IsComplete(steady_clock::time_point now) const {
+  if (now >= this->complete_from || this->given) return true;
+  return this->started_with_fleet && !this->lists_in_use &&
+         now >= this->last_joined + kJoinPause;
 }
 
 void ZoneDirectory::OnReport(steady_clock::time_point now, const NodeId& node,
-                             const AvailabilityZone& zone, bool draining) {
+                             const AvailabilityZone& zone, bool draining,
+                             bool knows_list) {
   LastReports& reports = this->zones[zone];
   const bool known = reports.count(node) > 0;
+  if (!known && !draining) this->last_joined = now;
+  if (knows_list && !this->given) this->lists_in_use = true;
   if (draining) {
     reports.erase(node);
   } else {
@@ -48,11 +63,12 @@
 
 std::optional<ZoneProxies> ZoneDirectory::ProxiesIn(
     steady_clock::time_point now, const AvailabilityZone& zone) {
-  if (now < this->complete_from) return std::nullopt;
+  if (!this->IsComplete(now)) return std::nullopt;
   const auto known = this->cache.find(zone);
   if (known != this->cache.end()) return known->second;
   const auto reports = this->zones.find(zone);
   if (reports == this->zones.end()) return std::nullopt;
+  this->given = true;
   return this->cache[zone] = this->Build(reports->second);
 }
 
--- a/standin/platform/line_client.cc
+++ b/standin/platform/line_client.cc
@@ -41,10 +41,11 @@
   std::string input;
 };
 
-LineClient::LineClient(const Endpoint& proxy, const std::string& database)
+LineClient::LineClient(const Endpoint& proxy, const std::string& database,
+                       const std::string& key)
     : impl(std::make_unique<Impl>(proxy)) {
   if (database.empty()) return;
-  this->impl->Write("STARTUP " + database + " tester\r\n");
+  this->impl->Write("STARTUP " + database + " " + key + "\r\n");
   const std::string answer = this->impl->ReadLine();
   if (answer.rfind("READY", 0) != 0) {
     throw std::runtime_error("session refused: " + answer);
--- a/standin/platform/line_client.h
+++ b/standin/platform/line_client.h
@@ -13,8 +13,10 @@
 /** A client that speaks the lines, and waits for each answer. */
 class LineClient {
  public:
-  /** Opens a session. Throws std::runtime_error if it is refused. */
-  LineClient(const Endpoint& proxy, const std::string& database);
+  /** Opens a session, with a customer's key. Throws std::runtime_error if it is
+   * refused. */
+  LineClient(const Endpoint& proxy, const std::string& database,
+             const std::string& key = "tester");
   ~LineClient();
   LineClient(const LineClient&) = delete;
   LineClient& operator=(const LineClient&) = delete;
--- a/standin/platform/platform_fleet.cc
+++ b/standin/platform/platform_fleet.cc
@@ -199,14 +199,29 @@
 }
 
 void PlatformFleet::PutConfiguration(std::uint64_t version) {
-  const nlohmann::json document = {
+  this->PutConfiguration(version, {});
+}
+
+void PlatformFleet::PutConfiguration(
+    std::uint64_t version, const std::vector<PlatformCustomer>& customers,
+    std::uint32_t connections) {
+  nlohmann::json document = {
       {"version", version},
       {"routes",
        {Route("primary", milliseconds(0)), Route("bounded", milliseconds(1500)),
         Route("session", milliseconds(2500))}},
       {"services",
-       {{{"name", kGroup}, {"max_conns", 60}, {"sync_replicas", 1}}}},
+       {{{"name", kGroup}, {"max_conns", connections}, {"sync_replicas", 1}}}},
       {"limits", {{"tx_idle_ms", 3000}}}};
+  for (const PlatformCustomer& customer : customers) {
+    nlohmann::json entry = {
+        {"name", customer.name}, {"api_keys", customer.keys}, {"priority", 1}};
+    if (customer.rate > 0) {
+      entry["rate_per_s"] = customer.rate;
+      entry["burst"] = customer.rate;
+    }
+    document["tenants"].push_back(entry);
+  }
   const bool put = processes::PollUntil(kFleetDeadline, [&] {
     return this->TryConfiguration(document.dump()) == kOk;
   });
--- a/standin/platform/platform_fleet.h
+++ b/standin/platform/platform_fleet.h
@@ -21,6 +21,14 @@
 /** How long is waited for something that has to happen. */
 constexpr std::chrono::milliseconds kFleetDeadline{30000};
 
+/** A customer of a configuration. */
+struct PlatformCustomer {
+  std::string name;
+  std::vector<std::string> keys;
+  /** Operations per second, and at once; 0 for no limit. */
+  double rate = 0;
+};
+
 /** Three processes of control and two proxies, each at a loopback address of
  * its own, since all of a fleet listen at the same ports. */
 class PlatformFleet {
@@ -60,6 +68,10 @@
   /** Sends a configuration until it is acknowledged; the routes are "primary",
    * "bounded" and "session". */
   void PutConfiguration(std::uint64_t version);
+  /** The same with customers, and with so many connections to each member. */
+  void PutConfiguration(std::uint64_t version,
+                        const std::vector<PlatformCustomer>& customers,
+                        std::uint32_t connections = 60);
   /** The status of one attempt at any process of control that answers it. */
   int TryConfiguration(const std::string& document);
   /** The version that is read back; 0 while nobody is sure. */
--- a/tests/correctness/platform_lines_test.cc
+++ b/tests/correctness/platform_lines_test.cc
@@ -69,9 +69,12 @@
   }
 
   void OtherLinesAreTold() {
+    const auto opening =
+        std::get<ClientOpens>(DecodeClientLine("STARTUP lepu u3"));
+    CPPUNIT_ASSERT_EQUAL(std::string("lepu"), opening.host);
+    CPPUNIT_ASSERT_EQUAL(std::string("u3"), opening.key);
     CPPUNIT_ASSERT(
-        std::get<ClientOpens>(DecodeClientLine("STARTUP lepu u3")).host ==
-        "lepu");
+        std::get<ClientOpens>(DecodeClientLine("STARTUP lepu")).key.empty());
     CPPUNIT_ASSERT(
         std::holds_alternative<ClientQuits>(DecodeClientLine("QUIT")));
     for (const char* line : {"", "READY I -", "query 1 LOOKUP a"}) {
@@ -111,6 +114,10 @@
     CPPUNIT_ASSERT_EQUAL(
         std::string("STARTUP db lacewingferry i-7f\r\n"),
         EncodeOpening({DatabaseId("db"), MemberId("i-7f"), {}}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("STARTUP db kaan i-7f\r\n"),
+        EncodeOpening(
+            {DatabaseId("db"), MemberId("i-7f"), {}, CustomerId("kaan")}));
   }
 
   void AnswersOfMembersArePutTogether() {
--- a/tests/error/platform_documents_test.cc
+++ b/tests/error/platform_documents_test.cc
@@ -72,6 +72,8 @@
   CPPUNIT_TEST(NamesThatBreakOtherMessagesNameNobody);
   CPPUNIT_TEST(NestedAnnouncementsAreRead);
   CPPUNIT_TEST(LongTimesOfAConfigurationStayInRange);
+  CPPUNIT_TEST(ReadsCustomers);
+  CPPUNIT_TEST(InvalidCustomersAreRefused);
   CPPUNIT_TEST(DamagedDocumentsOnlyThrowFindings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +111,47 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, FindingsIn(Configuration()));
   }
 
+  void ReadsCustomers() {
+    json document = Configuration();
+    document["routes"][1]["public"] = true;
+    document["tenants"] = json::parse(R"([
+      {"name":"miny","api_keys":["a1","a2"],"priority":1,"rate_per_s":2.5,
+       "burst":7},
+      {"name":"lomu","api_keys":[]},
+      {"name":"kaju","api_keys":["b1"],"rate_per_s":4}])");
+    const auto read = DecodeConfiguration(document.dump());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read.customers.size());
+    const Customer& first = read.customers[0];
+    CPPUNIT_ASSERT(first.id == CustomerId("miny"));
+    CPPUNIT_ASSERT_EQUAL(std::string("a2"), first.keys.at(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, first.priority);
+    CPPUNIT_ASSERT((first.limit == RateLimit{2.5, 7}));
+    CPPUNIT_ASSERT(!read.customers[1].limit);
+    CPPUNIT_ASSERT((read.customers[2].limit == RateLimit{4, 4}));
+    CPPUNIT_ASSERT(read.NeedsKey(*read.FindRoute("fiti")));
+    CPPUNIT_ASSERT(!read.NeedsKey(*read.FindRoute("lepu")));
+    CPPUNIT_ASSERT(
+        DecodeConfiguration(Configuration().dump()).customers.empty());
+  }
+
+  void InvalidCustomersAreRefused() {
+    for (const char* customers :
+         {R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+          R"([{"name":"a b","api_keys":["k"]}])", R"([{"api_keys":["k"]}])",
+          R"([{"name":"a"}])", R"([{"name":"a","api_keys":[""]}])",
+          R"([{"name":"a","api_keys":[7]}])",
+          R"([{"name":"a","api_keys":["k"],"rate_per_s":-1}])",
+          R"([{"name":"a","api_keys":["k"],"rate_per_s":"much"}])", R"({})",
+          R"([7])"}) {
+      json document = Configuration();
+      document["tenants"] = json::parse(customers);
+      CPPUNIT_ASSERT_MESSAGE(customers, FindingsIn(document) > 0);
+    }
+    json document = Configuration();
+    document["routes"][0]["public"] = "yes";
+    CPPUNIT_ASSERT(FindingsIn(document) > 0);
+  }
+
   void AllMistakesAreFoundAtOnce() {
     json wrong = Configuration();
     wrong["routes"][0]["timeout_ms"] = 0;
