--- a/src/lacewingferry/decisions/gateway/customer_limits.cc
+++ b/src/lacewingferry/decisions/gateway/customer_limits.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/gateway/customer_limits.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
--- a/src/lacewingferry/decisions/gateway/member_pool.cc
+++ b/src/lacewingferry/decisions/gateway/member_pool.cc
@@ -1,6 +1,7 @@
 #include "lacewingferry/decisions/gateway/member_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <utility>
 
@@ -110,7 +111,8 @@
   const auto count = std::count_if(
       this->links.begin(), this->links.end(),
       [&](const auto& item) { return item.second.customer == customer; });
-  return use->second.At(now) / static_cast<double>(std::max<long>(count, 1));
+  return use->second.At(now) /
+         static_cast<double>(std::max<std::ptrdiff_t>(count, 1));
 }
 
 void MemberPool::OnUsed(steady_clock::time_point now, Link* link) {
--- a/src/lacewingferry/decisions/rate_limit/permit_holder.cc
+++ b/src/lacewingferry/decisions/rate_limit/permit_holder.cc
@@ -50,7 +50,7 @@
     const auto found = known.find(customer.id);
     Entry& entry = this->customers[customer.id];
     if (found != known.end()) {
-      entry = std::move(found->second);
+      entry = found->second;
     } else {
       entry.opening = ++this->last_opening;
     }
--- a/tests/correctness/customer_connections_test.cc
+++ b/tests/correctness/customer_connections_test.cc
@@ -53,7 +53,7 @@
   }
 
   RequestId Ask(ClientId client, const std::string& text) {
-    const RequestId id = this->gateway.Ask(client, text);
+    RequestId id = this->gateway.Ask(client, text);
     this->sent[id] = {client, this->gateway.Queue().Now()};
     return id;
   }
@@ -106,6 +106,7 @@
  public:
   explicit CustomerDraw(std::size_t customers) {
     std::vector<double> weights;
+    weights.reserve(customers);
     for (std::size_t i = 0; i < customers; ++i) {
       weights.push_back(std::pow(static_cast<double>(i + 1), -1.2));
     }
@@ -135,6 +136,7 @@
     CustomerGateway fleet(20, 2);
     CustomerDraw draw(20);
     std::vector<ClientId> clients;
+    clients.reserve(60);
     for (std::size_t i = 0; i < 60; ++i) {
       clients.push_back(fleet.Open(i % 20, i % 2 == 0 ? "primary" : "bounded"));
     }
--- a/tests/correctness/waiting_order_test.cc
+++ b/tests/correctness/waiting_order_test.cc
@@ -41,6 +41,7 @@
   // One customer sends many times its usual, two others as always.
   void LargeCustomerDelaysOthersByOneStatementAtATime() {
     std::vector<RunPtr> waiting;
+    waiting.reserve(8);
     for (int i = 0; i < 5; ++i) waiting.push_back(MakeRun("L", 100 + i));
     waiting.push_back(MakeRun("a", 200));
     waiting.push_back(MakeRun("b", 201));
