Send the lists of proxies when they are complete; settings of limits tested

Cause: after power returned a proxy got the list of its zone with the answer to its next report, up to half a second after control had it.

Change: control sends the lists when they become complete.

--- a/src/lacewingferry/decisions/switchover/fleet_control.cc
+++ b/src/lacewingferry/decisions/switchover/fleet_control.cc
@@ -185,6 +185,18 @@
   }
 }
 
+/** Tells all proxies the lists of their zones. Until they know them, proxies
+ * that aren't owners serve nobody. */
+void FleetControl::SendLists(steady_clock::time_point now) {
+  for (auto& [node, proxy] : this->proxies) {
+    const auto zone = this->directory.ProxiesIn(now, proxy.zone);
+    if (!zone || zone->digest == proxy.zone_digest) continue;
+    ProxyUpdate update = this->UpdateFor(now, &proxy);
+    update.zone = zone;
+    this->hooks.update(node, update);
+  }
+}
+
 /** Builds an update of what the proxy lacks. The proxy then counts as up to
  * date; if the update is lost, its next report shows what it still lacks. */
 ProxyUpdate FleetControl::UpdateFor(steady_clock::time_point now,
@@ -238,6 +250,8 @@
   if (report.incarnation > proxy.incarnation) proxy = Proxy{};
   proxy.incarnation = report.incarnation;
   proxy.configuration.OnReported(report.configuration_version);
+  proxy.zone = report.zone;
+  proxy.zone_digest = report.zone_digest;
   this->RedialIfAnswersLost(now, from, report, &proxy);
   proxy.last_report = now;
   proxy.fleet_revision = report.fleet_revision;
@@ -381,6 +395,7 @@
   }
   this->ProcessChanges(now);
   if (this->update_pending && now >= this->next_update) this->SendUpdates(now);
+  if (this->directory.TakeCompleted(now)) this->SendLists(now);
 }
 
 std::optional<steady_clock::time_point> FleetControl::NextWakeup() const {
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -146,6 +146,9 @@
  private:
   struct Proxy {
     std::uint64_t incarnation = 0;
+    AvailabilityZone zone;
+    /** The list of its zone's proxies that the proxy reported last. */
+    std::uint64_t zone_digest = 0;
     std::chrono::steady_clock::time_point last_report;
     /** The revision that the proxy reported or was sent since. */
     std::uint64_t fleet_revision = 0;
@@ -167,6 +170,7 @@
   ProxyUpdate UpdateFor(std::chrono::steady_clock::time_point now,
                         Proxy* proxy) const;
   void SendUpdates(std::chrono::steady_clock::time_point now);
+  void SendLists(std::chrono::steady_clock::time_point now);
   void AddPositions(std::chrono::steady_clock::time_point now,
                     const NodeId& proxy, ProxyUpdate* update) const;
   void Recall(const DatabaseStamp& current,
--- a/src/lacewingferry/decisions/switchover/zone_directory.cc
+++ b/src/lacewingferry/decisions/switchover/zone_directory.cc
@@ -25,6 +25,13 @@
   this->started_with_fleet = just_started;
   this->lists_in_use = false;
   this->given = false;
+  this->completion_taken = false;
+}
+
+bool ZoneDirectory::TakeCompleted(steady_clock::time_point now) {
+  if (this->completion_taken || this->zones.empty()) return false;
+  this->completion_taken = this->IsComplete(now);
+  return this->completion_taken;
 }
 
 bool ZoneDirectory::IsComplete(steady_clock::time_point now) const {
--- a/src/lacewingferry/decisions/switchover/zone_directory.h
+++ b/src/lacewingferry/decisions/switchover/zone_directory.h
@@ -34,6 +34,10 @@
   void OnReport(std::chrono::steady_clock::time_point now, const NodeId& node,
                 const AvailabilityZone& zone, bool draining, bool knows_list);
 
+  /** Whether the lists became complete since the last call. Proxies have to be
+   * told then, since their next reports may be far. */
+  bool TakeCompleted(std::chrono::steady_clock::time_point now);
+
   /** Removes the proxies whose last report is too old. */
   void DropSilent(std::chrono::steady_clock::time_point now);
 
@@ -62,6 +66,8 @@
   bool lists_in_use = false;
   /** Whether this process has given a list. */
   bool given = false;
+  /** Whether TakeCompleted has returned true. */
+  bool completion_taken = false;
   std::map<AvailabilityZone, LastReports> zones;
   /** The lists that were built since the last change. */
   std::map<AvailabilityZone, ZoneProxies> cache;
--- a/tests/correctness/zone_directory_test.cc
+++ b/tests/correctness/zone_directory_test.cc
@@ -32,6 +32,7 @@
     this->Report("p0", milliseconds(100));
     CPPUNIT_ASSERT(
         !this->directory.ProxiesIn(this->At(milliseconds(200)), kZone));
+    CPPUNIT_ASSERT(!this->directory.TakeCompleted(this->At(milliseconds(200))));
     this->Report("p1", milliseconds(900));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->Now().proxies.size());
   }
@@ -47,6 +48,8 @@
     const auto list =
         this->directory.ProxiesIn(this->At(milliseconds(500)), kZone);
     CPPUNIT_ASSERT(list.has_value());
+    CPPUNIT_ASSERT(this->directory.TakeCompleted(this->At(milliseconds(500))));
+    CPPUNIT_ASSERT(!this->directory.TakeCompleted(this->At(milliseconds(510))));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list->proxies.size());
     // A straggler, which reports a list that it was given by then.
     this->Report("p2", milliseconds(600), false);
