A limit that is set again starts with an overlap, as with a new leader

Cause: by reading. A customer's limit that a configuration removes and a next one sets again got a bucket that filled up to the whole capacity, while permits of the former bucket could be used for 1.8 s more.

Change: a bucket that doesn't know what is out starts empty and with the small capacity, whether the leader or the limit is new.

Measured: PermitGrantorTest has the case, and it and the property hold. The test wasn't run on the code before.

--- a/src/lacewingferry/decisions/rate_limit/permit_grantor.cc
+++ b/src/lacewingferry/decisions/rate_limit/permit_grantor.cc
@@ -37,17 +37,24 @@
   this->leader = leads;
   this->leading_term = term;
   this->last_account = 0;
-  this->former_permits_expire_at = now + this->settings.duration;
   for (auto& item : this->buckets) {
     Bucket& bucket = item.second;
     bucket.accounts.clear();
     bucket.orphans.clear();
     bucket.out = 0;
-    bucket.free = 0;
-    bucket.refilled_at = now;
+    this->StartEmpty(now, &bucket);
   }
 }
 
+/** Empties a bucket whose permits that are out aren't known: the customer may
+ * have been limited by another leader, or by this one a moment ago. */
+void PermitGrantor::StartEmpty(steady_clock::time_point now,
+                               Bucket* bucket) const {
+  bucket->free = 0;
+  bucket->refilled_at = now;
+  bucket->overlap_until = now + this->settings.duration;
+}
+
 void PermitGrantor::SetCustomers(steady_clock::time_point now,
                                  const std::vector<Customer>& customers) {
   std::map<CustomerId, Bucket> known;
@@ -58,10 +65,9 @@
     Bucket& bucket = this->buckets[customer.id];
     if (found != known.end()) {
       bucket = std::move(found->second);
-      this->Refill(now, &bucket);
+      Refill(now, &bucket);
     } else {
-      // Empty: the customer may have been limited a moment ago, too.
-      bucket.refilled_at = now;
+      this->StartEmpty(now, &bucket);
     }
     bucket.limit = *customer.limit;
     bucket.size = this->settings.tolerance.SizeFor(bucket.limit);
@@ -69,16 +75,15 @@
 }
 
 double PermitGrantor::Capacity(steady_clock::time_point now,
-                               const Bucket& bucket) const {
-  return now < this->former_permits_expire_at ? bucket.size.overlap_capacity
-                                              : bucket.size.capacity;
+                               const Bucket& bucket) {
+  return now < bucket.overlap_until ? bucket.size.overlap_capacity
+                                    : bucket.size.capacity;
 }
 
-void PermitGrantor::Refill(steady_clock::time_point now, Bucket* bucket) const {
+void PermitGrantor::Refill(steady_clock::time_point now, Bucket* bucket) {
   const std::chrono::duration<double> passed = now - bucket->refilled_at;
   bucket->refilled_at = now;
-  const double room =
-      this->Capacity(now, *bucket) - static_cast<double>(bucket->out);
+  const double room = Capacity(now, *bucket) - static_cast<double>(bucket->out);
   const double refilled = bucket->free + bucket->size.refill * passed.count();
   bucket->free = std::max(0.0, std::min(refilled, room));
 }
@@ -129,7 +134,7 @@
 std::uint64_t PermitGrantor::PermitsFor(steady_clock::time_point now,
                                         const Bucket& bucket,
                                         std::uint64_t held,
-                                        const PermitUse& use) const {
+                                        const PermitUse& use) {
   if (bucket.free < 1) return 0;
   const auto share =
       static_cast<std::uint64_t>(std::max(1.0, bucket.free / kGrantDivisor));
@@ -137,7 +142,7 @@
     return count > held ? count - held : 0;
   };
   const std::uint64_t urgent = std::min(missing(use.waiting), share);
-  const double ahead = this->Capacity(now, bucket) * kAheadShare -
+  const double ahead = Capacity(now, bucket) * kAheadShare -
                        static_cast<double>(bucket.out + urgent);
   const std::uint64_t more = std::min(missing(use.wanted), share) - urgent;
   if (ahead < 1) return urgent;
@@ -165,10 +170,9 @@
   DropOrphans(now, bucket);
   Account& account = this->AccountFor(now, from, incarnation, use, bucket);
   Settle(use, &account, bucket);
-  this->Refill(now, bucket);
+  Refill(now, bucket);
   account.expires_at = now + this->settings.duration;
-  const std::uint64_t granted =
-      this->PermitsFor(now, *bucket, account.Held(), use);
+  const std::uint64_t granted = PermitsFor(now, *bucket, account.Held(), use);
   account.granted += granted;
   bucket->out += granted;
   bucket->free -= static_cast<double>(granted);
@@ -181,7 +185,7 @@
     answer.next_permit = NextPermit(*bucket);
     this->ReportLimited(now, use.customer, bucket);
   }
-  const double capacity = this->Capacity(now, *bucket);
+  const double capacity = Capacity(now, *bucket);
   const auto out = static_cast<double>(bucket->out);
   if (out > capacity) {
     answer.keep = static_cast<std::uint64_t>(
@@ -255,7 +259,7 @@
   if (!this->leader) return;
   for (const auto& [customer, bucket] : this->buckets) {
     Bucket present = bucket;
-    this->Refill(now, &present);
+    Refill(now, &present);
     gauges->push_back({"ferry_customer_permits_out", "",
                        static_cast<double>(present.out), customer.Value()});
     gauges->push_back({"ferry_customer_permits_free", "",
--- a/src/lacewingferry/decisions/rate_limit/permit_grantor.h
+++ b/src/lacewingferry/decisions/rate_limit/permit_grantor.h
@@ -111,23 +111,27 @@
     /** Permits that proxies may still use. */
     std::uint64_t out = 0;
     std::chrono::steady_clock::time_point refilled_at;
+    /** Until then permits that this bucket doesn't know of may be used. */
+    std::chrono::steady_clock::time_point overlap_until;
     std::map<NodeId, Account> accounts;
     std::vector<Orphans> orphans;
     std::optional<std::chrono::steady_clock::time_point> reported_limited_at;
   };
 
-  double Capacity(std::chrono::steady_clock::time_point now,
-                  const Bucket& bucket) const;
-  void Refill(std::chrono::steady_clock::time_point now, Bucket* bucket) const;
+  static double Capacity(std::chrono::steady_clock::time_point now,
+                         const Bucket& bucket);
+  static void Refill(std::chrono::steady_clock::time_point now, Bucket* bucket);
+  void StartEmpty(std::chrono::steady_clock::time_point now,
+                  Bucket* bucket) const;
   Account& AccountFor(std::chrono::steady_clock::time_point now,
                       const NodeId& from, std::uint64_t incarnation,
                       const PermitUse& use, Bucket* bucket);
   PermitAccount Serve(std::chrono::steady_clock::time_point now,
                       const NodeId& from, std::uint64_t incarnation,
                       const PermitUse& use, Bucket* bucket);
-  std::uint64_t PermitsFor(std::chrono::steady_clock::time_point now,
-                           const Bucket& bucket, std::uint64_t held,
-                           const PermitUse& use) const;
+  static std::uint64_t PermitsFor(std::chrono::steady_clock::time_point now,
+                                  const Bucket& bucket, std::uint64_t held,
+                                  const PermitUse& use);
   static void Settle(const PermitUse& use, Account* account, Bucket* bucket);
   static std::chrono::milliseconds NextPermit(const Bucket& bucket);
   void ReportLimited(std::chrono::steady_clock::time_point now,
@@ -140,8 +144,6 @@
   bool leader = false;
   std::uint64_t leading_term = 0;
   std::uint64_t last_account = 0;
-  /** Until then a predecessor's permits may be used. */
-  std::chrono::steady_clock::time_point former_permits_expire_at;
   std::chrono::steady_clock::time_point next_check;
   std::map<CustomerId, Bucket> buckets;
 };
--- a/tests/correctness/permit_grantor_test.cc
+++ b/tests/correctness/permit_grantor_test.cc
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(PermitsOfASilentProxyCountAsUsed);
   CPPUNIT_TEST(LoweredLimitCallsPermitsBack);
   CPPUNIT_TEST(NewLeaderLetsOutNoMoreThanTheTolerance);
+  CPPUNIT_TEST(LimitThatIsRemovedAndSetAgainStartsEmpty);
   CPPUNIT_TEST(LimitCountsOverItsWindow);
   CPPUNIT_TEST(PermitsAheadOfDemandLeaveSomeForWaitingOperations);
   CPPUNIT_TEST(WithoutOfficeNothingIsGranted);
@@ -188,6 +189,15 @@
                    tolerance.Allowed(limit) + tolerance.Extra(limit));
   }
 
+  void LimitThatIsRemovedAndSetAgainStartsEmpty() {
+    Control control({1000, 1000});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1000}, control.TakeAll(kProxy));
+    control.grantor.SetCustomers(control.now, {});
+    control.grantor.SetCustomers(control.now, Limited(1000, 1000));
+    control.now += milliseconds(2400);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, control.TakeAll(kOther));
+  }
+
   // A steady customer gets what the limit allows in each window, of which the
   // burst is a part.
   void LimitCountsOverItsWindow() {
