An owner doesn't refuse a relayed session by an older configuration

By reading: it relays the session, and an owner that doesn't have the configuration yet refuses by its older one; the refusal is passed on.

Change: the line that opens a relayed session names the configuration by which the relaying proxy admitted it. An owner with an older one lets the opening wait until it has it.

Measured: RelayedSessionTest has the case of an added route and of one that never existed.

--- a/src/lacewingferry/decisions/gateway/admission.h
+++ b/src/lacewingferry/decisions/gateway/admission.h
@@ -29,6 +29,9 @@
   SessionOrigin origin = SessionOrigin::kClient;
   /** What the client presents to identify its customer. */
   std::string key{};
+  /** For kProxy: the configuration by which the relaying proxy admitted the
+   * session. This proxy doesn't decide by an older one. */
+  std::uint64_t least_version = 0;
 };
 
 /** Whether and where a new session is served. */
@@ -43,8 +46,8 @@
   kNoDatabase,
   /** The route needs a customer's key, and the client's is none. */
   kUnknownKey,
-  /** This proxy has no configuration yet, or does not know which proxies own
-   * the database. */
+  /** This proxy has no configuration yet or an older one than the proxy that
+   * relays the session, or does not know which proxies own the database. */
   kStarting,
 };
 
@@ -53,7 +56,10 @@
   AdmissionResult result = AdmissionResult::kStarting;
   /** For kRelayed: the proxies that may serve it, in the order in which to try
    * them. */
-  std::vector<NodeId> owners;
+  std::vector<NodeId> owners{};
+  /** For kRelayed: the configuration by which this proxy admitted the session.
+   */
+  std::uint64_t configuration_version = 0;
 };
 
 /** Receives the answer to a SessionOpening; called exactly once. */
--- a/src/lacewingferry/decisions/gateway/gateway_admission.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_admission.cc
@@ -63,7 +63,7 @@
   const std::vector<PendingOpening> refused(late, this->pending_openings.end());
   this->pending_openings.erase(late, this->pending_openings.end());
   for (const PendingOpening& pending : refused) {
-    pending.done(Admission{AdmissionResult::kStarting, {}});
+    pending.done(Admission{AdmissionResult::kStarting});
   }
 }
 
@@ -86,28 +86,34 @@
 
 Admission Gateway::Admit(steady_clock::time_point now,
                          const SessionOpening& opening) {
-  if (!this->view) return Admission{AdmissionResult::kStarting, {}};
+  // A client must not be refused for a route or a key that the relaying proxy
+  // knows from a newer configuration.
+  const bool outdated =
+      !this->view || this->view->configuration.version < opening.least_version;
+  if (outdated) return Admission{AdmissionResult::kStarting};
   const Route* route = this->view->configuration.FindRoute(opening.host);
-  if (route == nullptr) return Admission{AdmissionResult::kNoDatabase, {}};
+  if (route == nullptr) return Admission{AdmissionResult::kNoDatabase};
   const Customer* customer = nullptr;
   if (this->view->configuration.NeedsKey(*route)) {
     customer = this->view->FindCustomer(opening.key);
     if (customer == nullptr) {
       this->RecordRefusedKey(now, opening.host);
-      return Admission{AdmissionResult::kUnknownKey, {}};
+      return Admission{AdmissionResult::kUnknownKey};
     }
   }
   const CustomerId customer_id = customer ? customer->id : CustomerId();
   const bool owner = this->ServesHere(now, *route, customer_id);
   if (opening.origin == SessionOrigin::kProxy && (!owner || this->draining)) {
-    return Admission{AdmissionResult::kNotServedHere, {}};
+    return Admission{AdmissionResult::kNotServedHere};
   }
   if (!owner) {
     const auto& owners =
         this->view->groups.at(route->database).allocation.owners;
-    if (owners.empty()) return Admission{AdmissionResult::kStarting, {}};
-    return this->relayed.Add(opening, customer_id,
-                             RankOwners(route->database, customer_id, owners));
+    if (owners.empty()) return Admission{AdmissionResult::kStarting};
+    Admission admission = this->relayed.Add(
+        opening, customer_id, RankOwners(route->database, customer_id, owners));
+    admission.configuration_version = this->view->configuration.version;
+    return admission;
   }
   const auto session = std::make_shared<ClientSession>();
   session->id = opening.client;
@@ -117,7 +123,7 @@
   session->customer = customer_id;
   session->customer_priority = customer ? customer->priority : 0;
   this->sessions[opening.client] = session;
-  return Admission{AdmissionResult::kAccepted, {}};
+  return Admission{AdmissionResult::kAccepted};
 }
 
 /** The connection allocation of the group that a database name is routed to;
--- a/tests/correctness/platform_lines_test.cc
+++ b/tests/correctness/platform_lines_test.cc
@@ -75,6 +75,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string("u3"), opening.key);
     CPPUNIT_ASSERT(
         std::get<ClientOpens>(DecodeClientLine("STARTUP lepu")).key.empty());
+    for (const char* key : {"u3", ""}) {
+      const auto relayed = std::get<ClientOpens>(
+          DecodeClientLine(EncodeRelayedOpening({"lepu", key, 26})));
+      CPPUNIT_ASSERT_EQUAL(std::string("lepu"), relayed.host);
+      CPPUNIT_ASSERT_EQUAL(std::string(key), relayed.key);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{26}, relayed.least_version);
+    }
     CPPUNIT_ASSERT(
         std::holds_alternative<ClientQuits>(DecodeClientLine("QUIT")));
     for (const char* line : {"", "READY I -", "query 1 LOOKUP a"}) {
--- a/tests/correctness/relayed_session_test.cc
+++ b/tests/correctness/relayed_session_test.cc
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(SessionsAreSpreadOverOwners);
   CPPUNIT_TEST(RelayedSessionIsNotRelayedAgain);
   CPPUNIT_TEST(OpeningWaitsUntilAnOwnerIsKnown);
+  CPPUNIT_TEST(OwnerDoesNotRefuseByAnOlderConfiguration);
+  CPPUNIT_TEST(RelayedOpeningNamesItsConfiguration);
   CPPUNIT_TEST(NonOwnerClosesConnections);
   CPPUNIT_TEST(SessionsAreClosedWhenIdleAfterGroupMoved);
   CPPUNIT_TEST(StoppingProxyClosesIdleRelayedSessions);
@@ -101,6 +103,41 @@
     CPPUNIT_ASSERT(fixture.ResultFor(client) == AdmissionResult::kRelayed);
   }
 
+  // A route was added. The relaying proxy has it already and served a client by
+  // it; an owner that hasn't yet must not tell the next client that it doesn't
+  // exist.
+  void OwnerDoesNotRefuseByAnOlderConfiguration() {
+    RelayFixture owner(true);
+    Gateway& gateway = owner.gateway.Decisions();
+    std::vector<AdmissionResult> results;
+    const auto note = [&results](const Admission& admission) {
+      results.push_back(admission.result);
+    };
+    const std::uint64_t version = owner.gateway.view.configuration.version + 1;
+    gateway.Open(owner.gateway.Queue().Now(),
+                 {901, "added", SessionOrigin::kProxy, "", version}, note);
+    gateway.Open(owner.gateway.Queue().Now(),
+                 {902, "never", SessionOrigin::kProxy, "", version}, note);
+    owner.gateway.Run(milliseconds(300));
+    CPPUNIT_ASSERT(results.empty());
+    ServiceConfiguration& configuration = owner.gateway.view.configuration;
+    configuration.version = version;
+    configuration.routes.push_back(configuration.routes.front());
+    configuration.routes.back().host = "added";
+    owner.gateway.Publish();
+    CPPUNIT_ASSERT((
+        results == std::vector<AdmissionResult>{AdmissionResult::kAccepted,
+                                                AdmissionResult::kNoDatabase}));
+  }
+
+  void RelayedOpeningNamesItsConfiguration() {
+    RelayFixture fixture(false);
+    const ClientId client = fixture.gateway.Open("primary");
+    CPPUNIT_ASSERT_EQUAL(
+        fixture.gateway.view.configuration.version,
+        fixture.gateway.Admissions().at(client).configuration_version);
+  }
+
   void NonOwnerClosesConnections() {
     RelayFixture fixture(true);
     fixture.gateway.Run(milliseconds(3000));
