--- a/tests/correctness/waiting_order_test.cc
+++ b/tests/correctness/waiting_order_test.cc
@@ -11,14 +11,14 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-RunPtr MakeRun(const std::string& customer, int deadline_ms,
+RunPtr MakeRun(const std::string& customer, milliseconds deadline,
                std::uint32_t priority = 1,
                std::uint32_t customer_priority = 0) {
   auto run = std::make_shared<StatementRun>();
   run->customer = CustomerId(customer);
   run->customer_priority = customer_priority;
   run->priority = priority;
-  run->deadline = steady_clock::time_point() + milliseconds(deadline_ms);
+  run->deadline = steady_clock::time_point() + deadline;
   return run;
 }
 
@@ -42,32 +42,36 @@
   void LargeCustomerDelaysOthersByOneStatementAtATime() {
     std::vector<RunPtr> waiting;
     waiting.reserve(8);
-    for (int i = 0; i < 5; ++i) waiting.push_back(MakeRun("L", 100 + i));
-    waiting.push_back(MakeRun("a", 200));
-    waiting.push_back(MakeRun("b", 201));
-    waiting.push_back(MakeRun("b", 202));
+    for (int i = 0; i < 5; ++i)
+      waiting.push_back(MakeRun("L", milliseconds(100 + i)));
+    waiting.push_back(MakeRun("a", milliseconds(200)));
+    waiting.push_back(MakeRun("b", milliseconds(201)));
+    waiting.push_back(MakeRun("b", milliseconds(202)));
     SortFairly(&waiting);
     CPPUNIT_ASSERT_EQUAL(std::string("LabLbLLL"), Names(waiting));
   }
 
   void UrgentRoutesGoFirst() {
-    std::vector<RunPtr> waiting = {MakeRun("a", 100, 2), MakeRun("b", 300, 0),
-                                   MakeRun("b", 301, 0)};
+    std::vector<RunPtr> waiting = {MakeRun("a", milliseconds(100), 2),
+                                   MakeRun("b", milliseconds(300), 0),
+                                   MakeRun("b", milliseconds(301), 0)};
     SortFairly(&waiting);
     CPPUNIT_ASSERT_EQUAL(std::string("bba"), Names(waiting));
   }
 
   void UrgentCustomersGoFirstWithinATurn() {
-    std::vector<RunPtr> waiting = {
-        MakeRun("a", 100, 1, 2), MakeRun("a", 101, 1, 2),
-        MakeRun("b", 300, 1, 0), MakeRun("b", 301, 1, 0)};
+    std::vector<RunPtr> waiting = {MakeRun("a", milliseconds(100), 1, 2),
+                                   MakeRun("a", milliseconds(101), 1, 2),
+                                   MakeRun("b", milliseconds(300), 1, 0),
+                                   MakeRun("b", milliseconds(301), 1, 0)};
     SortFairly(&waiting);
     CPPUNIT_ASSERT_EQUAL(std::string("baba"), Names(waiting));
   }
 
   void WithoutCustomersTheDeadlineDecides() {
-    std::vector<RunPtr> waiting = {MakeRun("", 300), MakeRun("", 100),
-                                   MakeRun("", 400, 0), MakeRun("", 200)};
+    std::vector<RunPtr> waiting = {
+        MakeRun("", milliseconds(300)), MakeRun("", milliseconds(100)),
+        MakeRun("", milliseconds(400), 0), MakeRun("", milliseconds(200))};
     SortFairly(&waiting);
     CPPUNIT_ASSERT(
         std::is_sorted(waiting.begin(), waiting.end(), ServedBefore));
@@ -80,7 +84,7 @@
       state = state * 1664525U + 1013904223U;
       const RunPtr run =
           MakeRun(std::string(1, static_cast<char>('a' + (state >> 20U) % 5)),
-                  static_cast<int>((state >> 8U) % 500), (state >> 4U) % 3);
+                  milliseconds((state >> 8U) % 500), (state >> 4U) % 3);
       const std::size_t place = CountServedBefore(waiting, run);
       waiting.push_back(run);
       SortFairly(&waiting);
