--- a/src/lacewingferry/decisions/rate_limit/limit_tolerance.h
+++ b/src/lacewingferry/decisions/rate_limit/limit_tolerance.h
@@ -15,8 +15,8 @@
 struct BucketSize {
   /** The most permits that are free or out. */
   double capacity = 0;
-  /** The same for a new control leader, while its predecessor's permits may be
-   * used. */
+  /** The same while permits may be used that the bucket doesn't know of: those
+   * of another control leader, or of the limit before it was removed. */
   double overlap_capacity = 0;
   /** Permits per second that become free. */
   double refill = 0;
