--- a/tests/correctness/permit_property_test.cc
+++ b/tests/correctness/permit_property_test.cc
@@ -204,8 +204,9 @@
 
   void Fail() {
     const auto now = this->queue.Now();
-    Proxy& proxy = this->proxies[static_cast<std::size_t>(
-        this->Below(static_cast<int>(this->proxies.size())))];
+    const auto number = static_cast<std::size_t>(
+        this->Below(static_cast<int>(this->proxies.size())));
+    Proxy& proxy = this->proxies[number];
     const milliseconds length(this->Below(4000));
     switch (this->Below(5)) {
       case 0:
@@ -215,10 +216,7 @@
         proxy.frozen_until = now + length;
         break;
       case 2:
-        ++proxy.run;
-        proxy.holder = std::make_unique<PermitHolder>();
-        proxy.holder->SetCustomers(
-            {Customer{kCustomer, {}, 0, RateLimit{1, 1}}});
+        this->StartProxy(number);
         break;
       case 3:
         // Three changes of the leader within the life of a permit are beyond
