Tell what is prepared on a connection, and where a statement ran

What a proxy prepares at a member wasn't logged, nor on which connection a statement ran. No logic changes.

--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -64,6 +64,8 @@
       return "key_withdrawn";
     case EventCode::kCustomerLimited:
       return "customer_limited";
+    case EventCode::kStatementPrepared:
+      return "statement_prepared";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -35,6 +35,7 @@
   kKeyRefused = 3108,
   kKeyWithdrawn = 3109,
   kCustomerLimited = 3110,
+  kStatementPrepared = 3111,
   kReplicaPassedOver = 3201,
   kReplicaTakenBack = 3202,
   kPeerMessageRejected = 4001,
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -168,6 +168,7 @@
                               const MemberReply& reply);
   void ReleaseOrCloseLink(std::chrono::steady_clock::time_point now,
                           LinkId link, bool clean);
+  void RecordPrepared(LinkId link, const MemberRequest& request) const;
   void OnResult(std::chrono::steady_clock::time_point now, LinkId link,
                 Flight flight, const MemberReply& reply);
   void OnRefusal(std::chrono::steady_clock::time_point now, MemberPool& pool,
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -11,6 +11,8 @@
 
 /** How many times a statement is sent at most. */
 constexpr int kMaxAttempts = 4;
+/** The part of a prepared statement's shape that is logged. */
+constexpr std::size_t kLoggedShapeBytes = 80;
 
 }  // namespace
 
@@ -154,7 +156,12 @@
   const MemberRequest request = std::move(flight.expected.front());
   flight.expected.pop_front();
   Link* used = this->PoolOf(link)->Find(link);
-  if (!reply.error) used->state.OnRequestDone(request);
+  if (!reply.error) {
+    used->state.OnRequestDone(request);
+    if (request.kind == MemberRequestKind::kPrepare) {
+      this->RecordPrepared(link, request);
+    }
+  }
   const bool last = flight.expected.empty() && flight.next.empty();
   if (last) {
     Flight ended = std::move(found->second);
@@ -174,6 +181,20 @@
   if (flight.expected.empty()) this->SendNext(link, flight);
 }
 
+void GroupTraffic::RecordPrepared(LinkId link,
+                                  const MemberRequest& request) const {
+  this->hooks.events.record(
+      Event{EventCode::kStatementPrepared,
+            EventLevel::kInfo,
+            {{"database", this->database.Value()},
+             {"member", this->member_of_link.at(link).Value()},
+             {"link", std::to_string(link)},
+             {"name", request.name.substr(0, kLoggedShapeBytes)},
+             {"writes", request.prepares_write ? "yes" : "no"},
+             {"shape", request.argument.substr(0, kLoggedShapeBytes)},
+             {"shape_bytes", std::to_string(request.argument.size())}}});
+}
+
 void GroupTraffic::OnResult(steady_clock::time_point now, LinkId link,
                             Flight flight, const MemberReply& reply) {
   const RunPtr run = flight.run;
@@ -188,6 +209,7 @@
   run->links.erase(link);
   MemberPool& pool = *this->PoolOf(link);
   run->served_by = pool.Info().id;
+  run->served_on = link;
   if (reply.error) {
     this->OnRefusal(now, pool, link, flight, reply);
   } else {
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -64,8 +64,9 @@
   bool hedged = false;
   std::chrono::steady_clock::time_point hedge_at;
   bool ended = false;
-  /** The member that answered. */
+  /** The member that answered, and on which connection; 0 for none. */
   MemberId served_by;
+  LinkId served_on = 0;
 
   /** Whether it may be sent again even if a member may already have run it. */
   bool IsRepeatable() const { return !this->writes && !this->in_transaction; }
