Prepared statements run as others: tests that fail

What callers saw: a prepared statement ran in another shape than prepared, a read as another read or as a write; executions failed as unknown. Change: PreparedShapesTest plays a gateway before members that read its lines as the page has them, by code of its own: 200 executions with shapes of several words, and a property over any text of a client. ProcessesPreparedShapesTest does it with real processes. The stand-in of the platform keeps the shape of what is prepared, splits lines at single blanks as the page says, and records what it ran.

--- a/bench/model/session_gateway.cc
+++ b/bench/model/session_gateway.cc
@@ -141,7 +141,11 @@
     this->members.Open(link, target);
   };
   hooks.send = [this](LinkId link, const std::vector<MemberRequest>& requests) {
-    this->members.Send(link, requests);
+    if (this->on_send) {
+      this->on_send(link, requests);
+    } else {
+      this->members.Send(link, requests);
+    }
   };
   hooks.close_link = [this](LinkId link) { this->members.Close(link); };
   hooks.recalled = [this](const DatabaseId&, std::uint64_t before_term,
@@ -213,12 +217,15 @@
 
 RequestId SessionGateway::Ask(ClientId client, const std::string& text) {
   RequestId id("q" + std::to_string(++this->last_request));
-  this->asked[client].push_back(id);
-  this->gateway->OnStatement(this->queue.Now(), client,
-                             MakeStatement(id, text));
+  this->Ask(client, MakeStatement(id, text));
   return id;
 }
 
+void SessionGateway::Ask(ClientId client, const ClientStatement& statement) {
+  this->asked[client].push_back(statement.id);
+  this->gateway->OnStatement(this->queue.Now(), client, statement);
+}
+
 void SessionGateway::Run(milliseconds length) {
   this->queue.RunUntil(this->queue.Now() + length);
 }
--- a/bench/model/session_gateway.h
+++ b/bench/model/session_gateway.h
@@ -55,6 +55,8 @@
   }
   /** Sends a statement; returns its identifier. */
   RequestId Ask(ClientId client, const std::string& text);
+  /** The same with a statement that was decoded already. */
+  void Ask(ClientId client, const ClientStatement& statement);
   /** Lets the time pass. */
   void Run(std::chrono::milliseconds length);
   /** Asks, and lets time pass until the answer or for two seconds. */
@@ -77,6 +79,9 @@
   GatewayView view;
   /** Gets the gateway's requests for permits, if it is set. */
   std::function<void(const PermitRequest&)> on_permit_request;
+  /** Gets the requests to members in place of the model's members, if it is
+   * set. */
+  std::function<void(LinkId, const std::vector<MemberRequest>&)> on_send;
 
  private:
   GatewayHooks Hooks();
--- a/standin/platform/platform_group.cc
+++ b/standin/platform/platform_group.cc
@@ -1,16 +1,17 @@
 #include "standin/platform/platform_group.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace lacewingferry::standin {
 namespace {
 
-std::vector<std::string> Words(const std::string& text) {
-  std::istringstream in(text);
-  std::vector<std::string> words;
-  for (std::string word; in >> word;) words.push_back(word);
-  return words;
+/** Takes a field that isn't the last one off the front of a line: all up to the
+ * next blank. */
+std::string TakeWord(std::string* rest) {
+  const std::size_t end = rest->find(' ');
+  std::string word = rest->substr(0, end);
+  rest->erase(0, end == std::string::npos ? end : end + 1);
+  return word;
 }
 
 std::string Failure(const std::string& code, const std::string& text) {
@@ -110,43 +111,25 @@
   }
 }
 
-std::string PlatformGroup::Answer(Time now, PlatformConnection& connection,
-                                  const std::string& request,
-                                  const std::string& text) {
-  std::vector<std::string> words = Words(text);
-  const std::size_t member = connection.member;
-  Member& asked = this->members[member];
-  const std::string digest = "d." + request + "." + std::to_string(member);
-  if (words.size() > 2 && words[0] == "AFTER") {
-    const auto wanted = std::stoull(words[1].substr(words[1].find('.') + 1));
-    if (this->Applied(now, member) < wanted) {
-      return Failure("LAGGING", this->IdOf(member));
-    }
-    words.erase(words.begin(), words.begin() + 2);
-  }
-  if (words.empty()) return Failure("MALFORMED", "empty");
-  if (words[0] == "EXECUTE" && words.size() > 1) {
-    const auto found = connection.prepared.find(words[1]);
-    if (found == connection.prepared.end()) {
-      return Failure("NOSTMT", words[1]);
-    }
-    words.erase(words.begin(), words.begin() + 2);
-    words.insert(words.begin(), found->second);
+std::optional<std::string> PlatformGroup::AnswerCommand(
+    Time now, PlatformConnection& connection, const std::string& verb,
+    std::string rest) {
+  Member& asked = this->members[connection.member];
+  if (verb == "STATUS" || verb == "STEPDOWN") {
+    return this->Status(now, connection.member);
   }
-  const std::string verb = words[0];
-  if (verb == "STATUS") return this->Status(now, member);
-  if (verb == "PAUSE" && words.size() > 1) {
-    if (!asked.primary) asked.paused = std::stoull(words[1]);
-    return this->Status(now, member);
+  if (verb == "PAUSE" && !rest.empty()) {
+    if (!asked.primary) asked.paused = std::stoull(rest);
+    return this->Status(now, connection.member);
   }
   if (verb == "RESUME") {
     asked.paused = 0;
     asked.received = this->log.size();
-    return this->Status(now, member);
+    return this->Status(now, connection.member);
   }
-  if (verb == "STEPDOWN") return this->Status(now, member);
-  if (verb == "SET" && words.size() > 2) {
-    connection.values[words[1]] = words[2];
+  if (verb == "SET" && !rest.empty()) {
+    const std::string key = TakeWord(&rest);
+    connection.values[key] = rest;
     return Done("-");
   }
   if (verb == "RESET") {
@@ -154,12 +137,45 @@
     connection.prepared.clear();
     return Done("-");
   }
-  if (verb == "PREPARE" && words.size() > 3) {
-    connection.prepared[words[1]] = words[2];
+  if (verb == "PREPARE") {
+    const std::string key = TakeWord(&rest);
+    const std::string prepared = TakeWord(&rest);
+    const bool known = prepared == "LOOKUP" || prepared == "STORE";
+    if (key.empty() || !known || rest.empty()) return std::nullopt;
+    connection.prepared[key] = {prepared, rest};
     return Done("-");
   }
+  return std::nullopt;
+}
+
+std::string PlatformGroup::Answer(Time now, PlatformConnection& connection,
+                                  const std::string& request,
+                                  const std::string& text) {
+  std::string rest = text;
+  std::string verb = TakeWord(&rest);
+  const std::size_t member = connection.member;
+  Member& asked = this->members[member];
+  const std::string digest = "d." + request + "." + std::to_string(member);
+  std::optional<PlatformExecution> execution;
+  if (verb == "AFTER") {
+    const std::string position = TakeWord(&rest);
+    const auto wanted = std::stoull(position.substr(position.find('.') + 1));
+    if (this->Applied(now, member) < wanted) {
+      return Failure("LAGGING", this->IdOf(member));
+    }
+    verb = TakeWord(&rest);
+  }
+  if (verb == "EXECUTE") {
+    const std::string key = TakeWord(&rest);
+    const auto found = connection.prepared.find(key);
+    if (found == connection.prepared.end()) return Failure("NOSTMT", key);
+    execution = PlatformExecution{request, found->second, rest};
+    verb = execution->prepared.verb;
+  }
+  const auto answer = this->AnswerCommand(now, connection, verb, rest);
+  if (answer) return *answer;
   if (verb == "BEGIN") {
-    if (words.size() == 1 && !asked.primary) {
+    if (rest.empty() && !asked.primary) {
       return Failure("READONLY", this->IdOf(member));
     }
     connection.in_transaction = true;
@@ -177,12 +193,15 @@
     connection.written.clear();
     return Done(digest);
   }
-  if (verb == "LOOKUP" && words.size() > 1) {
-    return this->Lookup(this->Applied(now, member), words[1]) + Done(digest);
+  if (verb == "LOOKUP" && !rest.empty()) {
+    if (execution) this->executions.push_back(*execution);
+    return this->Lookup(this->Applied(now, member), rest) + Done(digest);
   }
-  if (verb == "STORE" && words.size() > 2) {
+  if (verb == "STORE" && rest.find(' ') != std::string::npos) {
     if (!asked.primary) return Failure("READONLY", this->IdOf(member));
-    connection.written.emplace_back(words[1], words[2]);
+    if (execution) this->executions.push_back(*execution);
+    const std::string item = TakeWord(&rest);
+    connection.written.emplace_back(item, rest);
     if (!connection.in_transaction) {
       this->Commit(now, member, connection.written);
       connection.written.clear();
--- a/standin/platform/platform_group.h
+++ b/standin/platform/platform_group.h
@@ -13,12 +13,26 @@
 
 namespace lacewingferry::standin {
 
+/** What a prepared name stands for. */
+struct PlatformPrepared {
+  /** LOOKUP or STORE. */
+  std::string verb;
+  std::string shape;
+};
+
+/** A prepared statement that a member ran. */
+struct PlatformExecution {
+  std::string request;
+  PlatformPrepared prepared;
+  /** The item, and the data if there are any. */
+  std::string arguments;
+};
+
 /** What a connection to a member holds. */
 struct PlatformConnection {
   std::size_t member = 0;
   std::map<std::string, std::string> values;
-  /** The verb and shape of each prepared name. */
-  std::map<std::string, std::string> prepared;
+  std::map<std::string, PlatformPrepared> prepared;
   bool in_transaction = false;
   std::vector<std::pair<std::string, std::string>> written;
 };
@@ -61,6 +75,10 @@
   std::optional<std::string> Stored(const std::string& item) const;
   /** How often an item was stored. */
   std::size_t Stores(const std::string& item) const;
+  /** The prepared statements that ran, in their order. */
+  const std::vector<PlatformExecution>& Executions() const {
+    return this->executions;
+  }
 
  private:
   struct Entry {
@@ -77,6 +95,12 @@
     std::size_t received = 0;
   };
 
+  /** Answers a command that neither reads nor writes items; none if the verb is
+   * another one. */
+  std::optional<std::string> AnswerCommand(Time now,
+                                           PlatformConnection& connection,
+                                           const std::string& verb,
+                                           std::string rest);
   std::string Status(Time now, std::size_t member) const;
   std::string Lookup(std::size_t applied, const std::string& item) const;
   void Commit(Time now, std::size_t member,
@@ -88,6 +112,7 @@
   std::chrono::milliseconds lag;
   std::vector<Member> members;
   std::vector<Entry> log;
+  std::vector<PlatformExecution> executions;
   std::uint64_t term = 1;
 };
 
--- a/standin/platform/platform_standin.cc
+++ b/standin/platform/platform_standin.cc
@@ -294,6 +294,10 @@
   return this->impl->Call([&] { return this->impl->Group().Stored(item); });
 }
 
+std::vector<PlatformExecution> PlatformStandin::Executions() {
+  return this->impl->Call([&] { return this->impl->Group().Executions(); });
+}
+
 std::size_t PlatformStandin::Stores(const std::string& item) {
   return this->impl->Call([&] { return this->impl->Group().Stores(item); });
 }
--- a/standin/platform/platform_standin.h
+++ b/standin/platform/platform_standin.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "lacewingferry/core/routing_view.h"
+#include "standin/platform/platform_group.h"
 
 namespace lacewingferry::standin {
 
@@ -60,6 +61,8 @@
   /** What the primary has of an item, and how often it was stored. */
   std::optional<std::string> Stored(const std::string& item);
   std::size_t Stores(const std::string& item);
+  /** The prepared statements that members ran, in their order. */
+  std::vector<PlatformExecution> Executions();
 
  private:
   class Impl;
--- /dev/null
+++ b/tests/support/line_member.cc
@@ -0,0 +1,85 @@
+#include "tests/support/line_member.h"
+
+#include <utility>
+
+namespace lacewingferry::testing {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+
+/** Takes a field that isn't the last one: all up to the next blank. */
+std::string TakeField(std::string* rest) {
+  const std::size_t end = rest->find(' ');
+  std::string field = rest->substr(0, end);
+  rest->erase(0, end == std::string::npos ? end : end + 1);
+  return field;
+}
+
+}  // namespace
+
+std::vector<std::string> LineMember::Take(std::string_view bytes) {
+  this->input.append(bytes);
+  std::vector<std::string> lines;
+  for (std::size_t end = this->input.find(kLineEnd); end != std::string::npos;
+       end = this->input.find(kLineEnd)) {
+    std::string rest = this->input.substr(0, end);
+    this->input.erase(0, end + kLineEnd.size());
+    const std::string word = TakeField(&rest);
+    const std::string id = TakeField(&rest);
+    lines.push_back(word == "QUERY" && !id.empty() ? this->Answer(id, rest)
+                                                   : "ERROR MALFORMED " + word);
+    lines.push_back(this->in_transaction ? "READY T 1.1" : "READY I 1.1");
+  }
+  return lines;
+}
+
+std::string LineMember::Answer(const std::string& id, std::string text) {
+  std::string rest = text;
+  std::string verb = TakeField(&rest);
+  if (verb == "AFTER") {
+    TakeField(&rest);
+    verb = TakeField(&rest);
+  }
+  if (verb == "EXECUTE") return this->Execute(id, rest);
+  if (verb == "LOOKUP" || verb == "STORE") {
+    return this->Run({id, verb, false, "", rest, this->values});
+  }
+  if (verb == "SET") {
+    const std::string name = TakeField(&rest);
+    this->values[name] = rest;
+    return "DONE -";
+  }
+  if (verb == "RESET") {
+    this->values.clear();
+    this->prepared.clear();
+    return "DONE -";
+  }
+  if (verb == "PREPARE") {
+    const std::string name = TakeField(&rest);
+    const std::string prepares = TakeField(&rest);
+    if (prepares != "LOOKUP" && prepares != "STORE") return "ERROR MALFORMED -";
+    this->prepared[name] = {prepares, rest};
+    return "DONE -";
+  }
+  if (verb == "BEGIN" || verb == "COMMIT" || verb == "ROLLBACK") {
+    this->in_transaction = verb == "BEGIN";
+    return "DONE d." + id;
+  }
+  return "ERROR MALFORMED " + verb;
+}
+
+std::string LineMember::Execute(const std::string& id, std::string text) {
+  const std::string name = TakeField(&text);
+  const auto found = this->prepared.find(name);
+  if (found == this->prepared.end()) return "ERROR NOSTMT " + name;
+  return this->Run(
+      {id, found->second.verb, true, found->second.shape, text, this->values});
+}
+
+std::string LineMember::Run(LineRun run) {
+  std::string answer = "DONE d." + run.id;
+  this->runs.push_back(std::move(run));
+  return answer;
+}
+
+}  // namespace lacewingferry::testing
--- /dev/null
+++ b/tests/support/line_member.h
@@ -0,0 +1,55 @@
+#ifndef LACEWINGFERRY_TESTS_SUPPORT_LINE_MEMBER_H_
+#define LACEWINGFERRY_TESTS_SUPPORT_LINE_MEMBER_H_
+
+// Defines LineMember, a member's end of a connection that reads lines as the
+// platform's page has them, independent of the code that writes them.
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingferry::testing {
+
+/** A read or write that a member ran, as the member read it. */
+struct LineRun {
+  std::string id;
+  /** LOOKUP or STORE. */
+  std::string verb;
+  /** Whether it was prepared, and then its shape. */
+  bool prepared = false;
+  std::string shape;
+  /** All after the verb, or after the name of a prepared statement. */
+  std::string arguments;
+  /** The connection's values. */
+  std::map<std::string, std::string> values;
+};
+
+/** One connection at a member. */
+class LineMember {
+ public:
+  /** Takes bytes; returns the lines of the answers to all that is whole. */
+  std::vector<std::string> Take(std::string_view bytes);
+
+  const std::vector<LineRun>& Runs() const { return this->runs; }
+
+ private:
+  struct Prepared {
+    std::string verb;
+    std::string shape;
+  };
+
+  std::string Answer(const std::string& id, std::string text);
+  std::string Execute(const std::string& id, std::string text);
+  std::string Run(LineRun run);
+
+  std::string input;
+  std::map<std::string, std::string> values;
+  std::map<std::string, Prepared> prepared;
+  bool in_transaction = false;
+  std::vector<LineRun> runs;
+};
+
+}  // namespace lacewingferry::testing
+
+#endif  // LACEWINGFERRY_TESTS_SUPPORT_LINE_MEMBER_H_
