--- a/bench/model/session_members.cc
+++ b/bench/model/session_members.cc
@@ -86,7 +86,7 @@
                                    const MemberRequest& request) const {
   if (request.kind == MemberRequestKind::kStatement) return request.text;
   if (request.kind != MemberRequestKind::kExecute) return "";
-  const auto prepared = link.prepared.find(request.name);
+  const auto prepared = link.prepared.find(request.prepared);
   if (prepared == link.prepared.end()) return "";
   return (prepared->second.prepares_write ? "STORE " : "LOOKUP ") +
          request.argument;
@@ -144,7 +144,7 @@
       link.values[request.name] = request.argument;
       break;
     case MemberRequestKind::kPrepare:
-      link.prepared[request.name] = request;
+      link.prepared[request.prepared] = request;
       break;
     case MemberRequestKind::kRollback:
       link.in_transaction = false;
--- a/bench/model/session_members.h
+++ b/bench/model/session_members.h
@@ -116,7 +116,7 @@
     CustomerId customer;
     bool open = false;
     std::map<std::string, std::string> values;
-    std::map<std::string, MemberRequest> prepared;
+    std::map<PreparedNumber, MemberRequest> prepared;
     bool in_transaction = false;
     bool wrote = false;
     std::deque<MemberRequest> requests;
--- a/src/lacewingferry/core/member_request.h
+++ b/src/lacewingferry/core/member_request.h
@@ -20,6 +20,10 @@
 /** Names a connection to a member within one process; never used again. */
 using LinkId = std::uint64_t;
 
+/** Names a prepared statement on one connection to a member; never used again
+ * on it. It is a number, so that no text of a client is part of a name. */
+using PreparedNumber = std::uint64_t;
+
 /** Which member a connection leads to. */
 struct LinkTarget {
   DatabaseId database;
@@ -36,7 +40,7 @@
   kStatement,
   kSetValue,
   kPrepare,
-  /** Runs a prepared statement by its name on this connection. */
+  /** Runs a prepared statement by its number on this connection. */
   kExecute,
   kRollback,
   /** Forgets all values and prepared statements of the connection. */
@@ -55,9 +59,15 @@
   MemberRequestKind kind = MemberRequestKind::kStatement;
   /** The client's identifier; empty for the system's own requests. */
   RequestId id{};
+  /** For kStatement. */
   std::string text{};
+  /** For kSetValue. */
   std::string name{};
+  /** For kSetValue the value, for kPrepare the shape, for kExecute the
+   * arguments. */
   std::string argument{};
+  /** For kPrepare and kExecute. */
+  PreparedNumber prepared = 0;
   bool prepares_write = false;
   /** The member refuses unless its log has this position. */
   std::optional<LogPosition> least_position{};
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -156,7 +156,7 @@
   void Send(std::chrono::steady_clock::time_point now, MemberPool& pool,
             LinkId link, const RunPtr& run);
   void SendPinned(std::chrono::steady_clock::time_point now, const RunPtr& run);
-  MemberRequest RequestFor(const RunPtr& run) const;
+  MemberRequest RequestFor(const RunPtr& run, PreparedNumber prepared) const;
   void SendNext(LinkId link, Flight& flight);
   void UnpinLost(LinkId link, bool in_flight);
   void OnLastLinkLost(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -16,14 +16,15 @@
 
 }  // namespace
 
-MemberRequest GroupTraffic::RequestFor(const RunPtr& run) const {
+MemberRequest GroupTraffic::RequestFor(const RunPtr& run,
+                                       PreparedNumber prepared) const {
   MemberRequest request;
   request.id = run->statement.id;
   request.text = run->statement.text;
   if (!run->in_transaction) request.least_position = run->least_position;
   if (run->statement.kind == StatementKind::kExecute) {
     request.kind = MemberRequestKind::kExecute;
-    request.name = run->session->FindPrepared(run->statement)->SharedName();
+    request.prepared = prepared;
     request.argument = run->statement.argument;
   }
   return request;
@@ -47,8 +48,9 @@
       run->statement.kind == StatementKind::kExecute
           ? run->session->FindPrepared(run->statement)
           : nullptr;
-  flight.next = used.state.SetupRequests(*run->session, prepared);
-  flight.next.push_back(this->RequestFor(run));
+  LinkSetup setup = used.state.SetupFor(*run->session, prepared);
+  flight.next = std::move(setup.requests);
+  flight.next.push_back(this->RequestFor(run, setup.prepared));
   Flight& stored = this->flights[link] = std::move(flight);
   this->SendNext(link, stored);
 }
@@ -189,7 +191,7 @@
             {{"database", this->database.Value()},
              {"member", this->member_of_link.at(link).Value()},
              {"link", std::to_string(link)},
-             {"name", request.name.substr(0, kLoggedShapeBytes)},
+             {"number", std::to_string(request.prepared)},
              {"writes", request.prepares_write ? "yes" : "no"},
              {"shape", request.argument.substr(0, kLoggedShapeBytes)},
              {"shape_bytes", std::to_string(request.argument.size())}}});
@@ -308,7 +310,10 @@
   const bool not_run = error == StatementError::kBusy ||
                        error == StatementError::kLagging ||
                        error == StatementError::kReadOnly || link_state_unknown;
-  if (!not_run && !run->IsRepeatable()) {
+  // No member takes what can't be put into a line.
+  const bool hopeless =
+      error == StatementError::kTooLarge || error == StatementError::kMalformed;
+  if (hopeless || (!not_run && !run->IsRepeatable())) {
     this->Fail(now, run, error, reply.error_text);
     return;
   }
--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -12,10 +12,6 @@
 
 }  // namespace
 
-std::string PreparedStatement::SharedName() const {
-  return (this->writes ? "w_" : "r_") + this->shape;
-}
-
 std::optional<ClientReply> SessionState::ServeLocally(
     const ClientStatement& statement) {
   const bool full = this->values.size() >= kMaxSessionEntries ||
@@ -61,14 +57,14 @@
   return surplus || this->prepared.size() > kMaxPrepared;
 }
 
-std::vector<MemberRequest> LinkState::SetupRequests(
-    const SessionState& session, const PreparedStatement* statement) const {
-  std::vector<MemberRequest> requests;
+LinkSetup LinkState::SetupFor(const SessionState& session,
+                              const PreparedStatement* statement) {
+  LinkSetup setup;
   const bool reset = this->NeedsReset(session);
   if (reset) {
     MemberRequest request;
     request.kind = MemberRequestKind::kReset;
-    requests.push_back(request);
+    setup.requests.push_back(request);
   }
   for (const auto& [name, value] : session.values) {
     const auto held = this->values.find(name);
@@ -77,18 +73,22 @@
     request.kind = MemberRequestKind::kSetValue;
     request.name = name;
     request.argument = value;
-    requests.push_back(request);
+    setup.requests.push_back(request);
+  }
+  if (statement == nullptr) return setup;
+  const auto held = this->prepared.find(*statement);
+  if (!reset && held != this->prepared.end()) {
+    setup.prepared = held->second;
+    return setup;
   }
-  if (statement == nullptr) return requests;
-  const std::string name = statement->SharedName();
-  if (!reset && this->prepared.count(name) > 0) return requests;
   MemberRequest request;
   request.kind = MemberRequestKind::kPrepare;
-  request.name = name;
+  request.prepared = ++this->last_number;
   request.argument = statement->shape;
   request.prepares_write = statement->writes;
-  requests.push_back(request);
-  return requests;
+  setup.requests.push_back(request);
+  setup.prepared = request.prepared;
+  return setup;
 }
 
 void LinkState::OnRequestDone(const MemberRequest& request) {
@@ -101,7 +101,8 @@
       this->values[request.name] = request.argument;
       return;
     case MemberRequestKind::kPrepare:
-      this->prepared.insert(request.name);
+      this->prepared[{request.prepares_write, request.argument}] =
+          request.prepared;
       return;
     default:
       return;
--- a/src/lacewingferry/decisions/gateway/session_state.h
+++ b/src/lacewingferry/decisions/gateway/session_state.h
@@ -6,8 +6,8 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "lacewingferry/core/client_statement.h"
@@ -15,16 +15,17 @@
 
 namespace lacewingferry {
 
-/** A prepared statement of a session. Its name on members' connections
- * depends only on its shape and on whether it writes, so that sessions can
- * share it. */
+/** A prepared statement of a session. Sessions that prepare the same one share
+ * it on members' connections. */
 struct PreparedStatement {
   bool writes = false;
   std::string shape;
-
-  std::string SharedName() const;
 };
 
+inline bool operator<(const PreparedStatement& a, const PreparedStatement& b) {
+  return std::tie(a.writes, a.shape) < std::tie(b.writes, b.shape);
+}
+
 /** The settings (SET) and prepared statements of one session. */
 struct SessionState {
   /** The settings, by name. */
@@ -41,11 +42,18 @@
   const PreparedStatement* FindPrepared(const ClientStatement& statement) const;
 };
 
+/** What a connection is sent before a statement. */
+struct LinkSetup {
+  std::vector<MemberRequest> requests;
+  /** The number of the prepared statement to execute; 0 for none. */
+  PreparedNumber prepared = 0;
+};
+
 /** The settings and prepared statements on a connection to a member. */
 struct LinkState {
   std::map<std::string, std::string> values;
-  /** The shared names of the prepared statements. */
-  std::set<std::string> prepared;
+  /** The numbers of the prepared statements. */
+  std::map<PreparedStatement, PreparedNumber> prepared;
 
   /** Whether the connection has exactly the session's settings. */
   bool Matches(const SessionState& session) const {
@@ -55,14 +63,16 @@
   /** The requests that give the connection the session's settings and prepare
    * `statement`, if it is not nullptr. A reset also discards prepared
    * statements, so the statement is prepared again after it. */
-  std::vector<MemberRequest> SetupRequests(
-      const SessionState& session, const PreparedStatement* statement) const;
+  LinkSetup SetupFor(const SessionState& session,
+                     const PreparedStatement* statement);
 
-  /** Records that a request of SetupRequests succeeded. */
+  /** Records that a request of SetupFor succeeded. */
   void OnRequestDone(const MemberRequest& request);
 
  private:
   bool NeedsReset(const SessionState& session) const;
+
+  PreparedNumber last_number = 0;
 };
 
 }  // namespace lacewingferry
--- a/tests/correctness/platform_lines_test.cc
+++ b/tests/correctness/platform_lines_test.cc
@@ -76,8 +76,10 @@
     CPPUNIT_ASSERT(
         std::get<ClientOpens>(DecodeClientLine("STARTUP lepu")).key.empty());
     for (const char* key : {"u3", ""}) {
-      const auto relayed = std::get<ClientOpens>(
-          DecodeClientLine(EncodeRelayedOpening({"lepu", key, 26})));
+      LineBuffer buffer;
+      buffer.Append(EncodeRelayedOpening({"lepu", key, 26}));
+      const auto relayed =
+          std::get<ClientOpens>(DecodeClientLine(buffer.Next().value()));
       CPPUNIT_ASSERT_EQUAL(std::string("lepu"), relayed.host);
       CPPUNIT_ASSERT_EQUAL(std::string(key), relayed.key);
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{26}, relayed.least_version);
--- a/tests/correctness/session_setup_test.cc
+++ b/tests/correctness/session_setup_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(PreparesAgainAfterReset);
   CPPUNIT_TEST(SessionsSharePreparedStatement);
   CPPUNIT_TEST(SameNameInTwoSessionsStaysSeparate);
+  CPPUNIT_TEST(NumberIsNeverUsedAgain);
+  CPPUNIT_TEST(ReadAndWriteOfAShapeStaySeparate);
   CPPUNIT_TEST(SendsOnlyChangedSettings);
   CPPUNIT_TEST(UnknownNameIsRefusedWithoutMember);
   CPPUNIT_TEST_SUITE_END();
@@ -35,7 +37,7 @@
     link.values = {{"language", "nl"}};
     SessionState session;
     session.values = {{"zone", "1"}};
-    const auto requests = link.SetupRequests(session, nullptr);
+    const auto requests = link.SetupFor(session, nullptr).requests;
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests.size());
     CPPUNIT_ASSERT(requests[0].kind == MemberRequestKind::kReset);
     Apply(requests, &link);
@@ -49,8 +51,8 @@
     LinkState link;
     const PreparedStatement statement{false, "q2c"};
     link.values = {{"language", "nl"}};
-    link.prepared = {statement.SharedName()};
-    const auto requests = link.SetupRequests(SessionState(), &statement);
+    link.prepared[statement] = 7;
+    const auto requests = link.SetupFor(SessionState(), &statement).requests;
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests.size());
     CPPUNIT_ASSERT(requests[0].kind == MemberRequestKind::kReset);
     CPPUNIT_ASSERT(requests[1].kind == MemberRequestKind::kPrepare);
@@ -59,9 +61,12 @@
   void SessionsSharePreparedStatement() {
     LinkState link;
     const PreparedStatement statement{true, "q2c"};
-    Apply(link.SetupRequests(SessionState(), &statement), &link);
+    const LinkSetup first = link.SetupFor(SessionState(), &statement);
+    Apply(first.requests, &link);
     const PreparedStatement same{true, "q2c"};
-    CPPUNIT_ASSERT(link.SetupRequests(SessionState(), &same).empty());
+    const LinkSetup second = link.SetupFor(SessionState(), &same);
+    CPPUNIT_ASSERT(second.requests.empty());
+    CPPUNIT_ASSERT_EQUAL(first.prepared, second.prepared);
   }
 
   void SameNameInTwoSessionsStaysSeparate() {
@@ -70,8 +75,37 @@
     first.ServeLocally(Statement(StatementKind::kPrepare, "s1", "a"));
     second.ServeLocally(Statement(StatementKind::kPrepare, "s1", "b"));
     const auto run = Statement(StatementKind::kExecute, "s1", "7");
-    CPPUNIT_ASSERT(first.FindPrepared(run)->SharedName() !=
-                   second.FindPrepared(run)->SharedName());
+    LinkState link;
+    const LinkSetup setup = link.SetupFor(first, first.FindPrepared(run));
+    Apply(setup.requests, &link);
+    CPPUNIT_ASSERT(setup.prepared !=
+                   link.SetupFor(second, second.FindPrepared(run)).prepared);
+  }
+
+  // The number of a statement that could not be prepared, or that a reset
+  // discarded, must stay unknown to the member.
+  void NumberIsNeverUsedAgain() {
+    LinkState link;
+    const PreparedStatement statement{false, "q2c"};
+    const auto failed = link.SetupFor(SessionState(), &statement).prepared;
+    const LinkSetup again = link.SetupFor(SessionState(), &statement);
+    CPPUNIT_ASSERT(again.prepared != failed);
+    Apply(again.requests, &link);
+    link.values = {{"language", "nl"}};
+    const LinkSetup reset = link.SetupFor(SessionState(), &statement);
+    CPPUNIT_ASSERT(reset.prepared != again.prepared);
+    CPPUNIT_ASSERT(reset.prepared != failed);
+  }
+
+  void ReadAndWriteOfAShapeStaySeparate() {
+    LinkState link;
+    const PreparedStatement read{false, "q2c"};
+    const PreparedStatement write{true, "q2c"};
+    const LinkSetup first = link.SetupFor(SessionState(), &read);
+    Apply(first.requests, &link);
+    const LinkSetup second = link.SetupFor(SessionState(), &write);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.requests.size());
+    CPPUNIT_ASSERT(second.prepared != first.prepared);
   }
 
   void SendsOnlyChangedSettings() {
@@ -79,7 +113,7 @@
     link.values = {{"a", "1"}, {"b", "2"}};
     SessionState session;
     session.values = {{"a", "1"}, {"b", "3"}};
-    const auto requests = link.SetupRequests(session, nullptr);
+    const auto requests = link.SetupFor(session, nullptr).requests;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests.size());
     CPPUNIT_ASSERT(requests[0].kind == MemberRequestKind::kSetValue);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), requests[0].name);
--- a/tests/support/line_gateway.cc
+++ b/tests/support/line_gateway.cc
@@ -14,13 +14,6 @@
 constexpr milliseconds kWay{2};
 constexpr milliseconds kAnswerWait{2000};
 
-std::string TakeField(std::string* rest) {
-  const std::size_t end = rest->find(' ');
-  std::string field = rest->substr(0, end);
-  rest->erase(0, end == std::string::npos ? end : end + 1);
-  return field;
-}
-
 std::string Describe(const LineRun& run) {
   std::string text = run.id + ": " + run.verb;
   if (run.prepared) text += " prepared as '" + run.shape + "'";
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -7,7 +7,8 @@
 
 constexpr std::string_view kLineEnd = "\r\n";
 
-/** Takes a field that isn't the last one: all up to the next blank. */
+}  // namespace
+
 std::string TakeField(std::string* rest) {
   const std::size_t end = rest->find(' ');
   std::string field = rest->substr(0, end);
@@ -15,8 +16,6 @@
   return field;
 }
 
-}  // namespace
-
 std::vector<std::string> LineMember::Take(std::string_view bytes) {
   this->input.append(bytes);
   std::vector<std::string> lines;
--- a/tests/support/line_member.h
+++ b/tests/support/line_member.h
@@ -11,6 +11,10 @@
 
 namespace lacewingferry::testing {
 
+/** Takes a field that isn't the last one off the front of a line: all up to the
+ * next blank. */
+std::string TakeField(std::string* rest);
+
 /** A read or write that a member ran, as the member read it. */
 struct LineRun {
   std::string id;
