A client's identifier is never the proxies' own, and its text ends no line

What callers saw: QUERY - LOOKUP a of a client was run by a member as a request that the proxy had made itself; a lone CR or LF in a statement, or a tab in an identifier, reached members, where another reader of lines may end one there.

--- a/tests/correctness/member_lines_property_test.cc
+++ b/tests/correctness/member_lines_property_test.cc
@@ -108,7 +108,9 @@
 
 /** Whether each text of a request can stand where it belongs. */
 bool CanBeWritten(const MemberRequest& request) {
-  const bool id = request.id.Empty() || CanBeField(request.id.Value());
+  const bool own = request.id.Value() == "-";
+  const bool id =
+      request.id.Empty() || (CanBeField(request.id.Value()) && !own);
   switch (request.kind) {
     case MemberRequestKind::kStatement:
       return id && CanBeLast(request.text);
