EXECUTE without an item and SET without a value are malformed

What callers saw: EXECUTE s1 was sent to a member with a blank more than its client had sent, as if an empty item had been named; SET language was taken as an empty value. Cause: a missing last field and an empty one were the same to the decoder.

--- a/tests/correctness/client_lines_test.cc
+++ b/tests/correctness/client_lines_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(ClientLinesTest);
   CPPUNIT_TEST(IdentifierOfProxiesIsNoClients);
   CPPUNIT_TEST(ControlCharactersEndNoFieldEarly);
+  CPPUNIT_TEST(MissingFieldIsNoEmptyOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -43,6 +44,22 @@
     AssertRefused("c\t1", "LOOKUP a");
     AssertRefused("c1", "SET lan\tguage nl");
   }
+
+  // EXECUTE s1 was sent on with a blank at its end, as if an empty item had
+  // been sent.
+  void MissingFieldIsNoEmptyOne() {
+    LineGateway gateway;
+    const ClientId client = gateway.Open("session");
+    CPPUNIT_ASSERT(!gateway.Ask(client, "PREPARE s1 LOOKUP qa").error);
+    for (const char* text : {"EXECUTE s1", "EXECUTE s1 ", "SET language"}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          text, gateway.Ask(client, text).error == StatementError::kMalformed);
+    }
+    CPPUNIT_ASSERT(!gateway.Ask(client, "SET language ").error);
+    CPPUNIT_ASSERT(!gateway.Ask(client, "EXECUTE s1  ").error);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.Runs().size());
+    CPPUNIT_ASSERT(gateway.Faults().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientLinesTest);
