A prepared statement is never unknown to the client that prepared it

Cause: the reply to a PREPARE was dropped, and the reply to the execution, that the name is unknown, was passed on. Change: the execution fails with the PREPARE's reason where that says that nothing ran: a busy member is asked again, and what no member takes is refused at once, not at four members. In any other case a transaction whose connection lacks the statement is rolled back, and told so.

--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -129,6 +129,8 @@
     RunPtr run;
     /** Requests that were sent and not yet answered. */
     std::deque<MemberRequest> expected;
+    /** Why the member didn't prepare the statement to execute. */
+    std::optional<MemberReply> unprepared;
     /** Requests to send once the session's settings are confirmed. */
     std::vector<MemberRequest> next;
     std::chrono::steady_clock::time_point sent;
@@ -172,9 +174,10 @@
   void OnResult(std::chrono::steady_clock::time_point now, LinkId link,
                 Flight flight, const MemberReply& reply);
   void OnRefusal(std::chrono::steady_clock::time_point now, MemberPool& pool,
-                 LinkId link, const Flight& flight, const MemberReply& reply);
+                 LinkId link, const Flight& flight, const MemberReply& answer);
   void OnSuccess(std::chrono::steady_clock::time_point now, MemberPool& pool,
                  LinkId link, const Flight& flight, const MemberReply& reply);
+  static MemberReply ReasonOf(const Flight& flight, const MemberReply& reply);
   void Retry(std::chrono::steady_clock::time_point now, const RunPtr& run,
              StatementError error, const std::string& text);
   void Finish(std::chrono::steady_clock::time_point now, const RunPtr& run,
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -14,6 +14,12 @@
 /** The part of a prepared statement's shape that is logged. */
 constexpr std::size_t kLoggedShapeBytes = 80;
 
+/** Whether no member takes the statement. */
+bool IsHopeless(StatementError error) {
+  return error == StatementError::kTooLarge ||
+         error == StatementError::kMalformed;
+}
+
 }  // namespace
 
 MemberRequest GroupTraffic::RequestFor(const RunPtr& run,
@@ -172,12 +178,13 @@
     return;
   }
   if (reply.error) {
-    // A setting failed, so the statement was not sent. A failed PREPARE is
-    // reported by the execution after it.
-    const RunPtr run = flight.run;
-    const bool prepared = request.kind == MemberRequestKind::kPrepare;
-    if (prepared) return;
-    this->CloseLink(now, link);
+    // The execution after a failed PREPARE fails as well, with the reason of
+    // both. If a setting failed, the statement was not sent.
+    if (request.kind == MemberRequestKind::kPrepare) {
+      flight.unprepared = reply;
+    } else {
+      this->CloseLink(now, link);
+    }
     return;
   }
   if (flight.expected.empty()) this->SendNext(link, flight);
@@ -289,9 +296,26 @@
                               std::to_string(position.offset)}}});
 }
 
+/** The reason why a statement was refused: of an execution that could not be
+ * prepared, why that failed, if it says that nothing ran. */
+MemberReply GroupTraffic::ReasonOf(const Flight& flight,
+                                   const MemberReply& reply) {
+  const bool unprepared = reply.error == StatementError::kUnknownPrepared &&
+                          flight.unprepared.has_value();
+  if (!unprepared) return reply;
+  const StatementError error = *flight.unprepared->error;
+  const bool nothing_ran = error == StatementError::kBusy || IsHopeless(error);
+  if (!nothing_ran) return reply;
+  MemberReply reason = reply;
+  reason.error = error;
+  reason.error_text = flight.unprepared->error_text;
+  return reason;
+}
+
 void GroupTraffic::OnRefusal(steady_clock::time_point now, MemberPool& pool,
                              LinkId link, const Flight& flight,
-                             const MemberReply& reply) {
+                             const MemberReply& answer) {
+  const MemberReply reply = ReasonOf(flight, answer);
   const RunPtr& run = flight.run;
   const StatementError error = *reply.error;
   if (error == StatementError::kBusy) pool.OnBusy(now);
@@ -310,10 +334,7 @@
   const bool not_run = error == StatementError::kBusy ||
                        error == StatementError::kLagging ||
                        error == StatementError::kReadOnly || link_state_unknown;
-  // No member takes what can't be put into a line.
-  const bool hopeless =
-      error == StatementError::kTooLarge || error == StatementError::kMalformed;
-  if (hopeless || (!not_run && !run->IsRepeatable())) {
+  if (IsHopeless(error) || (!not_run && !run->IsRepeatable())) {
     this->Fail(now, run, error, reply.error_text);
     return;
   }
@@ -338,7 +359,10 @@
   }
   this->pinned.erase(run->client);
   this->ReleaseOrCloseLink(now, link, reply.state == TransactionState::kIdle);
-  this->Fail(now, run, *reply.error, reply.error_text);
+  // The session prepared it; only the transaction's connection lacks it.
+  const bool unprepared = *reply.error == StatementError::kUnknownPrepared;
+  this->Fail(now, run, unprepared ? StatementError::kAborted : *reply.error,
+             reply.error_text);
 }
 
 /** Releases a connection that is outside a transaction and in a known state;
--- a/tests/support/line_gateway.cc
+++ b/tests/support/line_gateway.cc
@@ -44,6 +44,7 @@
   }
   this->gateway.Queue().After(kWay, [this, link, bytes] {
     Connection& connection = this->connections[link];
+    if (this->refusal) connection.member.SetRefusal(this->refusal);
     for (const std::string& line : connection.member.Take(bytes)) {
       const auto reply = connection.assembler.Take(line);
       if (!reply) continue;
--- a/tests/support/line_gateway.h
+++ b/tests/support/line_gateway.h
@@ -22,6 +22,9 @@
 
   ClientId Open(const std::string& host) { return this->gateway.Open(host); }
 
+  /** Members answer by this from now on where it has an answer. */
+  void SetRefusal(LineRefusal hook) { this->refusal = std::move(hook); }
+
   /** Sends a client's statement and waits for its answer. */
   ClientReply Ask(ClientId client, const std::string& text);
   /** The same under an identifier of the client's choice. */
@@ -54,6 +57,7 @@
   static void Note(Session* session, std::string text);
 
   model::SessionGateway gateway;
+  LineRefusal refusal;
   std::map<LinkId, Connection> connections;
   std::map<ClientId, Session> sessions;
   /** What must run under each identifier. */
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -33,6 +33,8 @@
 }
 
 std::string LineMember::Answer(const std::string& id, std::string text) {
+  const std::string refused = this->refusal(text);
+  if (!refused.empty()) return refused;
   std::string rest = text;
   std::string verb = TakeField(&rest);
   if (verb == "AFTER") {
--- a/tests/support/line_member.h
+++ b/tests/support/line_member.h
@@ -4,9 +4,11 @@
 // Defines LineMember, a member's end of a connection that reads lines as the
 // platform's page has them, independent of the code that writes them.
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lacewingferry::testing {
@@ -29,9 +31,15 @@
   std::map<std::string, std::string> values;
 };
 
+/** Gives the answer to a statement's text in place of the member's; empty where
+ * the member answers itself. */
+using LineRefusal = std::function<std::string(const std::string& text)>;
+
 /** One connection at a member. */
 class LineMember {
  public:
+  void SetRefusal(LineRefusal hook) { this->refusal = std::move(hook); }
+
   /** Takes bytes; returns the lines of the answers to all that is whole. */
   std::vector<std::string> Take(std::string_view bytes);
 
@@ -47,6 +55,7 @@
   std::string Execute(const std::string& id, std::string text);
   std::string Run(LineRun run);
 
+  LineRefusal refusal = [](const std::string&) { return std::string(); };
   std::string input;
   std::map<std::string, std::string> values;
   std::map<std::string, Prepared> prepared;
