What follows a reset that ended the transaction isn't sent

What callers could see: a connection with more than 512 prepared statements is reset also in the middle of a transaction. Where a member rolls back with it, the statements after it ran outside their transaction. Cause: the state that the reply to a reset or a setting names wasn't looked at. By the platform's page a reset ends no transaction; other servers' does. Change: the connection is closed and the transaction told as rolled back. Measured: RefusedPreparationTest (ResetThatEndsATransactionEndsItForTheClient) fails on the code before and holds.

--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -187,7 +187,14 @@
     }
     return;
   }
-  if (flight.expected.empty()) this->SendNext(link, flight);
+  // What follows must not run outside the transaction.
+  const bool rolled_back =
+      flight.run->in_transaction && reply.state != TransactionState::kOpen;
+  if (rolled_back) {
+    this->CloseLink(now, link);
+  } else if (flight.expected.empty()) {
+    this->SendNext(link, flight);
+  }
 }
 
 void GroupTraffic::RecordPrepared(LinkId link,
--- a/tests/correctness/refused_preparation_test.cc
+++ b/tests/correctness/refused_preparation_test.cc
@@ -19,6 +19,9 @@
   };
 }
 
+/** More statements than a connection keeps prepared. */
+constexpr int kManyShapes = 600;
+
 // Guards against a prepared statement that is unknown to its client although
 // its preparation was acknowledged: a member had refused to prepare it, and a
 // transaction passed the member's answer to the execution on.
@@ -28,6 +31,7 @@
   CPPUNIT_TEST(TransactionIsRolledBackIfItCantBePrepared);
   CPPUNIT_TEST(AnotherMemberIsAskedOutsideATransaction);
   CPPUNIT_TEST(WhatNoMemberTakesIsRefusedAtOnce);
+  CPPUNIT_TEST(ResetThatEndsATransactionEndsItForTheClient);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +77,21 @@
     CPPUNIT_ASSERT_EQUAL(1, asked);
   }
 
+  // A connection with many prepared statements was reset in the middle of a
+  // transaction, and what followed ran outside it.
+  void ResetThatEndsATransactionEndsItForTheClient() {
+    LineGateway gateway;
+    gateway.EndTransactionsOnReset();
+    const ClientId client = Begin(gateway);
+    ClientReply reply;
+    for (int i = 0; i < kManyShapes && !reply.error; ++i) {
+      gateway.Ask(client, "PREPARE s1 LOOKUP qa" + std::to_string(i));
+      reply = gateway.Ask(client, "EXECUTE s1 a");
+    }
+    CPPUNIT_ASSERT(reply.error == StatementError::kAborted);
+    CPPUNIT_ASSERT(gateway.Faults().empty());
+  }
+
  private:
   /** A session in a transaction at the primary, with a prepared read that no
    * connection has yet. */
--- a/tests/support/line_gateway.cc
+++ b/tests/support/line_gateway.cc
@@ -18,6 +18,7 @@
   std::string text = run.id + ": " + run.verb;
   if (run.prepared) text += " prepared as '" + run.shape + "'";
   text += " '" + run.arguments + "'";
+  if (run.in_transaction) text += " in a transaction";
   for (const auto& [name, value] : run.values) {
     text.append(" ").append(name).append("=").append(value);
   }
@@ -44,6 +45,9 @@
   }
   this->gateway.Queue().After(kWay, [this, link, bytes] {
     Connection& connection = this->connections[link];
+    if (this->reset_ends_transactions) {
+      connection.member.EndTransactionsOnReset();
+    }
     if (this->refusal) connection.member.SetRefusal(this->refusal);
     for (const std::string& line : connection.member.Take(bytes)) {
       const auto reply = connection.assembler.Take(line);
@@ -75,6 +79,7 @@
   }
   const ClientReply reply = answers.at(statement.id).reply;
   if (!reply.error) Note(&session, text);
+  session.in_transaction = reply.state == TransactionState::kOpen;
   return reply;
 }
 
@@ -83,6 +88,7 @@
   LineRun run;
   run.id = id;
   run.values = session.values;
+  run.in_transaction = session.in_transaction;
   run.verb = TakeField(&text);
   if (run.verb == "EXECUTE") {
     const auto found = session.prepared.find(TakeField(&text));
@@ -129,10 +135,10 @@
       continue;
     }
     const LineRun& said = found->second;
-    const bool same = run.verb == said.verb && run.prepared == said.prepared &&
-                      run.shape == said.shape &&
-                      run.arguments == said.arguments &&
-                      run.values == said.values;
+    const bool same =
+        run.verb == said.verb && run.prepared == said.prepared &&
+        run.shape == said.shape && run.arguments == said.arguments &&
+        run.values == said.values && run.in_transaction == said.in_transaction;
     if (same) continue;
     faults.push_back("sent " + Describe(said) + ", ran " + Describe(run));
   }
--- a/tests/support/line_gateway.h
+++ b/tests/support/line_gateway.h
@@ -22,6 +22,8 @@
 
   ClientId Open(const std::string& host) { return this->gateway.Open(host); }
 
+  /** At members a reset rolls an open transaction back. */
+  void EndTransactionsOnReset() { this->reset_ends_transactions = true; }
   /** Members answer by this from now on where it has an answer. */
   void SetRefusal(LineRefusal hook) { this->refusal = std::move(hook); }
 
@@ -50,6 +52,7 @@
     std::map<std::string, std::string> values;
     /** Verb and shape by name. */
     std::map<std::string, std::pair<std::string, std::string>> prepared;
+    bool in_transaction = false;
   };
 
   void Send(LinkId link, const std::vector<MemberRequest>& requests);
@@ -57,6 +60,7 @@
   static void Note(Session* session, std::string text);
 
   model::SessionGateway gateway;
+  bool reset_ends_transactions = false;
   LineRefusal refusal;
   std::map<LinkId, Connection> connections;
   std::map<ClientId, Session> sessions;
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -43,7 +43,8 @@
   }
   if (verb == "EXECUTE") return this->Execute(id, rest);
   if (verb == "LOOKUP" || verb == "STORE") {
-    return this->Run({id, verb, false, "", rest, this->values});
+    return this->Run(
+        {id, verb, false, "", rest, this->values, this->in_transaction});
   }
   if (verb == "SET") {
     const std::string name = TakeField(&rest);
@@ -53,6 +54,7 @@
   if (verb == "RESET") {
     this->values.clear();
     this->prepared.clear();
+    if (this->reset_ends_transaction) this->in_transaction = false;
     return "DONE -";
   }
   if (verb == "PREPARE") {
@@ -73,8 +75,8 @@
   const std::string name = TakeField(&text);
   const auto found = this->prepared.find(name);
   if (found == this->prepared.end()) return "ERROR NOSTMT " + name;
-  return this->Run(
-      {id, found->second.verb, true, found->second.shape, text, this->values});
+  return this->Run({id, found->second.verb, true, found->second.shape, text,
+                    this->values, this->in_transaction});
 }
 
 std::string LineMember::Run(LineRun run) {
--- a/tests/support/line_member.h
+++ b/tests/support/line_member.h
@@ -29,6 +29,7 @@
   std::string arguments;
   /** The connection's values. */
   std::map<std::string, std::string> values;
+  bool in_transaction = false;
 };
 
 /** Gives the answer to a statement's text in place of the member's; empty where
@@ -38,6 +39,8 @@
 /** One connection at a member. */
 class LineMember {
  public:
+  /** A reset rolls an open transaction back. */
+  void EndTransactionsOnReset() { this->reset_ends_transaction = true; }
   void SetRefusal(LineRefusal hook) { this->refusal = std::move(hook); }
 
   /** Takes bytes; returns the lines of the answers to all that is whole. */
@@ -60,6 +63,7 @@
   std::map<std::string, std::string> values;
   std::map<std::string, Prepared> prepared;
   bool in_transaction = false;
+  bool reset_ends_transaction = false;
   std::vector<LineRun> runs;
 };
 
