Bound what a session and a connection keep of clients' texts

What callers saw: nothing yet. A session could keep 1,024 names and values of 1 MiB each, a connection 512 shapes: more than the memory of a VM. Cause: they were counted, not measured. Change: a session keeps 2 MiB of settings and 2 MiB of prepared statements, a little more for names; what goes beyond is refused with TOOLARGE, which already was so beyond 1,024. A connection with more than 2 MiB of shapes is reset before its next use. Measured: SessionSetupTest: its two new cases fail on the code before and hold.

--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -7,24 +7,53 @@
 
 /** A connection with more prepared statements is reset before its next use. */
 constexpr std::size_t kMaxPrepared = 512;
+/** A connection whose prepared statements have larger shapes, in bytes, is
+ * reset before its next use. */
+constexpr std::size_t kMaxPreparedBytes = 2U << 20U;
 /** The maximum number of settings, and of prepared statements, of a session. */
 constexpr std::size_t kMaxSessionEntries = 1024;
+/** The maximum size of a session's settings and of its prepared statements, in
+ * bytes each: a few of the largest. */
+constexpr std::size_t kMaxSessionBytes = 2 * ((1U << 20U) + 4096);
+
+/** The size of the entries but for the one of a name, whose place another
+ * takes. */
+template <typename Entries, typename SizeOf>
+std::size_t BytesBut(const Entries& entries, const std::string& name,
+                     SizeOf size_of) {
+  std::size_t bytes = 0;
+  for (const auto& [other, entry] : entries) {
+    if (other != name) bytes += other.size() + size_of(entry);
+  }
+  return bytes;
+}
 
 }  // namespace
 
+bool SessionState::HasRoomFor(const ClientStatement& statement) const {
+  const std::size_t others =
+      statement.kind == StatementKind::kPrepare
+          ? BytesBut(this->prepared, statement.name,
+                     [](const auto& entry) { return entry.shape.size(); })
+          : BytesBut(this->values, statement.name,
+                     [](const auto& entry) { return entry.size(); });
+  const std::size_t added = statement.name.size() + statement.argument.size();
+  return this->values.size() < kMaxSessionEntries &&
+         this->prepared.size() < kMaxSessionEntries &&
+         others + added <= kMaxSessionBytes;
+}
+
 std::optional<ClientReply> SessionState::ServeLocally(
     const ClientStatement& statement) {
-  const bool full = this->values.size() >= kMaxSessionEntries ||
-                    this->prepared.size() >= kMaxSessionEntries;
   switch (statement.kind) {
     case StatementKind::kSetValue:
-      if (full) {
+      if (!this->HasRoomFor(statement)) {
         return FailureReply(StatementError::kTooLarge, "too many values");
       }
       this->values[statement.name] = statement.argument;
       return ClientReply();
     case StatementKind::kPrepare:
-      if (full) {
+      if (!this->HasRoomFor(statement)) {
         return FailureReply(StatementError::kTooLarge, "too many names");
       }
       this->prepared[statement.name] =
@@ -54,7 +83,8 @@
       this->values.begin(), this->values.end(), [&](const auto& value) {
         return session.values.count(value.first) == 0;
       });
-  return surplus || this->prepared.size() > kMaxPrepared;
+  return surplus || this->prepared.size() > kMaxPrepared ||
+         this->prepared_bytes > kMaxPreparedBytes;
 }
 
 LinkSetup LinkState::SetupFor(const SessionState& session,
@@ -96,6 +126,7 @@
     case MemberRequestKind::kReset:
       this->values.clear();
       this->prepared.clear();
+      this->prepared_bytes = 0;
       return;
     case MemberRequestKind::kSetValue:
       this->values[request.name] = request.argument;
@@ -103,6 +134,7 @@
     case MemberRequestKind::kPrepare:
       this->prepared[{request.prepares_write, request.argument}] =
           request.prepared;
+      this->prepared_bytes += request.argument.size();
       return;
     default:
       return;
--- a/src/lacewingferry/decisions/gateway/session_state.h
+++ b/src/lacewingferry/decisions/gateway/session_state.h
@@ -40,6 +40,9 @@
 
   /** The prepared statement that `statement` names; nullptr if unknown. */
   const PreparedStatement* FindPrepared(const ClientStatement& statement) const;
+
+ private:
+  bool HasRoomFor(const ClientStatement& statement) const;
 };
 
 /** What a connection is sent before a statement. */
@@ -72,6 +75,8 @@
  private:
   bool NeedsReset(const SessionState& session) const;
 
+  /** The size of the prepared statements' shapes. */
+  std::size_t prepared_bytes = 0;
   PreparedNumber last_number = 0;
 };
 
--- a/tests/correctness/session_setup_test.cc
+++ b/tests/correctness/session_setup_test.cc
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+
 #include "lacewingferry/decisions/gateway/session_state.h"
 
 namespace lacewingferry {
@@ -27,6 +30,8 @@
   CPPUNIT_TEST(SameNameInTwoSessionsStaysSeparate);
   CPPUNIT_TEST(NumberIsNeverUsedAgain);
   CPPUNIT_TEST(ReadAndWriteOfAShapeStaySeparate);
+  CPPUNIT_TEST(LargeTextsOfASessionAreBounded);
+  CPPUNIT_TEST(ConnectionWithLargeShapesIsReset);
   CPPUNIT_TEST(SendsOnlyChangedSettings);
   CPPUNIT_TEST(UnknownNameIsRefusedWithoutMember);
   CPPUNIT_TEST_SUITE_END();
@@ -108,6 +113,37 @@
     CPPUNIT_ASSERT(second.prepared != first.prepared);
   }
 
+  // A session could hold 1,024 texts of 1 MiB each.
+  void LargeTextsOfASessionAreBounded() {
+    SessionState session;
+    const std::string large(1U << 20U, 'x');
+    std::size_t taken = 0;
+    for (int i = 0; i < 100; ++i) {
+      const std::string name = "s" + std::to_string(i);
+      const StatementKind kind =
+          i % 2 == 0 ? StatementKind::kPrepare : StatementKind::kSetValue;
+      const auto reply = session.ServeLocally(Statement(kind, name, large));
+      if (!reply->error) ++taken;
+    }
+    CPPUNIT_ASSERT(taken >= 1 && taken <= 4);
+    // One that takes the place of another needs no more room.
+    CPPUNIT_ASSERT(
+        !session.ServeLocally(Statement(StatementKind::kPrepare, "s0", large))
+             ->error);
+  }
+
+  // A connection kept 512 shapes of 1 MiB each.
+  void ConnectionWithLargeShapesIsReset() {
+    LinkState link;
+    std::size_t most = 0;
+    for (char letter = 'a'; letter <= 'z'; ++letter) {
+      const PreparedStatement large{false, std::string(1U << 20U, letter)};
+      Apply(link.SetupFor(SessionState(), &large).requests, &link);
+      most = std::max(most, link.prepared.size());
+    }
+    CPPUNIT_ASSERT(most <= 3);
+  }
+
   void SendsOnlyChangedSettings() {
     LinkState link;
     link.values = {{"a", "1"}, {"b", "2"}};
