Escape the values of labels in metrics

What operators saw: a database whose name has a quote or a line's end broke its line on the metrics page, and could add metrics of any name and value. Change: quotes, backslashes and line ends are escaped, as the Prometheus text format has it. Measured: SessionMetricsTest (LabelsEndWhereTheyShould) fails on the code before and holds.

--- a/src/lacewingferry/adapters/histogram/gauge_text.cc
+++ b/src/lacewingferry/adapters/histogram/gauge_text.cc
@@ -4,6 +4,23 @@
 #include <sstream>
 
 namespace lacewingferry {
+namespace {
+
+/** A label's value between its quotes. */
+std::string EscapeLabel(const std::string& value) {
+  std::string escaped;
+  for (const char letter : value) {
+    if (letter == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (letter == '"' || letter == '\\') escaped += '\\';
+    escaped += letter;
+  }
+  return escaped;
+}
+
+}  // namespace
 
 std::string FormatGauges(std::vector<Gauge> gauges) {
   std::stable_sort(
@@ -16,9 +33,9 @@
     last = gauge.name;
     out << gauge.name;
     if (!gauge.database.empty()) {
-      out << "{database=\"" << gauge.database << "\"}";
+      out << "{database=\"" << EscapeLabel(gauge.database) << "\"}";
     } else if (!gauge.customer.empty()) {
-      out << "{customer=\"" << gauge.customer << "\"}";
+      out << "{customer=\"" << EscapeLabel(gauge.customer) << "\"}";
     }
     out << " " << gauge.value << "\n";
   }
--- a/tests/correctness/session_metrics_test.cc
+++ b/tests/correctness/session_metrics_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(SessionMetricsTest);
   CPPUNIT_TEST(GaugesOfAProxyAreCatalogued);
   CPPUNIT_TEST(GaugesOfANameStandTogether);
+  CPPUNIT_TEST(LabelsEndWhereTheyShould);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +42,18 @@
                                      "b{database=\"y\"} 3\n"),
                          text);
   }
+
+  // Guards against a database's name that ends its label, and the line, and
+  // begins a metric of another name.
+  void LabelsEndWhereTheyShould() {
+    const std::string text = FormatGauges(
+        {{"a", "x\"} 2\nferry_sessions 7\n#", 1}, {"a", "y\\", 2}});
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("# TYPE a gauge\n"
+                    "a{database=\"x\\\"} 2\\nferry_sessions 7\\n#\"} 1\n"
+                    "a{database=\"y\\\\\"} 2\n"),
+        text);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SessionMetricsTest);
