A path that names no member is no member's heartbeat

What callers saw: POST /instances/heartbeat was taken for the heartbeat of a member named heartbeat, and /instances/a/b/heartbeat for one of a/b.

--- a/tests/correctness/control_api_test.cc
+++ b/tests/correctness/control_api_test.cc
@@ -23,10 +23,11 @@
   return api;
 }
 
-HttpResponse Beat(bool knows) {
+HttpResponse Beat(bool knows,
+                  const std::string& path = "/instances/i-7f3a/heartbeat") {
   HttpRequest request;
   request.method = "POST";
-  request.path = "/instances/i-7f3a/heartbeat";
+  request.path = path;
   request.body = kBody;
   std::optional<HttpResponse> response;
   MakeControlApi(Follower(knows), kListen)(
@@ -40,6 +41,7 @@
   CPPUNIT_TEST_SUITE(ControlApiTest);
   CPPUNIT_TEST(AnyProcessAcknowledgesWhatIsKnown);
   CPPUNIT_TEST(NewsGoesToTheLeader);
+  CPPUNIT_TEST(PathOfNoMemberNamesNone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -58,6 +60,17 @@
         std::string("http://10.0.0.2:8080/instances/i-7f3a/heartbeat"),
         response.location);
   }
+
+  // The call's name was taken for a member's where the path named none, and a
+  // name with a slash for one member's.
+  void PathOfNoMemberNamesNone() {
+    for (const char* path :
+         {"/instances/heartbeat", "/instances//heartbeat",
+          "/instances/a/b/heartbeat", "/instances/deregister",
+          "/instances//deregister", "/instances/a/b/deregister"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 404, Beat(true, path).status);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlApiTest);
