Refuse texts of callers that a member would cut off at a zero byte

What callers saw: a write with "a\u0000b" as a parameter was acknowledged and stored "a"; SQL after a zero byte wasn't run. Change: a text with a zero byte, a parameter or any other field, is refused as a mistake in the request.

--- a/src/lacewingferry/adapters/json/json_fields.cc
+++ b/src/lacewingferry/adapters/json/json_fields.cc
@@ -27,6 +27,10 @@
 
 }  // namespace
 
+bool HasZeroByte(const std::string& text) {
+  return text.find('\0') != std::string::npos;
+}
+
 JsonFields::JsonFields(const std::string& text, std::string name)
     : object(ParseObject(text, name)), what(std::move(name)) {}
 
@@ -51,9 +55,13 @@
 std::string JsonFields::Text(const char* name, bool required) {
   const nlohmann::json* value = this->Find(name, required);
   if (value == nullptr) return "";
-  if (value->is_string()) return value->get<std::string>();
-  this->Report(std::string(name) + " is not a string");
-  return "";
+  if (!value->is_string()) {
+    this->Report(std::string(name) + " is not a string");
+    return "";
+  }
+  const auto text = value->get<std::string>();
+  if (HasZeroByte(text)) this->Report(std::string(name) + " has a zero byte");
+  return text;
 }
 
 std::uint64_t JsonFields::Number(const char* name, bool required,
--- a/src/lacewingferry/adapters/json/json_fields.h
+++ b/src/lacewingferry/adapters/json/json_fields.h
@@ -14,6 +14,9 @@
 
 namespace lacewingferry::detail {
 
+/** Whether a reader that ends texts at a zero byte would cut this one off. */
+bool HasZeroByte(const std::string& text);
+
 /** Reads fields by name. A wrong field gives a default and is reported by
  * Finish, together with all others and with fields that nobody asked for. */
 class JsonFields {
@@ -26,6 +29,7 @@
   JsonFields(nlohmann::json object, std::string what);
 
   bool Has(const char* name) const;
+  /** Reads text without a zero byte. */
   std::string Text(const char* name, bool required);
   std::uint64_t Number(const char* name, bool required, std::uint64_t most);
   bool Flag(const char* name);
--- a/src/lacewingferry/adapters/json/statement_json.cc
+++ b/src/lacewingferry/adapters/json/statement_json.cc
@@ -39,6 +39,9 @@
       parameters.emplace_back();
     } else if (value.is_string()) {
       parameters.emplace_back(value.get<std::string>());
+      if (detail::HasZeroByte(*parameters.back())) {
+        fields.Report("a parameter has a zero byte");
+      }
     } else if (value.is_number() || value.is_boolean()) {
       parameters.emplace_back(value.dump());
     } else {
