Print each entry of a time line on one line

What operators saw: a field of a log entry that holds a client's text with a line's end or an escape sequence looked like further entries in the output of ferryctl timeline and explain, or changed the terminal. Change: control characters are printed as \xNN. Measured: TimelineTest (PrintsEachEntryOnOneLine) fails on the code before and holds.

--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -26,11 +26,27 @@
   return out.str();
 }
 
+/** A text without control characters: an entry is one line. */
+std::string Printable(const std::string& text) {
+  std::ostringstream out;
+  for (const char letter : text) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (byte >= ' ' && byte != 0x7f) {
+      out << letter;
+    } else {
+      out << "\\x" << std::hex << std::setw(2) << std::setfill('0')
+          << static_cast<unsigned>(byte);
+    }
+  }
+  return out.str();
+}
+
 void PrintEntry(const TimelineEntry& entry, std::ostream& out) {
   out << FormatTime(entry.time) << "  " << std::left << std::setw(kNodeWidth)
-      << entry.node.Value() << " " << std::setw(kNameWidth) << entry.name;
+      << Printable(entry.node.Value()) << " " << std::setw(kNameWidth)
+      << Printable(entry.name);
   for (const auto& [name, value] : entry.fields) {
-    out << " " << name << "=" << value;
+    out << " " << Printable(name) << "=" << Printable(value);
   }
   out << "\n";
 }
--- a/tests/correctness/timeline_test.cc
+++ b/tests/correctness/timeline_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(SkipsMalformedAndTruncatedLogLines);
   CPPUNIT_TEST(FormatsAndParsesAnyTime);
   CPPUNIT_TEST(DrawsAMarkForEachEventAndABarForEachPhase);
+  CPPUNIT_TEST(PrintsEachEntryOnOneLine);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +175,20 @@
     }
     return count;
   }
+
+  // Guards against a client's text in a field that looks like further entries,
+  // or that changes the terminal.
+  void PrintsEachEntryOnOneLine() {
+    TimelineEntry entry;
+    entry.name = "session_not_relayed";
+    entry.fields = {{"host", "a\n17:59:54.731  proxy-0\x1b[2J\tb"}};
+    const std::string text = TimelineText({entry});
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         std::count(text.begin(), text.end(), '\n'));
+    CPPUNIT_ASSERT(
+        text.find("host=a\\x0a17:59:54.731  proxy-0\\x1b[2J\\x09b") !=
+        std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TimelineTest);
