The templates of settings have no section, so that the rig of review/ reads them

What callers saw: no case of review/ started: its rig fills in values of a template and knows no sections, and control's template had one since customers' limits came, for bounds that only some installations state. FleetSettingsTest holds with three new cases. Nothing under review/ is changed.

--- a/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
+++ b/src/lacewingferry/adapters/yaml/fleet_settings_reader.cc
@@ -95,6 +95,22 @@
   ReadDecimal(walk, *mapping, "slack", &limits->slack);
 }
 
+/** Reads scalars under names that only the platform's adapter knows. */
+void ReadPlatformBounds(DocumentWalk* walk, const YAML::Node& root,
+                        std::map<std::string, std::string>* bounds) {
+  const YAML::Node* mapping =
+      walk->Find(root, "platform_bounds", Need::kOptional);
+  if (mapping == nullptr) return;
+  if (!mapping->IsMap()) {
+    walk->Note(*mapping, "'platform_bounds' must be a mapping");
+    return;
+  }
+  for (const auto& bound : *mapping) {
+    if (!bound.first.IsScalar() || !bound.second.IsScalar()) continue;
+    (*bounds)[bound.first.Scalar()] = bound.second.Scalar();
+  }
+}
+
 void ReadFlag(DocumentWalk* walk, const YAML::Node& root, const char* key,
               bool* target) {
   std::string text;
@@ -136,7 +152,8 @@
           root, "the settings of a control process of a fleet",
           {"name", "address", "zone", "regions", "peer_port", "metrics_port",
            "control", "log", "listen", "data_folder", "founding",
-           "tolerated_losses", "promotion", "customer_limits", "stop_limit"})) {
+           "tolerated_losses", "promotion", "customer_limits",
+           "platform_bounds", "stop_limit"})) {
     ReadNode(&walk, root, &settings.node);
     walk.ReadEndpoint(root, "listen", Need::kRequired, &settings.listen);
     walk.ReadText(root, "data_folder", Need::kRequired, &settings.data_folder);
@@ -145,6 +162,9 @@
                     &settings.tolerated_losses);
     walk.ReadEndpoint(root, "promotion", Need::kRequired, &settings.promotion);
     ReadLimits(&walk, root, &settings.limits);
+    settings.has_limits =
+        walk.Find(root, "customer_limits", Need::kOptional) != nullptr;
+    ReadPlatformBounds(&walk, root, &settings.platform_bounds);
     walk.ReadDuration(root, "stop_limit", Need::kOptional,
                       &settings.stop_limit);
   }
--- a/src/lacewingferry/core/fleet_settings.h
+++ b/src/lacewingferry/core/fleet_settings.h
@@ -72,6 +72,10 @@
   /** Where promotions are asked for. */
   Endpoint promotion;
   CustomerLimitSettings limits;
+  /** Whether the settings name limits. Where they don't, the platform's adapter
+   * makes them of the bounds that the platform states under its own names. */
+  bool has_limits = false;
+  std::map<std::string, std::string> platform_bounds;
   std::chrono::milliseconds stop_limit{5000};
 };
 
--- a/tests/error/fleet_settings_test.cc
+++ b/tests/error/fleet_settings_test.cc
@@ -4,7 +4,9 @@
 #include <string>
 
 #include "lacewingferry/adapters/yaml/fleet_settings_reader.h"
+#include "lacewingferry/core/errors.h"
 #include "lacewingferry/core/finding.h"
+#include "platform/platform_bounds.h"
 #include "tests/support/temporary_file.h"
 
 namespace lacewingferry {
@@ -37,6 +39,9 @@
   CPPUNIT_TEST(ReadsCustomerLimits);
   CPPUNIT_TEST(LimitsMayNotBeExceededByDefault);
   CPPUNIT_TEST(ReportsAllMistakesOfCustomerLimits);
+  CPPUNIT_TEST(ReadsLimitsFromBoundsOfThePlatform);
+  CPPUNIT_TEST(BoundsOfOtherMattersAreIgnored);
+  CPPUNIT_TEST(BoundsMustBeNumbers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +68,37 @@
     CPPUNIT_ASSERT(FindingsIn("customer_limits: {quota: 3}\n") > 0);
     CPPUNIT_ASSERT(FindingsIn("customer_limits: 3\n") > 0);
   }
+
+  void ReadsLimitsFromBoundsOfThePlatform() {
+    const CustomerLimitSettings limits = platform::ReadPlatformBounds(
+        Read("platform_bounds: {\"quota_window_s\": 2.5, \"quota_overrun\": "
+             "0.1, "
+             "\"quota_slack\": 20}\n")
+            .platform_bounds);
+    CPPUNIT_ASSERT(limits.window == milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(0.1, limits.overrun);
+    CPPUNIT_ASSERT_EQUAL(20.0, limits.slack);
+  }
+
+  void BoundsOfOtherMattersAreIgnored() {
+    const auto settings = Read(
+        "platform_bounds: {\"grace_s\": 6, \"fencing\": false, \"x\": [1]}\n");
+    const CustomerLimitSettings limits =
+        platform::ReadPlatformBounds(settings.platform_bounds);
+    CPPUNIT_ASSERT(limits.window == milliseconds(0));
+    CPPUNIT_ASSERT_EQUAL(0.0, limits.overrun);
+    CPPUNIT_ASSERT(!settings.has_limits);
+    CPPUNIT_ASSERT(Read("customer_limits: {window: 5s}\n").has_limits);
+  }
+
+  void BoundsMustBeNumbers() {
+    for (const char* text : {"-1", "soon", "1x", "", "nan", "inf"}) {
+      CPPUNIT_ASSERT_THROW_MESSAGE(
+          text, platform::ReadPlatformBounds({{"quota_slack", text}}),
+          UserError);
+    }
+    CPPUNIT_ASSERT(FindingsIn("platform_bounds: 3\n") > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetSettingsTest);
