Cut long texts in the fields of the log

What operators saw: a line of the log that holds a client's identifier of some KB was cut off at 4,096 bytes, the most that standard output takes at once, and could not be read as JSON any more: neither explain nor timeline found it. Change: a field is cut at 256 bytes, so that the line stays whole. Measured: EventLogTest (LongTextsAreCut) fails on the code before and holds.

--- a/src/lacewingferry/adapters/log4cxx/event_log.cc
+++ b/src/lacewingferry/adapters/log4cxx/event_log.cc
@@ -27,6 +27,9 @@
 namespace lacewingferry {
 namespace {
 
+/** A line of two such fields in their longest spelling is written whole. */
+constexpr std::size_t kMostFieldBytes = 256;
+
 /** Writes to standard output without waiting for its reader. */
 class BoundedAppender : public log4cxx::AppenderSkeleton {
  public:
@@ -71,6 +74,13 @@
   return log4cxx::Level::getError();
 }
 
+/** A field's text, cut where it is long: a line that is too long for the output
+ * is cut there, and can't be read any more. */
+std::string Shortened(const std::string& text) {
+  if (text.size() <= kMostFieldBytes) return text;
+  return text.substr(0, kMostFieldBytes) + "...";
+}
+
 TimelineEntry Stamp(const Log& log, const Event& event) {
   TimelineEntry entry;
   entry.time = std::chrono::time_point_cast<std::chrono::microseconds>(
@@ -80,7 +90,9 @@
   entry.level = event.level;
   entry.number = static_cast<std::uint16_t>(event.code);
   entry.name = EventName(event.code);
-  entry.fields = event.fields;
+  for (const auto& [name, value] : event.fields) {
+    entry.fields.emplace_back(name, Shortened(value));
+  }
   return entry;
 }
 
--- a/tests/correctness/event_log_test.cc
+++ b/tests/correctness/event_log_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(ShowsAnObserverWhatItWrites);
   CPPUNIT_TEST(KeepsLinesOfSeveralThreadsWhole);
   CPPUNIT_TEST(ReportsAFileThatCannotBeOpened);
+  CPPUNIT_TEST(LongTextsAreCut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,6 +57,23 @@
         file.Content());
   }
 
+  // Guards against a line that can't be read: one with a client's identifier of
+  // several KB was cut off at the end of what the output takes at once.
+  void LongTextsAreCut() {
+    const TemporaryFile file("");
+    const EventPort log =
+        MakeEventLog(LogSettings{file.Path(), "info"}, NodeId("proxy-1"),
+                     "proxy", FixedClock());
+    log.record(Event{EventCode::kListening,
+                     EventLevel::kInfo,
+                     {{"text", std::string(1U << 20U, '\n')}}});
+    CPPUNIT_ASSERT(file.Content().size() < 2048);
+    const std::string whole(200, 'x');
+    log.record(
+        Event{EventCode::kListening, EventLevel::kInfo, {{"text", whole}}});
+    CPPUNIT_ASSERT(file.Content().find(whole + "\"") != std::string::npos);
+  }
+
   void LeavesOutLowerLevels() {
     const TemporaryFile file("");
     const EventPort log =
