--- a/tests/correctness/member_lines_property_test.cc
+++ b/tests/correctness/member_lines_property_test.cc
@@ -2,6 +2,8 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
@@ -97,7 +99,8 @@
 bool CanBeField(const std::string& text) {
   return !text.empty() &&
          std::none_of(text.begin(), text.end(), [](char letter) {
-           return (letter >= 0 && letter <= ' ') || letter == '\x7f';
+           const auto byte = static_cast<unsigned char>(letter);
+           return byte <= ' ' || byte == 0x7f;
          });
 }
 
@@ -136,6 +139,7 @@
   CPPUNIT_TEST_SUITE(MemberLinesPropertyTest);
   CPPUNIT_TEST(MembersReadWhatIsAsked);
   CPPUNIT_TEST(OwnersReadWhoOpens);
+  CPPUNIT_TEST(OpeningsAreNoLongerThanOwnersTake);
   CPPUNIT_TEST(ClientsReadWhatMembersAnswer);
   CPPUNIT_TEST(LinesAreNoLongerThanReadersTake);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +152,7 @@
         const MemberRequest request = AnyRequest(random);
         try {
           RC_ASSERT(ReadsAs(EncodeRequest(request), request));
+          RC_ASSERT(CanBeWritten(request));
         } catch (const LineError&) {
           RC_ASSERT(!CanBeWritten(request));
         }
@@ -175,6 +180,26 @@
     }));
   }
 
+  // Guards against a proxy that ends when a client's opening, with the
+  // configuration's version added for the owner, is longer than a line.
+  void OpeningsAreNoLongerThanOwnersTake() {
+    for (std::size_t size = 1; size <= kMostLineBytes; size *= 2) {
+      const auto line =
+          DecodeClientLine("STARTUP db " + std::string(size - 1, 'x'));
+      const auto* opening = std::get_if<ClientOpens>(&line);
+      if (opening == nullptr) {
+        CPPUNIT_ASSERT(size > 4096);
+        continue;
+      }
+      ClientOpens relayed = *opening;
+      relayed.least_version = std::numeric_limits<std::uint64_t>::max();
+      CPPUNIT_ASSERT(EncodeRelayedOpening(relayed).size() <= kMostLineBytes);
+    }
+    const auto longest =
+        DecodeClientLine("STARTUP db " + std::string(kMostLineBytes - 11, 'x'));
+    CPPUNIT_ASSERT(std::holds_alternative<ClientStrays>(longest));
+  }
+
   void ClientsReadWhatMembersAnswer() {
     CPPUNIT_ASSERT(rc::check("clients", [](unsigned seed) {
       std::mt19937 random(seed);
