A statement that wasn't sent is never told as perhaps run

What callers saw: a write or a COMMIT before which a member refused a setting was told as UNKNOWN, although it had not been sent, so its client could not try it again. A SET of nearly 1 MiB was acknowledged; no line to a member could carry it, and each statement after it closed up to four healthy connections. A connection that is lost ended a commit as unknown whatever was sent on it; and whether a member can be told a setting wasn't asked when it was taken. Change: a flight knows whether its statement was sent; one that wasn't is tried again, or its transaction told as rolled back. What no member takes ends the statement at once. SET and PREPARE whose line to a member would be longer than 1 MiB are refused with TOOLARGE.

--- a/src/lacewingferry/core/client_statement.h
+++ b/src/lacewingferry/core/client_statement.h
@@ -33,6 +33,8 @@
   kDeallocate,
   /** Not a statement that the dialect knows. */
   kMalformed,
+  /** Longer than members take. */
+  kTooLong,
 };
 
 /** One statement of a session. */
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -131,7 +131,8 @@
     std::deque<MemberRequest> expected;
     /** Why the member didn't prepare the statement to execute. */
     std::optional<MemberReply> unprepared;
-    /** Requests to send once the session's settings are confirmed. */
+    /** Requests to send once the session's settings are confirmed; the
+     * statement is the last of them until it is sent. */
     std::vector<MemberRequest> next;
     std::chrono::steady_clock::time_point sent;
     /** Whether a lease was in force when the statement was sent, and its
@@ -162,7 +163,9 @@
   void SendNext(LinkId link, Flight& flight);
   void UnpinLost(LinkId link, bool in_flight);
   void OnLastLinkLost(std::chrono::steady_clock::time_point now,
-                      const RunPtr& run);
+                      const RunPtr& run, bool sent);
+  void OnSetupFailed(std::chrono::steady_clock::time_point now, LinkId link,
+                     const RunPtr& run, const MemberReply& reply);
   bool TryAcknowledge(std::chrono::steady_clock::time_point now,
                       const Flight& flight, const MemberReply& reply);
   void OnRefusalInTransaction(std::chrono::steady_clock::time_point now,
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -120,7 +120,10 @@
     const RunPtr run = flight.mapped().run;
     run->links.erase(link);
     run->avoided.insert(member);
-    if (!run->ended && run->links.empty()) this->OnLastLinkLost(now, run);
+    const bool sent = flight.mapped().next.empty();
+    if (!run->ended && run->links.empty()) {
+      this->OnLastLinkLost(now, run, sent);
+    }
   }
   this->CheckRecallDone(now);
   this->ServeWaiting(now);
@@ -141,8 +144,8 @@
 
 /** Fails or retries a statement after its last connection was lost. */
 void GroupTraffic::OnLastLinkLost(steady_clock::time_point now,
-                                  const RunPtr& run) {
-  if (run->commits) {
+                                  const RunPtr& run, bool sent) {
+  if (run->commits && sent) {
     this->Fail(now, run, StatementError::kUnknown,
                "the connection broke before the answer");
   } else if (run->in_transaction) {
@@ -183,7 +186,7 @@
     if (request.kind == MemberRequestKind::kPrepare) {
       flight.unprepared = reply;
     } else {
-      this->CloseLink(now, link);
+      this->OnSetupFailed(now, link, flight.run, reply);
     }
     return;
   }
@@ -191,12 +194,22 @@
   const bool rolled_back =
       flight.run->in_transaction && reply.state != TransactionState::kOpen;
   if (rolled_back) {
-    this->CloseLink(now, link);
+    this->OnSetupFailed(now, link, flight.run, reply);
   } else if (flight.expected.empty()) {
     this->SendNext(link, flight);
   }
 }
 
+/** Closes a connection that could not be given the session's settings. The
+ * statement was not sent. */
+void GroupTraffic::OnSetupFailed(steady_clock::time_point now, LinkId link,
+                                 const RunPtr& run, const MemberReply& reply) {
+  if (reply.error && IsHopeless(*reply.error) && !run->ended) {
+    this->Fail(now, run, *reply.error, reply.error_text);
+  }
+  if (this->HasLink(link)) this->CloseLink(now, link);
+}
+
 void GroupTraffic::RecordPrepared(LinkId link,
                                   const MemberRequest& request) const {
   this->hooks.events.record(
--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -67,6 +67,9 @@
       return FailureReply(StatementError::kUnknownPrepared, statement.name);
     case StatementKind::kMalformed:
       return FailureReply(StatementError::kMalformed, "not a known statement");
+    case StatementKind::kTooLong:
+      return FailureReply(StatementError::kTooLarge,
+                          "longer than members take");
     default:
       return std::nullopt;
   }
