A transaction that fails with a preparation is told as rolled back

What callers saw: a member that had lost the lead refused a PREPARE in a transaction with READONLY; the execution after it got MALFORMED, as every request in a failed transaction does, and the client was told that: no promise, so it could not try again. Only the answer that a name is unknown counted as one that follows from the PREPARE's. Change: an execution whose PREPARE failed has that reason, whatever was said of itself; without a promise in it the transaction is told as rolled back. Measured: RefusedPreparationTest (TransactionThatFailsWithItIsRolledBack) fails on the code before and holds.

--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -316,18 +316,17 @@
                               std::to_string(position.offset)}}});
 }
 
-/** The reason why a statement was refused: of an execution that could not be
- * prepared, why that failed, if it says that nothing ran. */
+/** The reason why a statement was refused. One that could not be prepared can't
+ * have run, whatever was said of its execution. */
 MemberReply GroupTraffic::ReasonOf(const Flight& flight,
                                    const MemberReply& reply) {
-  const bool unprepared = reply.error == StatementError::kUnknownPrepared &&
-                          flight.unprepared.has_value();
-  if (!unprepared) return reply;
+  if (!flight.unprepared) return reply;
   const StatementError error = *flight.unprepared->error;
-  const bool nothing_ran = error == StatementError::kBusy || IsHopeless(error);
-  if (!nothing_ran) return reply;
+  const bool nothing_ran = error == StatementError::kBusy ||
+                           error == StatementError::kReadOnly ||
+                           IsHopeless(error);
   MemberReply reason = reply;
-  reason.error = error;
+  reason.error = nothing_ran ? error : StatementError::kUnknownPrepared;
   reason.error_text = flight.unprepared->error_text;
   return reason;
 }
@@ -380,7 +379,9 @@
   this->pinned.erase(run->client);
   this->ReleaseOrCloseLink(now, link, reply.state == TransactionState::kIdle);
   // The session prepared it; only the transaction's connection lacks it.
-  const bool unprepared = *reply.error == StatementError::kUnknownPrepared;
+  const bool unprepared = *reply.error == StatementError::kUnknownPrepared ||
+                          (run->statement.kind == StatementKind::kExecute &&
+                           *reply.error == StatementError::kMalformed);
   this->Fail(now, run, unprepared ? StatementError::kAborted : *reply.error,
              reply.error_text);
 }
--- a/tests/correctness/refused_preparation_test.cc
+++ b/tests/correctness/refused_preparation_test.cc
@@ -29,7 +29,8 @@
   CPPUNIT_TEST_SUITE(RefusedPreparationTest);
   CPPUNIT_TEST(BusyMemberIsAskedAgainInATransaction);
   CPPUNIT_TEST(TransactionIsRolledBackIfItCantBePrepared);
-  CPPUNIT_TEST(AnotherMemberIsAskedOutsideATransaction);
+  CPPUNIT_TEST(TransactionThatFailsWithItIsRolledBack);
+  CPPUNIT_TEST(IsAskedAgainOutsideATransaction);
   CPPUNIT_TEST(WhatNoMemberTakesIsRefusedAtOnce);
   CPPUNIT_TEST(ResetThatEndsATransactionEndsItForTheClient);
   CPPUNIT_TEST_SUITE_END();
@@ -53,7 +54,20 @@
     CPPUNIT_ASSERT(gateway.Runs().empty());
   }
 
-  void AnotherMemberIsAskedOutsideATransaction() {
+  // A member that has lost the lead refuses the preparation, and says of the
+  // execution after it only that the transaction has failed.
+  void TransactionThatFailsWithItIsRolledBack() {
+    LineGateway gateway;
+    const ClientId client = Begin(gateway);
+    gateway.SetRefusal(RefusePreparations(-1, "READONLY"));
+    const ClientReply reply = gateway.Ask(client, "EXECUTE s1 a");
+    CPPUNIT_ASSERT(reply.error == StatementError::kReadOnly ||
+                   reply.error == StatementError::kAborted);
+    CPPUNIT_ASSERT(reply.state == TransactionState::kFailed);
+    CPPUNIT_ASSERT(gateway.Runs().empty());
+  }
+
+  void IsAskedAgainOutsideATransaction() {
     LineGateway gateway;
     const ClientId client = gateway.Open("session");
     gateway.Ask(client, "PREPARE s1 LOOKUP qa");
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -27,20 +27,28 @@
     const std::string id = TakeField(&rest);
     lines.push_back(word == "QUERY" && !id.empty() ? this->Answer(id, rest)
                                                    : "ERROR MALFORMED " + word);
-    lines.push_back(this->in_transaction ? "READY T 1.1" : "READY I 1.1");
+    const char* const open = this->failed ? "READY E 1.1" : "READY T 1.1";
+    lines.push_back(this->in_transaction ? open : "READY I 1.1");
   }
   return lines;
 }
 
 std::string LineMember::Answer(const std::string& id, std::string text) {
   const std::string refused = this->refusal(text);
-  if (!refused.empty()) return refused;
+  if (!refused.empty()) {
+    this->failed =
+        this->in_transaction && refused.find("READONLY") != std::string::npos;
+    return refused;
+  }
   std::string rest = text;
   std::string verb = TakeField(&rest);
   if (verb == "AFTER") {
     TakeField(&rest);
     verb = TakeField(&rest);
   }
+  if (this->failed && verb != "ROLLBACK" && verb != "COMMIT") {
+    return "ERROR MALFORMED failed";
+  }
   if (verb == "EXECUTE") return this->Execute(id, rest);
   if (verb == "LOOKUP" || verb == "STORE") {
     return this->Run(
@@ -66,6 +74,7 @@
   }
   if (verb == "BEGIN" || verb == "COMMIT" || verb == "ROLLBACK") {
     this->in_transaction = verb == "BEGIN";
+    this->failed = false;
     return "DONE d." + id;
   }
   return "ERROR MALFORMED " + verb;
--- a/tests/support/line_member.h
+++ b/tests/support/line_member.h
@@ -33,7 +33,7 @@
 };
 
 /** Gives the answer to a statement's text in place of the member's; empty where
- * the member answers itself. */
+ * the member answers itself. READONLY fails a transaction. */
 using LineRefusal = std::function<std::string(const std::string& text)>;
 
 /** One connection at a member. */
@@ -63,6 +63,8 @@
   std::map<std::string, std::string> values;
   std::map<std::string, Prepared> prepared;
   bool in_transaction = false;
+  /** The transaction failed: only its end is taken. */
+  bool failed = false;
   bool reset_ends_transaction = false;
   std::vector<LineRun> runs;
 };
