--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -129,6 +129,8 @@
     RunPtr run;
     /** Requests that were sent and not yet answered. */
     std::deque<MemberRequest> expected;
+    /** The number of the prepared statement to execute; 0 for none. */
+    PreparedNumber prepared = 0;
     /** Why the member didn't prepare the statement to execute. */
     std::optional<MemberReply> unprepared;
     /** Requests to send once the session's settings are confirmed; the
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -57,6 +57,7 @@
   LinkSetup setup = used.state.SetupFor(*run->session, prepared);
   flight.next = std::move(setup.requests);
   flight.next.push_back(this->RequestFor(run, setup.prepared));
+  flight.prepared = setup.prepared;
   Flight& stored = this->flights[link] = std::move(flight);
   this->SendNext(link, stored);
 }
@@ -239,6 +240,7 @@
   MemberPool& pool = *this->PoolOf(link);
   run->served_by = pool.Info().id;
   run->served_on = link;
+  run->served_prepared = flight.prepared;
   if (reply.error) {
     this->OnRefusal(now, pool, link, flight, reply);
   } else {
--- a/src/lacewingferry/decisions/gateway/statement_record.cc
+++ b/src/lacewingferry/decisions/gateway/statement_record.cc
@@ -114,6 +114,9 @@
                   {"least_position", PositionText(run.least_position)},
                   {"position", PositionText(reply.position)},
                   {"in_transaction", run.in_transaction ? "yes" : "no"}};
+  if (run.served_prepared != 0) {
+    event.fields.emplace_back("prepared", std::to_string(run.served_prepared));
+  }
   if (reply.error) {
     event.fields.emplace_back("error", StatementErrorName(*reply.error));
     event.fields.emplace_back("reason", reply.error_text);
--- a/src/lacewingferry/decisions/gateway/statement_run.h
+++ b/src/lacewingferry/decisions/gateway/statement_run.h
@@ -67,6 +67,8 @@
   /** The member that answered, and on which connection; 0 for none. */
   MemberId served_by;
   LinkId served_on = 0;
+  /** The number of the prepared statement there; 0 for none. */
+  PreparedNumber served_prepared = 0;
 
   /** Whether it may be sent again even if a member may already have run it. */
   bool IsRepeatable() const { return !this->writes && !this->in_transaction; }
