Texts in time lines, drawings and reports can't look like others

What operators saw: a client's shape "qa link=7" printed as two fields of an entry; control characters made a drawing that no reader of XML takes, and those above 0x7f reached the terminal; an author's name could add lines to the history of notes. Change: PrintableText serves all of them; a value with = or a quote is quoted. Measured: TimelineTest and WrittenTextPropertyTest, each with a case that fails on the code before, hold; OperatorProgramTest holds.

--- a/src/lacewingferry/app/operator_report.cc
+++ b/src/lacewingferry/app/operator_report.cc
@@ -2,13 +2,16 @@
 
 #include <sstream>
 
+#include "lacewingferry/core/printable_text.h"
+
 namespace lacewingferry {
 namespace {
 
 using Json = nlohmann::ordered_json;
 
+/** Notes and their authors are texts of operators. */
 std::string TextAt(const Json& json, const char* key) {
-  return json.at(key).get<std::string>();
+  return PrintableText(json.at(key).get<std::string>());
 }
 
 std::uint64_t NumberAt(const Json& json, const char* key) {
--- a/src/lacewingferry/app/timeline_svg.cc
+++ b/src/lacewingferry/app/timeline_svg.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "lacewingferry/core/fractional_milliseconds.h"
+#include "lacewingferry/core/printable_text.h"
 #include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
@@ -25,7 +26,7 @@
 
 std::string Escape(const std::string& text) {
   std::string escaped;
-  for (const char letter : text) {
+  for (const char letter : PrintableText(text)) {
     switch (letter) {
       case '&':
         escaped += "&amp;";
--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -7,6 +7,7 @@
 #include "lacewingferry/adapters/json/event_json.h"
 #include "lacewingferry/app/timeline_json.h"
 #include "lacewingferry/core/fractional_milliseconds.h"
+#include "lacewingferry/core/printable_text.h"
 #include "lacewingferry/core/time_text.h"
 #include "lacewingferry/decisions/timeline/failover_phases.h"
 
@@ -26,35 +27,29 @@
   return out.str();
 }
 
-/** A text without control characters: an entry is one line. */
-std::string Printable(const std::string& text) {
+/** A field's value; quoted where it could be taken for further fields. */
+std::string FieldText(const std::string& value) {
+  const std::string text = PrintableText(value);
+  if (text.find_first_of("=\"") == std::string::npos) return text;
   std::ostringstream out;
-  for (const char letter : text) {
-    const auto byte = static_cast<unsigned char>(letter);
-    if (byte >= ' ' && byte != 0x7f) {
-      out << letter;
-    } else {
-      out << "\\x" << std::hex << std::setw(2) << std::setfill('0')
-          << static_cast<unsigned>(byte);
-    }
-  }
+  out << std::quoted(text);
   return out.str();
 }
 
 void PrintEntry(const TimelineEntry& entry, std::ostream& out) {
   out << FormatTime(entry.time) << "  " << std::left << std::setw(kNodeWidth)
-      << Printable(entry.node.Value()) << " " << std::setw(kNameWidth)
-      << Printable(entry.name);
+      << PrintableText(entry.node.Value()) << " " << std::setw(kNameWidth)
+      << PrintableText(entry.name);
   for (const auto& [name, value] : entry.fields) {
-    out << " " << Printable(name) << "=" << Printable(value);
+    out << " " << PrintableText(name) << "=" << FieldText(value);
   }
   out << "\n";
 }
 
 void PrintFailover(const Failover& failover, std::ostream& out) {
-  out << "failover of " << failover.database << " to term " << failover.term
-      << " at " << FormatTime(failover.begun_at) << ": detection "
-      << PhaseText(failover.detection) << ", lease "
+  out << "failover of " << PrintableText(failover.database) << " to term "
+      << PrintableText(failover.term) << " at " << FormatTime(failover.begun_at)
+      << ": detection " << PhaseText(failover.detection) << ", lease "
       << PhaseText(failover.lease) << ", promotion "
       << PhaseText(failover.promotion) << ", re-routing "
       << PhaseText(failover.rerouting) << "\n";
--- a/tests/correctness/timeline_test.cc
+++ b/tests/correctness/timeline_test.cc
@@ -181,10 +181,13 @@
   void PrintsEachEntryOnOneLine() {
     TimelineEntry entry;
     entry.name = "session_not_relayed";
-    entry.fields = {{"host", "a\n17:59:54.731  proxy-0\x1b[2J\tb"}};
+    entry.fields = {{"shape", "qa link=7 \"x\""},
+                    {"host", "a\n17:59:54.731  proxy-0\x1b[2J\tb"}};
     const std::string text = TimelineText({entry});
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
                          std::count(text.begin(), text.end(), '\n'));
+    CPPUNIT_ASSERT(text.find(R"( shape="qa link=7 \"x\"" )") !=
+                   std::string::npos);
     CPPUNIT_ASSERT(
         text.find("host=a\\x0a17:59:54.731  proxy-0\\x1b[2J\\x09b") !=
         std::string::npos);
--- a/tests/correctness/written_text_property_test.cc
+++ b/tests/correctness/written_text_property_test.cc
@@ -11,6 +11,7 @@
 
 #include "lacewingferry/adapters/histogram/gauge_text.h"
 #include "lacewingferry/adapters/log4cxx/event_log.h"
+#include "lacewingferry/app/timeline_svg.h"
 #include "lacewingferry/app/timeline_text.h"
 #include "tests/support/temporary_file.h"
 
@@ -29,6 +30,8 @@
                                          "\x7f",
                                          "\x80",
                                          "\xc3\xa9",
+                                         "\xc2\x9b",
+                                         "\xe2\x80\xae",
                                          "} 1\nferry_term 9",
                                          "\",\"event\":1",
                                          "=",
@@ -138,6 +141,10 @@
       RC_ASSERT(std::count(text.begin(), text.end(), '\n') == 2);
       RC_ASSERT(text.find('\x1b') == std::string::npos);
       RC_ASSERT(text.find('\r') == std::string::npos);
+      RC_ASSERT(text.find("\xc2\x9b") == std::string::npos);
+      RC_ASSERT(text.find("\xe2\x80\xae") == std::string::npos);
+      const std::string svg = TimelineSvg({entry});
+      RC_ASSERT(svg.find('\x1b') == std::string::npos);
     }));
   }
 };
