Bounds stated as false, and tests that ask for more

A bound that the platform states as false was no number, and control would not have started; the section of the template before left it out.

--- a/standin/platform/platform_group.cc
+++ b/standin/platform/platform_group.cc
@@ -127,7 +127,7 @@
     asked.received = this->log.size();
     return this->Status(now, connection.member);
   }
-  if (verb == "SET" && !rest.empty()) {
+  if (verb == "SET" && rest.find(' ') != std::string::npos) {
     const std::string key = TakeWord(&rest);
     connection.values[key] = rest;
     return Done("-");
--- a/tests/correctness/member_lines_property_test.cc
+++ b/tests/correctness/member_lines_property_test.cc
@@ -99,7 +99,8 @@
 bool CanBeField(const std::string& text) {
   return !text.empty() &&
          std::none_of(text.begin(), text.end(), [](char letter) {
-           return (letter >= 0 && letter <= ' ') || letter == '\x7f';
+           const auto byte = static_cast<unsigned char>(letter);
+           return byte <= ' ' || byte == 0x7f;
          });
 }
 
--- a/tests/correctness/member_link_test.cc
+++ b/tests/correctness/member_link_test.cc
@@ -79,6 +79,7 @@
 class MemberLinkTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MemberLinkTest);
   CPPUNIT_TEST(RefusesWhatNoLineCanCarry);
+  CPPUNIT_TEST(ClosedLinkRefusesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -110,6 +111,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c0e EXECUTE p7 a b\r\n"),
                          member.SecondLine());
   }
+
+  void ClosedLinkRefusesNothing() {
+    TwoLineMember member;
+    boost::asio::io_context io;
+    std::shared_ptr<MemberLink> link;
+    MemberLinkHooks hooks;
+    hooks.opened = [&](const std::optional<LogPosition>&) {
+      link->Send({Execution("a\nb")});
+      link->Close();
+    };
+    hooks.reply = [](const MemberReply&) { CPPUNIT_FAIL("a reply"); };
+    hooks.lost = [](LinkLoss) { CPPUNIT_FAIL("the connection is lost"); };
+    link = std::make_shared<MemberLink>(
+        io, LinkTarget{DatabaseId("db"), MemberId("m"), member.Address()},
+        std::move(hooks));
+    link->Open();
+    io.run();
+    CPPUNIT_ASSERT_EQUAL(std::string(), member.SecondLine());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MemberLinkTest);
--- a/tests/correctness/prepared_shapes_test.cc
+++ b/tests/correctness/prepared_shapes_test.cc
@@ -31,12 +31,31 @@
                                           "fq LOOKUP qa LOOKUP fq"};
 
 /** What a client that means no good puts into its lines. */
-const std::vector<std::string> kWords = {
-    "qa",        "fq",      "LOOKUP", "STORE",    "r_qa",
-    "w_q25",     " ",       "  ",     "\t",       "\x80",
-    "p1",        "1",       "-",      "\xc2\xa0", "QUERY x LOOKUP y",
-    "AFTER 9.9", "EXECUTE", "RESET",  "\v",       "%20",
-    "s1",        "language"};
+const std::vector<std::string> kWords = {"qa",
+                                         "fq",
+                                         "LOOKUP",
+                                         "STORE",
+                                         "r_qa",
+                                         "w_q25",
+                                         " ",
+                                         "  ",
+                                         "\t",
+                                         "\x80",
+                                         "p1",
+                                         "1",
+                                         "-",
+                                         "\xc2\xa0",
+                                         "QUERY x LOOKUP y",
+                                         "AFTER 9.9",
+                                         "EXECUTE",
+                                         "RESET",
+                                         "\v",
+                                         "\r",
+                                         "\n",
+                                         std::string(1, '\0'),
+                                         "%20",
+                                         "s1",
+                                         "language"};
 
 /** A few words one after the other, some with blanks between them. */
 std::string AnyText(std::mt19937& random) {
@@ -49,6 +68,15 @@
   return text;
 }
 
+/** A text that a line can carry. */
+std::string AnyShape(std::mt19937& random) {
+  std::string shape = AnyText(random);
+  while (shape.find_first_of("\r\n") != std::string::npos) {
+    shape = AnyText(random);
+  }
+  return shape;
+}
+
 std::string AnyName(std::mt19937& random) {
   static const std::vector<std::string> kNames = {"s1", "s2",   "r_qa", "p1",
                                                   "1",  "\x80", "-"};
@@ -57,7 +85,7 @@
 
 std::string AnyStatement(std::mt19937& random) {
   const char* const verb = random() % 2 == 0 ? " LOOKUP " : " STORE ";
-  switch (random() % 6) {
+  switch (random() % 8) {
     case 0:
     case 1:
       return "PREPARE " + AnyName(random) + verb + AnyText(random);
@@ -65,6 +93,10 @@
     case 3:
       return "EXECUTE " + AnyName(random) + " " + AnyText(random);
     case 4:
+      return random() % 3 == 0 ? "BEGIN" : "BEGIN LOOKUP";
+    case 5:
+      return random() % 3 == 0 ? "ROLLBACK" : "COMMIT";
+    case 6:
       return "SET " + AnyName(random) + " " + AnyText(random);
     default:
       return std::string(verb).substr(1) + AnyText(random);
@@ -120,6 +152,14 @@
       for (int i = 0; i < kStatementsOfADay; ++i) {
         gateway.Ask(clients[random() % kSessions], AnyStatement(random));
       }
+      // Whatever came before, a session that is new is served once no
+      // transaction holds a connection.
+      for (const ClientId client : clients) gateway.Ask(client, "ROLLBACK");
+      const std::string shape = AnyShape(random);
+      const ClientId last = gateway.Open("session");
+      RC_ASSERT(!gateway.Ask(last, "PREPARE s1 LOOKUP " + shape).error);
+      RC_ASSERT(!gateway.Ask(last, "EXECUTE s1 a").error);
+      RC_ASSERT(!gateway.Runs().empty());
       const auto faults = gateway.Faults();
       if (!faults.empty()) RC_FAIL(AllOf(faults));
     }));
--- a/tests/correctness/written_text_property_test.cc
+++ b/tests/correctness/written_text_property_test.cc
@@ -56,8 +56,9 @@
 }
 
 bool IsAscii(const std::string& text) {
-  return std::all_of(text.begin(), text.end(),
-                     [](char letter) { return letter >= 0; });
+  return std::all_of(text.begin(), text.end(), [](char letter) {
+    return static_cast<unsigned char>(letter) < 0x80;
+  });
 }
 
 /** Reads a line of the Prometheus text format with one label: the label's value
--- a/tests/error/fleet_settings_test.cc
+++ b/tests/error/fleet_settings_test.cc
@@ -82,7 +82,8 @@
 
   void BoundsOfOtherMattersAreIgnored() {
     const auto settings = Read(
-        "platform_bounds: {\"grace_s\": 6, \"fencing\": false, \"x\": [1]}\n");
+        "platform_bounds: {\"grace_s\": 6, \"fencing\": false, "
+        "\"quota_slack\": false, \"x\": [1]}\n");
     const CustomerLimitSettings limits =
         platform::ReadPlatformBounds(settings.platform_bounds);
     CPPUNIT_ASSERT(limits.window == milliseconds(0));
