--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -50,8 +50,9 @@
  * connection.
  *
  * group_traffic.cc chooses members and queues statements,
- * group_traffic_links.cc sends requests and handles replies,
- * group_traffic_time.cc handles timers.
+ * group_traffic_links.cc opens, releases and closes connections and sends
+ * requests, group_traffic_replies.cc handles replies, group_traffic_time.cc
+ * handles timers.
  */
 class GroupTraffic {
  public:
