--- a/tests/correctness/session_setup_test.cc
+++ b/tests/correctness/session_setup_test.cc
@@ -100,6 +100,10 @@
     const LinkSetup reset = link.SetupFor(SessionState(), &statement);
     CPPUNIT_ASSERT(reset.prepared != again.prepared);
     CPPUNIT_ASSERT(reset.prepared != failed);
+    Apply(reset.requests, &link);
+    const PreparedStatement other{false, "q2d"};
+    const auto after = link.SetupFor(SessionState(), &other).prepared;
+    CPPUNIT_ASSERT(after > reset.prepared && reset.prepared > again.prepared);
   }
 
   void ReadAndWriteOfAShapeStaySeparate() {
