Keep a statement's run while its connection is given up

The run was passed on by a reference into the flight, which ends with the connection; nothing used it after that. Read again, not seen to fail. Five suites of the gateway hold.

--- a/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
@@ -30,6 +30,8 @@
     return;
   }
   Flight& flight = found->second;
+  // The flight may end before the run does.
+  const RunPtr run = flight.run;
   const MemberRequest request = std::move(flight.expected.front());
   flight.expected.pop_front();
   Link* used = this->PoolOf(link)->Find(link);
@@ -52,15 +54,15 @@
     if (request.kind == MemberRequestKind::kPrepare) {
       flight.unprepared = reply;
     } else {
-      this->OnSetupFailed(now, link, flight.run, reply);
+      this->OnSetupFailed(now, link, run, reply);
     }
     return;
   }
   // What follows must not run outside the transaction.
   const bool rolled_back =
-      flight.run->in_transaction && reply.state != TransactionState::kOpen;
+      run->in_transaction && reply.state != TransactionState::kOpen;
   if (rolled_back) {
-    this->OnSetupFailed(now, link, flight.run, reply);
+    this->OnSetupFailed(now, link, run, reply);
   } else if (flight.expected.empty()) {
     this->SendNext(link, flight);
   }
