Findings of the linter

Texts and a reply that were constant and so couldn't be moved, and a size and a number that were multiplied before they were widened.

--- a/src/lacewingferry/adapters/json/json_fields.cc
+++ b/src/lacewingferry/adapters/json/json_fields.cc
@@ -59,7 +59,7 @@
     this->Report(std::string(name) + " is not a string");
     return "";
   }
-  const auto text = value->get<std::string>();
+  auto text = value->get<std::string>();
   if (HasZeroByte(text)) this->Report(std::string(name) + " has a zero byte");
   return text;
 }
--- a/src/lacewingferry/app/timeline_text.cc
+++ b/src/lacewingferry/app/timeline_text.cc
@@ -29,7 +29,7 @@
 
 /** A field's value; quoted where it could be taken for further fields. */
 std::string FieldText(const std::string& value) {
-  const std::string text = PrintableText(value);
+  std::string text = PrintableText(value);
   if (text.find_first_of("=\"") == std::string::npos) return text;
   std::ostringstream out;
   out << std::quoted(text);
--- a/src/lacewingferry/decisions/gateway/session_state.cc
+++ b/src/lacewingferry/decisions/gateway/session_state.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kMaxSessionEntries = 1024;
 /** The maximum size of a session's settings and of its prepared statements, in
  * bytes each: a few of the largest. */
-constexpr std::size_t kMaxSessionBytes = 2 * ((1U << 20U) + 4096);
+constexpr std::size_t kMaxSessionBytes = (2U << 20U) + (8U << 10U);
 
 /** The size of the entries but for the one of a name, whose place another
  * takes. */
--- a/tests/correctness/prepared_shapes_test.cc
+++ b/tests/correctness/prepared_shapes_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kSessions = 8;
-constexpr int kExecutions = 200;
+constexpr std::size_t kExecutions = 200;
 constexpr int kStatementsOfADay = 60;
 
 const std::vector<std::string> kShapes = {"qa",
@@ -125,7 +125,7 @@
       clients.push_back(gateway.Open("session"));
     }
     std::vector<std::string> refused;
-    for (int i = 0; i < kExecutions; ++i) {
+    for (std::size_t i = 0; i < kExecutions; ++i) {
       const ClientId client = clients[i % kSessions];
       const std::string& shape = kShapes[(i * 7) % kShapes.size()];
       const bool writes = i % 5 == 0;
--- a/tests/support/line_gateway.cc
+++ b/tests/support/line_gateway.cc
@@ -77,7 +77,7 @@
          this->gateway.Queue().Now() < limit) {
     this->gateway.Run(milliseconds(1));
   }
-  const ClientReply reply = answers.at(statement.id).reply;
+  ClientReply reply = answers.at(statement.id).reply;
   if (!reply.error) Note(&session, text);
   session.in_transaction = reply.state == TransactionState::kOpen;
   return reply;
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -34,7 +34,7 @@
 }
 
 std::string LineMember::Answer(const std::string& id, std::string text) {
-  const std::string refused = this->refusal(text);
+  std::string refused = this->refusal(text);
   if (!refused.empty()) {
     this->failed =
         this->in_transaction && refused.find("READONLY") != std::string::npos;
