Read again: one identifier for two statements hid the second's answer in a test

UnsentStatementTest (WhatNoLineCarriesIsNotAcknowledged) asked twice under one identifier and looked at the first answer twice. MemberLinkTest opens its links in one place.

--- a/tests/correctness/member_link_test.cc
+++ b/tests/correctness/member_link_test.cc
@@ -73,6 +73,14 @@
   return request;
 }
 
+std::shared_ptr<MemberLink> MakeLink(boost::asio::io_context& io,
+                                     const TwoLineMember& member,
+                                     MemberLinkHooks hooks) {
+  return std::make_shared<MemberLink>(
+      io, LinkTarget{DatabaseId("db"), MemberId("m"), member.Address()},
+      std::move(hooks));
+}
+
 // Guards against a line that a member reads as another request than was meant:
 // nothing of its batch is sent, the reason is the reply, and the connection
 // goes on.
@@ -99,9 +107,7 @@
       if (replies.size() == 3) link->Close();
     };
     hooks.lost = [](LinkLoss) { CPPUNIT_FAIL("the connection is lost"); };
-    link = std::make_shared<MemberLink>(
-        io, LinkTarget{DatabaseId("db"), MemberId("m"), member.Address()},
-        std::move(hooks));
+    link = MakeLink(io, member, std::move(hooks));
     link->Open();
     io.run();
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, replies.size());
@@ -123,9 +129,7 @@
     };
     hooks.reply = [](const MemberReply&) { CPPUNIT_FAIL("a reply"); };
     hooks.lost = [](LinkLoss) { CPPUNIT_FAIL("the connection is lost"); };
-    link = std::make_shared<MemberLink>(
-        io, LinkTarget{DatabaseId("db"), MemberId("m"), member.Address()},
-        std::move(hooks));
+    link = MakeLink(io, member, std::move(hooks));
     link->Open();
     io.run();
     CPPUNIT_ASSERT_EQUAL(std::string(), member.SecondLine());
--- a/tests/correctness/unsent_statement_test.cc
+++ b/tests/correctness/unsent_statement_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <string>
 
 #include "platform/client_lines.h"
@@ -69,11 +70,12 @@
     LineGateway gateway;
     const ClientId client = gateway.Open("session");
     const std::size_t room = platform::kMostLineBytes;
-    for (const char* text : {"SET n ", "PREPARE s LOOKUP "}) {
-      const ClientReply reply = gateway.AskAs(
-          client, "x",
-          text + std::string(room - 8 - std::string(text).size(), 'y'));
-      CPPUNIT_ASSERT(reply.error == StatementError::kTooLarge);
+    const std::map<std::string, std::string> beginnings = {
+        {"x", "SET n "}, {"y", "PREPARE s LOOKUP "}};
+    for (const auto& [id, begin] : beginnings) {
+      const std::string longest(room - 8 - begin.size(), 'z');
+      CPPUNIT_ASSERT(gateway.AskAs(client, id, begin + longest).error ==
+                     StatementError::kTooLarge);
     }
     CPPUNIT_ASSERT(
         !gateway.Ask(client, "SET n " + std::string(room - 256, 'y')).error);
