--- a/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
@@ -49,8 +49,9 @@
     return;
   }
   if (reply.error) {
-    // The execution after a failed PREPARE fails as well, with the reason of
-    // both. If a setting failed, the statement was not sent.
+    // The execution is sent together with its PREPARE and fails after it; its
+    // client is told why the PREPARE failed. A statement isn't sent before its
+    // session's settings are confirmed.
     if (request.kind == MemberRequestKind::kPrepare) {
       flight.unprepared = reply;
     } else {
