--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -184,6 +184,7 @@
         # Receives nothing while it is set.
         self.deaf = False
         self.connections = set()
+        self.busy = 0
         self.server = None
         self.beat_task = None
         self.beats_refused = 0
@@ -347,7 +348,12 @@
             if name not in self.prepared:
                 return f"ERROR NOSTMT {name}\r\n"
             verb = self.prepared[name][0]
+        if self.group.slots is not None and verb != "ROLLBACK":
+            if member.busy >= self.group.slots:
+                return f"ERROR BUSY {member.id}\r\n"
+        member.busy += 1
         await asyncio.sleep(self.group.work_s)
+        member.busy -= 1
         if verb == "BEGIN":
             if rest != "LOOKUP" and member.role != "primary":
                 return f"ERROR READONLY {member.id}\r\n"
@@ -424,6 +430,8 @@
         self.name = SERVICE
         self.work_s = 0.003
         self.slow_s = 0.4
+        # Requests that a member runs at once; None for no limit.
+        self.slots = None
         self.receive_s = 0.002
         self.apply_s = 0.02
         self.promote_s = 0.6
@@ -625,10 +633,10 @@
         self.exits.append((name, code))
         self.record.write(f"process {name} ended with {code}")
 
-    async def start_all(self):
+    async def start_all(self, spares=0):
         for i in range(len(self.control_hosts)):
             await self.start("control", i)
-        for i in range(len(self.proxy_hosts)):
+        for i in range(len(self.proxy_hosts) - spares):
             await self.start("proxy", i)
 
     def signal(self, role, number, what):
@@ -654,7 +662,10 @@
 
     async def await_ready(self, limit_s=20):
         end = time.monotonic() + limit_s
-        for host in self.proxy_hosts:
+        for role, number in list(self.processes):
+            if role != "proxy":
+                continue
+            host = self.proxy_hosts[number]
             while True:
                 status, _, _ = await http_call(host, self.ports["ready"], "GET",
                                                "/readyz")
@@ -787,7 +798,7 @@
     try:
         await group.start()
         await Platform(fleet, group).start()
-        await fleet.start_all()
+        await fleet.start_all(options.get("spares", 0))
         await fleet.put(options.get("configuration") or configuration(1))
         await fleet.await_ready()
         return await asyncio.wait_for(
