--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -14,7 +14,6 @@
 import shutil
 import signal
 import socket
-import sys
 import tempfile
 import time
 
@@ -817,13 +816,18 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"begins, {'with' if trouble else 'without'} the disruption")
-    try:
-        broken = asyncio.run(run_case(case, record, trouble, options))
-    except Exception as error:  # Whatever it is, the case couldn't run.
-        record.write(f"couldn't run: {type(error).__name__}: {error}")
-        print(f"couldn't run: {type(error).__name__}: {error}")
-        sys.exit(2)
-    verdict = f"BROKEN: {broken}" if broken else "held"
-    record.write(verdict)
-    print(verdict)
-    sys.exit(1 if broken else 0)
+    async def run():
+        try:
+            broken = await run_case(case, record, trouble, options)
+        except Exception as error:  # Whatever it is, the case couldn't run.
+            finish(2, f"couldn't run: {type(error).__name__}: {error}")
+        finish(1 if broken else 0, f"BROKEN: {broken}" if broken else "held")
+
+    def finish(code, verdict):
+        record.write(verdict)
+        print(verdict, flush=True)
+        # The programs have ended; tasks of the stand-ins that are left over
+        # must not hold up the end of this process.
+        os._exit(code)
+
+    asyncio.run(run())
