--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,78 +1,81 @@
-"""A planned stop cuts off statements that it passed on to a member."""
+"""A member fails part of its requests; a prepared write runs twice."""
 
 import asyncio
+import collections
 import pathlib
-import signal
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "rig-2"))
 import rig  # noqa: E402
 
-GRACE_S = rig.BOUNDS["grace_s"]
-# A request that was sent earlier than this may be excused.
-EXCUSED_UNTIL_S = 3.0
-CLIENTS = 12
-STATEMENTS = 12
-WORK_S = 0.25
-# Clients rest between the statements of a transaction, each in its own way.
-SHORTEST_PAUSE_S = 0.12
-PAUSE_STEP_S = 0.02
+# The part of the primary's requests that fail, and for how long.
+FAILED_SHARE = 0.3
+LASTS_S = 6
+SESSIONS = 4
+PAUSE_S = 0.04
+ADMINISTRATIVE = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
+# The answers that promise that nothing of the attempt is kept.
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY")
 
 
-async def work(setting, number, cuts):
-    """Transactions, as long as the session lasts."""
-    pause_s = SHORTEST_PAUSE_S + PAUSE_STEP_S * number
-    client = rig.Client(setting.fleet, setting.record, 0, "primary",
-                        f"client-{number}")
-    await asyncio.sleep(number * 0.11)
-    await client.open()
-    sent_at = 0.0
+async def work(setting, number, attempts):
+    """Prepares a write of its own and runs it, one attempt an item."""
+    count = 0
     while not setting.over:
-        for text in ["BEGIN", f"STORE i{number} x"] + [f"LOOKUP i{number}"] * (
-                STATEMENTS - 3) + ["COMMIT"]:
-            sent_at = setting.record.now()
-            request = client.send(text)
-            answer = await client.answer(request)
+        client = rig.Client(setting.fleet, setting.record, number % 2,
+                            "primary", f"client-{number}")
+        if not (await client.open()).startswith("READY"):
+            await asyncio.sleep(0.1)
+            continue
+        for _ in range(5):
+            count += 1
+            item = f"n{number}c{count}"
+            await client.ask(f"PREPARE s1 STORE q{number}c{count}")
+            answer = await client.ask(f"EXECUTE s1 {item} x")
+            attempts[item] = rig.code_of(answer)
             if answer is None:
-                cuts.append((request, sent_at))
-                return
-            await asyncio.sleep(pause_s)
-            if not rig.succeeded(answer):
                 break
-        if answer[-1].split()[1] != "I":
-            rollback = client.send("ROLLBACK")
-            if await client.answer(rollback) is None:
-                return
+            await asyncio.sleep(PAUSE_S)
+        client.close()
 
 
 async def case(setting):
-    setting.group.work_s = WORK_S
-    cuts = []
-    clients = [asyncio.create_task(work(setting, i, cuts))
-               for i in range(CLIENTS)]
-    await asyncio.sleep(5)
-    if not setting.trouble:
-        await asyncio.sleep(GRACE_S + 1)
-        for task in clients:
-            task.cancel()
-        return "a session ended" if cuts else ""
-    stop = setting.record.now()
-    setting.record.write("SIGTERM to the proxy")
-    setting.fleet.signal("proxy", 0, signal.SIGTERM)
-    await asyncio.sleep(GRACE_S)
-    setting.fleet.signal("proxy", 0, signal.SIGKILL)
+    choice = random.Random(7)
+
+    def fail(session, request, text):
+        member = session.member
+        if text.split(" ")[0] in ADMINISTRATIVE or member.role != "primary":
+            return ""
+        return "failed" if choice.random() < FAILED_SHARE else ""
+
+    if setting.trouble:
+        setting.group.fault = fail
+    attempts = {}
+    clients = [asyncio.create_task(work(setting, i, attempts))
+               for i in range(SESSIONS)]
+    await asyncio.sleep(LASTS_S)
+    setting.over = True
+    await asyncio.gather(*clients)
+    setting.group.fault = lambda session, request, text: ""
     await asyncio.sleep(1)
-    for task in clients:
-        task.cancel()
-    lost = [(request, sent_at - stop) for request, sent_at in cuts
-            if sent_at - stop > EXCUSED_UNTIL_S
-            and request in setting.group.seen]
-    for request, after in lost:
-        setting.record.write(
-            f"lost: {request}, sent {after:.3f} s after the SIGTERM, at a "
-            f"member {setting.group.seen[request] - stop:.3f} s after it")
-    return f"LOST, {len(lost)} requests" if lost else ""
+    stored = collections.Counter(
+        item for _, _, writes in setting.group.primary().log
+        for item, _ in writes)
+    twice = [item for item, times in stored.items() if times > 1]
+    refused = [item for item, code in attempts.items()
+               if code in PROMISES and stored[item] > 0]
+    for item in twice:
+        setting.record.write(f"{item} was stored {stored[item]} times; its "
+                             f"client got {attempts.get(item)}")
+    for item in refused:
+        setting.record.write(f"{item} was stored; its client got the promise "
+                             f"{attempts[item]}")
+    if not twice and not refused:
+        return ""
+    return (f"TWICE, {len(twice)} of {len(attempts)} attempts; "
+            f"REFUSED, {len(refused)}")
 
 
 if __name__ == "__main__":
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -225,6 +225,22 @@
                     f"check-in of {self.name()} gets {status} from {node}")
         return status
 
+    async def come_back(self):
+        """Starts again under its ID. A replica holds nothing of before; a member
+        that led has its log."""
+        self.alive = True
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.paused = 0
+        if self.role != "primary":
+            self.log = []
+            self.applied = 0
+        elif self.group.primary() not in (None, self):
+            self.role = "replica"
+        self.server = await asyncio.start_server(
+            self.serve, self.host, self.port, limit=1 << 21)
+        await self.check_in(self.number)
+
     def crash(self):
         """Goes down: closes what it has and takes nothing more."""
         self.alive = False
