What became of a statement is read from the answer to it alone

Cause: a PREPARE and its EXECUTE go to a member as one batch. Where the member answered FAILED to the PREPARE, GroupTraffic took the EXECUTE for not run, whatever was said of it, and sent it again. By the platform's page FAILED and TIMEOUT mean that there was a run. Ruled out: that only FAILED does it (TIMEOUT does, in the test), and that the client sent it again (one request, two connections).

Change: OutcomeOf says what an answer means, in one place, and is asked of the answer to the statement's own request. The preparation's answer only gives the reason where the execution didn't run. Codes that are promises and that no page lets a member give are told as UNKNOWN. A connection that failed to prepare what then failed is closed. statement_repeated tells each write that is sent again because it couldn't be prepared.

Why it works: a write is sent again only after its own answer was one of the codes that mean that there was no run.

--- a/src/lacewingferry/core/events.cc
+++ b/src/lacewingferry/core/events.cc
@@ -66,6 +66,8 @@
       return "customer_limited";
     case EventCode::kStatementPrepared:
       return "statement_prepared";
+    case EventCode::kStatementRepeated:
+      return "statement_repeated";
     case EventCode::kReplicaPassedOver:
       return "replica_passed_over";
     case EventCode::kReplicaTakenBack:
--- a/src/lacewingferry/core/events.h
+++ b/src/lacewingferry/core/events.h
@@ -36,6 +36,7 @@
   kKeyWithdrawn = 3109,
   kCustomerLimited = 3110,
   kStatementPrepared = 3111,
+  kStatementRepeated = 3112,
   kReplicaPassedOver = 3201,
   kReplicaTakenBack = 3202,
   kPeerMessageRejected = 4001,
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -184,6 +184,8 @@
   void OnSuccess(std::chrono::steady_clock::time_point now, MemberPool& pool,
                  LinkId link, const Flight& flight, const MemberReply& reply);
   static MemberReply ReasonOf(const Flight& flight, const MemberReply& reply);
+  void RecordRepeated(const Flight& flight, LinkId link,
+                      const MemberReply& answer) const;
   void Retry(std::chrono::steady_clock::time_point now, const RunPtr& run,
              StatementError error, const std::string& text);
   void Finish(std::chrono::steady_clock::time_point now, const RunPtr& run,
--- a/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
@@ -2,6 +2,8 @@
 #include <utility>
 
 #include "lacewingferry/decisions/gateway/group_traffic.h"
+#include "lacewingferry/decisions/gateway/statement_outcome.h"
+#include "lacewingferry/decisions/gateway/statement_record.h"
 
 namespace lacewingferry {
 namespace {
@@ -186,17 +188,19 @@
                               std::to_string(position.offset)}}});
 }
 
-/** The reason why a statement was refused. One that could not be prepared can't
- * have run, whatever was said of its execution. */
+/** Why a statement was refused. Whether it ran is what the answer to its own
+ * request says; where it didn't, the member may have said the reason of its
+ * preparation. */
 MemberReply GroupTraffic::ReasonOf(const Flight& flight,
                                    const MemberReply& reply) {
-  if (!flight.unprepared) return reply;
+  const bool not_run = OutcomeOf(*reply.error) == StatementOutcome::kNotRun;
+  if (!flight.unprepared || !not_run) return reply;
   const StatementError error = *flight.unprepared->error;
-  const bool nothing_ran = error == StatementError::kBusy ||
-                           error == StatementError::kReadOnly ||
-                           IsHopeless(error);
+  const bool is_reason = error == StatementError::kBusy ||
+                         error == StatementError::kReadOnly ||
+                         IsHopeless(error);
   MemberReply reason = reply;
-  reason.error = nothing_ran ? error : StatementError::kUnknownPrepared;
+  reason.error = is_reason ? error : StatementError::kUnknownPrepared;
   reason.error_text = flight.unprepared->error_text;
   return reason;
 }
@@ -215,23 +219,49 @@
     this->OnRefusalInTransaction(now, pool, link, run, reply);
     return;
   }
-  // The member lacks a statement that was prepared on this connection, so the
-  // connection's state is not what LinkState says.
-  const bool link_state_unknown = error == StatementError::kUnknownPrepared;
+  // Where the member lacks a statement that was prepared on this connection, or
+  // failed to prepare it, the connection's state is not what LinkState says.
+  const bool prepare_ran =
+      flight.unprepared &&
+      OutcomeOf(*flight.unprepared->error) != StatementOutcome::kNotRun;
+  const bool state_unknown =
+      error == StatementError::kUnknownPrepared || prepare_ran;
   this->ReleaseOrCloseLink(
-      now, link, !link_state_unknown && reply.state == TransactionState::kIdle);
-  const bool not_run = error == StatementError::kBusy ||
-                       error == StatementError::kLagging ||
-                       error == StatementError::kReadOnly || link_state_unknown;
+      now, link, !state_unknown && reply.state == TransactionState::kIdle);
+  const bool not_run = OutcomeOf(*answer.error) == StatementOutcome::kNotRun;
   if (IsHopeless(error) || (!not_run && !run->IsRepeatable())) {
-    this->Fail(now, run, error, reply.error_text);
+    this->Fail(now, run, ErrorToTell(error), reply.error_text);
     return;
   }
   run->avoided.insert(pool.Info().id);
-  this->Retry(now, run, link_state_unknown ? StatementError::kBusy : error,
+  if (run->writes) this->RecordRepeated(flight, link, answer);
+  const bool unprepared = error == StatementError::kUnknownPrepared;
+  this->Retry(now, run, unprepared ? StatementError::kBusy : ErrorToTell(error),
               reply.error_text);
 }
 
+/** Tells that a write is sent again because it couldn't be prepared. Those that
+ * a busy member refused are too many to tell. */
+void GroupTraffic::RecordRepeated(const Flight& flight, LinkId link,
+                                  const MemberReply& answer) const {
+  const bool unprepared =
+      flight.unprepared || answer.error == StatementError::kUnknownPrepared;
+  if (!unprepared) return;
+  const StatementRun& run = *flight.run;
+  this->hooks.events.record(
+      Event{EventCode::kStatementRepeated,
+            EventLevel::kInfo,
+            {{"request", run.statement.id.Value()},
+             {"database", this->database.Value()},
+             {"member", run.served_by.Value()},
+             {"link", std::to_string(link)},
+             {"attempts", std::to_string(run.attempts)},
+             {"preparation", flight.unprepared
+                                 ? StatementErrorName(*flight.unprepared->error)
+                                 : "done"},
+             {"answer", StatementErrorName(*answer.error)}}});
+}
+
 /** A member that answers busy has run nothing, so the transaction continues.
  * Any other refusal ends it. */
 void GroupTraffic::OnRefusalInTransaction(steady_clock::time_point now,
@@ -252,7 +282,8 @@
   const bool unprepared = *reply.error == StatementError::kUnknownPrepared ||
                           (run->statement.kind == StatementKind::kExecute &&
                            *reply.error == StatementError::kMalformed);
-  this->Fail(now, run, unprepared ? StatementError::kAborted : *reply.error,
+  this->Fail(now, run,
+             unprepared ? StatementError::kAborted : ErrorToTell(*reply.error),
              reply.error_text);
 }
 
--- a/tests/support/line_gateway.cc
+++ b/tests/support/line_gateway.cc
@@ -48,7 +48,9 @@
     if (this->reset_ends_transactions) {
       connection.member.EndTransactionsOnReset();
     }
+    if (connection.member.Lost()) return;
     if (this->refusal) connection.member.SetRefusal(this->refusal);
+    if (this->troubles) connection.member.SetTroubles(this->troubles);
     for (const std::string& line : connection.member.Take(bytes)) {
       const auto reply = connection.assembler.Take(line);
       if (!reply) continue;
@@ -57,6 +59,10 @@
                                           answer);
       });
     }
+    if (!connection.member.Lost()) return;
+    this->gateway.Queue().After(kWay, [this, link] {
+      this->gateway.Decisions().OnLinkLost(this->gateway.Queue().Now(), link);
+    });
   });
 }
 
@@ -126,6 +132,15 @@
   return runs;
 }
 
+std::vector<std::string> LineGateway::Kept() const {
+  std::vector<std::string> kept;
+  for (const auto& [link, connection] : this->connections) {
+    const auto& writes = connection.member.Kept();
+    kept.insert(kept.end(), writes.begin(), writes.end());
+  }
+  return kept;
+}
+
 std::vector<std::string> LineGateway::Faults() const {
   std::vector<std::string> faults;
   for (const LineRun& run : this->Runs()) {
--- a/tests/support/line_gateway.h
+++ b/tests/support/line_gateway.h
@@ -27,6 +27,9 @@
   /** Members answer by this from now on where it has an answer. */
   void SetRefusal(LineRefusal hook) { this->refusal = std::move(hook); }
 
+  /** What befalls the requests at members from now on. */
+  void SetTroubles(LineTroubles hook) { this->troubles = std::move(hook); }
+
   /** Sends a client's statement and waits for its answer. */
   ClientReply Ask(ClientId client, const std::string& text);
   /** The same under an identifier of the client's choice. */
@@ -40,6 +43,10 @@
 
   /** The reads and writes that members ran. */
   std::vector<LineRun> Runs() const;
+  /** The identifiers of the writes that took effect, one for each time. */
+  std::vector<std::string> Kept() const;
+  /** The identifier of the statement that was sent last. */
+  std::string LastId() const { return "c" + std::to_string(this->last_id); }
 
  private:
   /** A connection to a member, from its opening on. */
@@ -62,6 +69,7 @@
   model::SessionGateway gateway;
   bool reset_ends_transactions = false;
   LineRefusal refusal;
+  LineTroubles troubles;
   std::map<LinkId, Connection> connections;
   std::map<ClientId, Session> sessions;
   /** What must run under each identifier. */
--- a/tests/support/line_member.cc
+++ b/tests/support/line_member.cc
@@ -25,14 +25,27 @@
     this->input.erase(0, end + kLineEnd.size());
     const std::string word = TakeField(&rest);
     const std::string id = TakeField(&rest);
-    lines.push_back(word == "QUERY" && !id.empty() ? this->Answer(id, rest)
-                                                   : "ERROR MALFORMED " + word);
+    const bool query = word == "QUERY" && !id.empty();
+    std::string answer =
+        query ? this->AnswerTroubled(id, rest) : "ERROR MALFORMED " + word;
+    if (this->lost) return lines;
+    lines.push_back(std::move(answer));
     const char* const open = this->failed ? "READY E 1.1" : "READY T 1.1";
     lines.push_back(this->in_transaction ? open : "READY I 1.1");
   }
   return lines;
 }
 
+std::string LineMember::AnswerTroubled(const std::string& id,
+                                       const std::string& text) {
+  if (!this->troubles) return this->Answer(id, text);
+  const LineTrouble trouble = this->troubles(text);
+  std::string answer;
+  if (trouble.runs) answer = this->Answer(id, text);
+  this->lost = trouble.lost;
+  return trouble.answer.empty() ? answer : trouble.answer;
+}
+
 std::string LineMember::Answer(const std::string& id, std::string text) {
   std::string refused = this->refusal(text);
   if (!refused.empty()) {
@@ -62,7 +75,10 @@
   if (verb == "RESET") {
     this->values.clear();
     this->prepared.clear();
-    if (this->reset_ends_transaction) this->in_transaction = false;
+    if (this->reset_ends_transaction) {
+      this->in_transaction = false;
+      this->pending.clear();
+    }
     return "DONE -";
   }
   if (verb == "PREPARE") {
@@ -73,6 +89,11 @@
     return "DONE -";
   }
   if (verb == "BEGIN" || verb == "COMMIT" || verb == "ROLLBACK") {
+    if (verb == "COMMIT" && !this->failed) {
+      this->kept.insert(this->kept.end(), this->pending.begin(),
+                        this->pending.end());
+    }
+    this->pending.clear();
     this->in_transaction = verb == "BEGIN";
     this->failed = false;
     return "DONE d." + id;
@@ -90,6 +111,9 @@
 
 std::string LineMember::Run(LineRun run) {
   std::string answer = "DONE d." + run.id;
+  if (run.verb == "STORE") {
+    (run.in_transaction ? this->pending : this->kept).push_back(run.id);
+  }
   this->runs.push_back(std::move(run));
   return answer;
 }
