Waiting statements are sent in a step of their own, not while links close

Cause: CloseLink served waiting statements before it returned. A statement of another customer may need an idle connection's place, and closed one that CloseExcessLinks had on its list. It takes a member that has just answered busy: the timer for the end of that wait closes excess connections first. Ruled out: members leaving, and the change of the configuration itself, which mostly closes without a crash.

Change: closing a connection only notes that one was freed. GroupTraffic and Gateway send what waits at the end of an input (ServeFreed). A connection that is used after it was closed is an InternalError that names it. Statements of a client that has gone are ended also while others are being served, and a timed-out statement's connection is looked up again after its client was told.

Why it works: no loop that closes connections runs a statement any more, so what it lists stays.

--- a/src/lacewingferry/decisions/gateway/gateway.cc
+++ b/src/lacewingferry/decisions/gateway/gateway.cc
@@ -69,6 +69,12 @@
   }
   this->CloseSessionsNotOwned();
   this->AdmitPendingOpenings(now);
+  this->ServeFreed(now);
+}
+
+/** Ends an input: sends what waits for the connections that it freed. */
+void Gateway::ServeFreed(steady_clock::time_point now) {
+  for (const auto& item : this->groups) item.second->ServeFreed(now);
 }
 
 void Gateway::SetLease(const DatabaseId& database, std::uint64_t term,
@@ -94,6 +100,7 @@
   const SessionPtr session = found->second;
   if (session->running == nullptr) {
     this->Serve(now, session, statement);
+    this->ServeFreed(now);
     return;
   }
   if (session->queued.size() < kMaxQueued) {
@@ -319,6 +326,7 @@
   if (!has_work) return;
   this->limits.CancelClient(client);
   this->GroupFor(session->route.database).CancelClient(now, client);
+  this->ServeFreed(now);
 }
 
 void Gateway::OnLinkOpened(steady_clock::time_point now, LinkId link,
@@ -344,6 +352,7 @@
   this->EndWithdrawnSessions(now);
   this->ExpireIdleTransactions(now);
   this->RefuseExpiredOpenings(now);
+  this->ServeFreed(now);
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/gateway.h
+++ b/src/lacewingferry/decisions/gateway/gateway.h
@@ -161,6 +161,7 @@
   void RollBackIdleTransactions(std::chrono::steady_clock::time_point now,
                                 std::chrono::milliseconds max_idle);
   void ExpireIdleTransactions(std::chrono::steady_clock::time_point now);
+  void ServeFreed(std::chrono::steady_clock::time_point now);
   GroupTraffic& GroupFor(const DatabaseId& database);
   GroupTraffic* GroupOfLink(LinkId link);
 
--- a/src/lacewingferry/decisions/gateway/gateway_time.cc
+++ b/src/lacewingferry/decisions/gateway/gateway_time.cc
@@ -68,6 +68,7 @@
 void Gateway::EndTransactions(steady_clock::time_point now) {
   this->RollBackIdleTransactions(now, milliseconds(-1));
   this->relayed.EndTransactions();
+  this->ServeFreed(now);
 }
 
 void Gateway::OnRelayLost(const std::string& host, const NodeId& owner) {
--- a/src/lacewingferry/decisions/gateway/group_traffic.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <string>
 #include <utility>
 
+#include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/gateway/waiting_order.h"
 
 namespace lacewingferry {
@@ -354,7 +356,13 @@
 }
 
 MemberPool* GroupTraffic::PoolOf(LinkId link) {
-  return this->pools.at(this->member_of_link.at(link)).get();
+  const auto member = this->member_of_link.find(link);
+  if (member == this->member_of_link.end()) {
+    throw InternalError("connection " + std::to_string(link) + " of group " +
+                        this->database.Value() +
+                        " is used after it was closed");
+  }
+  return this->pools.at(member->second).get();
 }
 
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/gateway/group_traffic.h
+++ b/src/lacewingferry/decisions/gateway/group_traffic.h
@@ -104,6 +104,11 @@
   void OnReply(std::chrono::steady_clock::time_point now, LinkId link,
                const MemberReply& reply);
 
+  /** Sends waiting statements, if a connection was freed for them. Closing a
+   * connection sends none, since that may close others: this is a step of its
+   * own, for the end of an input. */
+  void ServeFreed(std::chrono::steady_clock::time_point now);
+
   /** Handles timeouts, connection management and waiting statements. */
   void OnTick(std::chrono::steady_clock::time_point now);
 
@@ -177,6 +182,8 @@
   void ReleaseOrCloseLink(std::chrono::steady_clock::time_point now,
                           LinkId link, bool clean);
   void RecordPrepared(LinkId link, const MemberRequest& request) const;
+  void HandleReply(std::chrono::steady_clock::time_point now, LinkId link,
+                   const MemberReply& reply);
   void OnResult(std::chrono::steady_clock::time_point now, LinkId link,
                 Flight flight, const MemberReply& reply);
   void OnRefusal(std::chrono::steady_clock::time_point now, MemberPool& pool,
@@ -194,6 +201,7 @@
             StatementError error, std::string text);
   void ReleaseLink(LinkId link);
   void CloseLink(std::chrono::steady_clock::time_point now, LinkId link);
+  void LoseLink(std::chrono::steady_clock::time_point now, LinkId link);
   void ServeWaiting(std::chrono::steady_clock::time_point now);
   std::chrono::steady_clock::time_point WaitDeadline(
       std::chrono::steady_clock::time_point now, const RunPtr& run) const;
@@ -238,6 +246,9 @@
   /** The newest term that a write was recorded in which control hadn't
    * confirmed. */
   std::uint64_t recorded_unconfirmed_term = 0;
+  /** Whether a connection was closed or became idle since statements were last
+   * served. */
+  bool link_freed = false;
   /** Whether ServeWaiting is running; guards against re-entry. */
   bool serving_waiting = false;
   std::optional<std::chrono::steady_clock::time_point> first_view;
--- a/src/lacewingferry/decisions/gateway/group_traffic_links.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_links.cc
@@ -93,10 +93,20 @@
   opened->phase = LinkPhase::kIdle;
   opened->last_used = now;
   pool->OnOpened();
-  this->ServeWaiting(now);
+  this->link_freed = true;
+  this->ServeFreed(now);
 }
 
 void GroupTraffic::OnLinkLost(steady_clock::time_point now, LinkId link) {
+  this->LoseLink(now, link);
+  this->ServeFreed(now);
+}
+
+/** Forgets a connection and ends or retries its statement. Sends no other
+ * statement: that may close further connections, also such as a caller is
+ * about to close. */
+void GroupTraffic::LoseLink(steady_clock::time_point now, LinkId link) {
+  this->link_freed = true;
   MemberPool* pool = this->PoolOf(link);
   const bool opening = pool->Find(link)->phase == LinkPhase::kOpening;
   pool->OnLost(now, opening);
@@ -115,7 +125,6 @@
     }
   }
   this->CheckRecallDone(now);
-  this->ServeWaiting(now);
 }
 
 /** Unpins a lost connection, whose transaction the member rolls back. If no
@@ -159,12 +168,13 @@
 void GroupTraffic::ReleaseLink(LinkId link) {
   MemberPool* pool = this->PoolOf(link);
   pool->Find(link)->phase = LinkPhase::kIdle;
+  this->link_freed = true;
 }
 
 /** Closes a connection and handles it as lost. */
 void GroupTraffic::CloseLink(steady_clock::time_point now, LinkId link) {
   this->hooks.close_link(link);
-  this->OnLinkLost(now, link);
+  this->LoseLink(now, link);
 }
 
 void GroupTraffic::EndTransaction(steady_clock::time_point now,
@@ -188,6 +198,9 @@
 }
 
 void GroupTraffic::CancelClient(steady_clock::time_point now, ClientId client) {
+  for (const RunPtr& run : this->waiting) {
+    if (run->client == client) run->ended = true;
+  }
   this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(),
                                      [client](const RunPtr& run) {
                                        return run->client == client;
--- a/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_replies.cc
@@ -26,6 +26,12 @@
 
 void GroupTraffic::OnReply(steady_clock::time_point now, LinkId link,
                            const MemberReply& reply) {
+  this->HandleReply(now, link, reply);
+  this->ServeFreed(now);
+}
+
+void GroupTraffic::HandleReply(steady_clock::time_point now, LinkId link,
+                               const MemberReply& reply) {
   const auto found = this->flights.find(link);
   if (found == this->flights.end() || found->second.expected.empty()) {
     this->CloseLink(now, link);
@@ -103,7 +109,6 @@
     // statement that has ended.
     if (run != nullptr) run->links.erase(link);
     this->ReleaseOrCloseLink(now, link, reply.state == TransactionState::kIdle);
-    this->ServeWaiting(now);
     return;
   }
   run->links.erase(link);
@@ -117,7 +122,6 @@
     this->OnSuccess(now, pool, link, flight, reply);
   }
   this->CheckRecallDone(now);
-  this->ServeWaiting(now);
 }
 
 void GroupTraffic::OnSuccess(steady_clock::time_point now, MemberPool& pool,
--- a/src/lacewingferry/decisions/gateway/group_traffic_time.cc
+++ b/src/lacewingferry/decisions/gateway/group_traffic_time.cc
@@ -20,6 +20,11 @@
 
 }  // namespace
 
+void GroupTraffic::ServeFreed(steady_clock::time_point now) {
+  if (this->serving_waiting) return;
+  while (std::exchange(this->link_freed, false)) this->ServeWaiting(now);
+}
+
 /** Tries to send each waiting statement; keeps the others in order. */
 void GroupTraffic::ServeWaiting(steady_clock::time_point now) {
   if (this->serving_waiting) return;
@@ -126,7 +131,8 @@
     this->Fail(now, run, StatementError::kTimeout,
                "the member didn't answer in time");
   }
-  this->CloseLink(now, link);
+  // Its client's next statement may have closed it meanwhile.
+  if (this->HasLink(link)) this->CloseLink(now, link);
 }
 
 /** Closes slow connection attempts and excess connections, opens needed ones,
