A commit whose result the database doesn't know is told as unknown

JobRun goes by the place of a batch's first failure, which holds, since a member of that kind runs nothing after it. But a COMMIT answered with SQLSTATE 40003 (statement_completion_unknown) or 08007 (transaction_resolution_unknown) was told as failed, and so as rolled back. Found by reading; seen in a test only.

Change: both codes are MemberErrorKind::kOutcomeUnknown; where a commit was sent, the caller is told that the outcome is unknown.

--- a/src/lacewingferry/adapters/libpq/member_sql.cc
+++ b/src/lacewingferry/adapters/libpq/member_sql.cc
@@ -25,6 +25,10 @@
 constexpr char kUniqueViolation[] = "23505";
 constexpr char kUndefinedTable[] = "42P01";
 constexpr char kReadOnlyTransaction[] = "25006";
+/** A commit whose result got lost, by the SQL standard's names:
+ * statement_completion_unknown and transaction_resolution_unknown. */
+constexpr char kCompletionUnknown[] = "40003";
+constexpr char kResolutionUnknown[] = "08007";
 
 /** The columns of a row of state. */
 enum StateColumn : std::size_t {
@@ -176,6 +180,9 @@
 MemberErrorKind ClassifyMemberError(MemberStatementKind kind,
                                     const std::string& sqlstate) {
   if (sqlstate == kReadOnlyTransaction) return MemberErrorKind::kNotPrimary;
+  if (sqlstate == kCompletionUnknown || sqlstate == kResolutionUnknown) {
+    return MemberErrorKind::kOutcomeUnknown;
+  }
   const bool claim = kind == MemberStatementKind::kClaimRecord;
   if (claim && sqlstate == kUniqueViolation) {
     return MemberErrorKind::kRecordTaken;
--- a/src/lacewingferry/core/member_statement.h
+++ b/src/lacewingferry/core/member_statement.h
@@ -100,6 +100,8 @@
   kRecordTaken,
   /** The table of identified requests doesn't exist yet. */
   kNoRecords,
+  /** The member itself doesn't know what became of it. */
+  kOutcomeUnknown,
 };
 
 /** The failure of a statement. */
--- a/src/lacewingferry/decisions/execution/job_run.cc
+++ b/src/lacewingferry/decisions/execution/job_run.cc
@@ -340,6 +340,11 @@
     return this->CleanUp(
         UnknownOutcome{"the member did not tell its state after the commit"});
   }
+  const bool unknown = result.error->kind == MemberErrorKind::kOutcomeUnknown;
+  if (unknown && this->CommitSent()) {
+    return this->CleanUp(
+        UnknownOutcome{"the member doesn't know the result of the commit"});
+  }
   if (result.error->kind == MemberErrorKind::kNotPrimary) {
     return this->CleanUp(
         NotRun{RefusalCode::kNoPrimary, result.error->message});
--- a/tests/correctness/member_sql_test.cc
+++ b/tests/correctness/member_sql_test.cc
@@ -138,6 +138,11 @@
                    MemberErrorKind::kRejected);
     CPPUNIT_ASSERT(ClassifyMemberError(caller, "25006") ==
                    MemberErrorKind::kNotPrimary);
+    const auto commit = MemberStatementKind::kCommit;
+    for (const char* code : {"40003", "08007"}) {
+      CPPUNIT_ASSERT(ClassifyMemberError(commit, code) ==
+                     MemberErrorKind::kOutcomeUnknown);
+    }
   }
 };
 
