A backend server that is announced keeps its database

Found by reading; seen in a test only.

Change: MembershipNode refuses an announcement that names another database or group than the member's known one, unless the member was found lost. The writer is told why, and announcement_rejected logs it, as for wrong fields.

--- a/src/lacewingferry/decisions/membership/announcement_check.cc
+++ b/src/lacewingferry/decisions/membership/announcement_check.cc
@@ -52,4 +52,16 @@
   throw UserError("announcement rejected: " + problems);
 }
 
+void CheckSameDatabase(const MemberAnnouncement& known,
+                       const MemberAnnouncement& offered) {
+  const MemberInfo& held = known.info;
+  const MemberInfo& info = offered.info;
+  if (held.database == info.database && held.group == info.group) return;
+  throw UserError("announcement rejected: member '" + info.id.Value() +
+                  "' is announced for database '" + info.database.Value() +
+                  "' of group '" + info.group.Value() +
+                  "' while it serves database '" + held.database.Value() +
+                  "' of group '" + held.group.Value() + "'");
+}
+
 }  // namespace lacewingferry
--- a/src/lacewingferry/decisions/membership/membership_node.cc
+++ b/src/lacewingferry/decisions/membership/membership_node.cc
@@ -78,6 +78,7 @@
   bool changes = true;
   if (known != nullptr) {
     const auto& held = std::get<MemberAnnouncement>(known->subject);
+    if (!known->gone) CheckSameDatabase(held, announcement);
     changes = known->gone || ChangesState(held, announcement);
     const bool older = !(known->Version() < offered.Version());
     if (older && !this->settings.faults.accept_older) return false;
