--- a/tests/correctness/control_api_test.cc
+++ b/tests/correctness/control_api_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lacewingferry::platform {
 namespace {
@@ -23,18 +24,23 @@
   return api;
 }
 
-HttpResponse Beat(bool knows,
-                  const std::string& path = "/instances/i-7f3a/heartbeat") {
+constexpr char kBeatPath[] = "/instances/i-7f3a/heartbeat";
+
+HttpResponse BeatAt(FleetApiPort api, const std::string& path = kBeatPath) {
   HttpRequest request;
   request.method = "POST";
   request.path = path;
   request.body = kBody;
   std::optional<HttpResponse> response;
-  MakeControlApi(Follower(knows), kListen)(
+  MakeControlApi(std::move(api), kListen)(
       request, [&](HttpResponse answer) { response = std::move(answer); });
   return *response;
 }
 
+HttpResponse Beat(bool knows, const std::string& path = kBeatPath) {
+  return BeatAt(Follower(knows), path);
+}
+
 // Each announcement of each member went to the leader of control, over a
 // connection of its own and mostly by a redirect: 350 a second at 420 members.
 class ControlApiTest : public CppUnit::TestFixture {
@@ -42,6 +48,7 @@
   CPPUNIT_TEST(AnyProcessAcknowledgesWhatIsKnown);
   CPPUNIT_TEST(NewsGoesToTheLeader);
   CPPUNIT_TEST(PathOfNoMemberNamesNone);
+  CPPUNIT_TEST(EachVerdictHasItsStatus);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -71,6 +78,22 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 404, Beat(true, path).status);
     }
   }
+
+  // A member moves on to another process after 503 and repeats its call.
+  void EachVerdictHasItsStatus() {
+    const std::pair<FleetApiResult, int> kStatuses[] = {
+        {FleetApiResult::kDone, 200},
+        {FleetApiResult::kOutdated, 400},
+        {FleetApiResult::kRefused, 400},
+        {FleetApiResult::kUnknown, 503}};
+    for (const auto& [verdict, status] : kStatuses) {
+      FleetApiPort api = Follower(false);
+      api.leader = [] { return FleetLeader{true, {}}; };
+      api.announce = [result = verdict](const MemberAnnouncement&,
+                                        const auto& done) { done(result); };
+      CPPUNIT_ASSERT_EQUAL(status, BeatAt(std::move(api)).status);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlApiTest);
--- a/tests/error/platform_documents_test.cc
+++ b/tests/error/platform_documents_test.cc
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(NumbersBeyondTheirRangeNameNobody);
   CPPUNIT_TEST(NamesThatBreakOtherMessagesNameNobody);
   CPPUNIT_TEST(NestedAnnouncementsAreRead);
+  CPPUNIT_TEST(FarewellsSayTheirRunIfAny);
   CPPUNIT_TEST(LongTimesOfAConfigurationStayInRange);
   CPPUNIT_TEST(ReadsCustomers);
   CPPUNIT_TEST(InvalidCustomersAreRefused);
@@ -248,6 +249,22 @@
     }
   }
 
+  // A farewell that can't be read ends nobody's run; one without a run, as the
+  // platform's page shows it, ends the known one.
+  void FarewellsSayTheirRunIfAny() {
+    const MemberId id("i-7f");
+    CPPUNIT_ASSERT(!DecodeFarewell(id, "").incarnation);
+    CPPUNIT_ASSERT(!DecodeFarewell(id, "{}").incarnation);
+    CPPUNIT_ASSERT(
+        DecodeFarewell(id, R"({"born":1700000000000})").incarnation ==
+        1700000000000);
+    for (const char* odd :
+         {"{", "[]", "1", R"({"born":"1"})", R"({"born":-1})",
+          R"({"born":1.5})", R"({"born":18446744073709551616})", "\x80"}) {
+      CPPUNIT_ASSERT_THROW(DecodeFarewell(id, odd), FindingsError);
+    }
+  }
+
   void NestedAnnouncementsAreRead() {
     constexpr std::size_t kDepth = 100'000;
     const std::string nested =
