--- a/src/lacewingferry/decisions/roster/ended_runs.h
+++ b/src/lacewingferry/decisions/roster/ended_runs.h
@@ -17,8 +17,9 @@
 struct EndedRun {
   MemberRun run;
   Endpoint endpoint;
-  /** Whether a later run took its address or its ID. Otherwise the member said
-   * farewell, and may still acknowledge commits until its process ends. */
+  /** Whether an entry for a later run took its address or its ID. Otherwise the
+   * member said farewell. Either way it may still acknowledge commits until its
+   * process ends. */
   bool displaced = false;
 
   template <typename Self, typename Visitor>
--- a/src/lacewingferry/decisions/switchover/roster_admission.cc
+++ b/src/lacewingferry/decisions/switchover/roster_admission.cc
@@ -2,9 +2,9 @@
 
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "lacewingferry/core/endpoint_text.h"
+#include "lacewingferry/decisions/roster/member_run_text.h"
 
 namespace lacewingferry {
 namespace {
@@ -17,15 +17,6 @@
 constexpr std::uint64_t kToldInPeriod = 20;
 constexpr seconds kPeriod{10};
 
-std::string RunsText(const std::vector<MemberRun>& runs) {
-  std::string text;
-  for (const MemberRun& run : runs) {
-    if (!text.empty()) text += " ";
-    text += run.member.Value() + "@" + std::to_string(run.incarnation);
-  }
-  return text;
-}
-
 AnnouncementResult ResultOf(EntryVerdict verdict) {
   switch (verdict) {
     case EntryVerdict::kAccepted:
@@ -72,7 +63,7 @@
              {"leaving", info.leaving ? "yes" : "no"},
              {"sequence", std::to_string(announcement.sequence)},
              {"incarnation", std::to_string(announcement.incarnation)},
-             {"ends", RunsText(decision.ends)}}});
+             {"ends", FormatRuns(decision.ends)}}});
   this->Propose(RosterCommand{EnterMember{announcement}}, std::move(done));
 }
 
@@ -88,12 +79,13 @@
   if (run < known->incarnation) {
     // The run that says so is off the roster already.
     this->RecordRejection(
-        now, Event{EventCode::kAnnouncementRejected,
-                   EventLevel::kWarning,
-                   {{"member", member.Value()},
-                    {"incarnation", std::to_string(run)},
-                    {"reason", "a farewell of an earlier run of the member"},
-                    {"would_end", RunsText({{member, known->incarnation}})}}});
+        now,
+        Event{EventCode::kAnnouncementRejected,
+              EventLevel::kWarning,
+              {{"member", member.Value()},
+               {"incarnation", std::to_string(run)},
+               {"reason", "a farewell of an earlier run of the member"},
+               {"would_end", FormatRuns({{member, known->incarnation}})}}});
     done(AnnouncementResult::kAccepted);
     return;
   }
@@ -117,7 +109,7 @@
                   {"address", FormatEndpoint(info.endpoint)},
                   {"incarnation", std::to_string(announcement.incarnation)},
                   {"reason", decision.reason},
-                  {"would_end", RunsText(decision.ends)}}});
+                  {"would_end", FormatRuns(decision.ends)}}});
 }
 
 /** Counts a rejection, and tells it unless many were told lately. */
--- a/src/lacewingferry/decisions/switchover/successor_record.cc
+++ b/src/lacewingferry/decisions/switchover/successor_record.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "lacewingferry/decisions/roster/member_run_text.h"
+
 namespace lacewingferry {
 namespace {
 
@@ -10,10 +12,6 @@
   return std::to_string(position.term) + "." + std::to_string(position.offset);
 }
 
-std::string TextOf(const MemberRun& run) {
-  return run.member.Value() + "@" + std::to_string(run.incarnation);
-}
-
 void Append(std::string* list, const std::string& item) {
   if (!list->empty()) *list += " ";
   *list += item;
@@ -21,7 +19,7 @@
 
 /** id@run=position, then its role and what proves the run. */
 std::string TextOf(const SuccessorAnswer& answer) {
-  std::string text = TextOf(answer.run) + "=" + TextOf(answer.received);
+  std::string text = FormatRun(answer.run) + "=" + TextOf(answer.received);
   if (answer.primary) text += ":primary." + std::to_string(answer.term);
   if (answer.led) text += ":led";
   return text + ":" + (answer.proof ? answer.proof->source : "unproved");
@@ -41,12 +39,6 @@
   return text;
 }
 
-std::string RunsText(const std::vector<MemberRun>& runs) {
-  std::string text;
-  for (const MemberRun& run : runs) Append(&text, TextOf(run));
-  return text;
-}
-
 std::string ProofsText(const SuccessorChoiceInput& input) {
   std::string text;
   for (const CommitProof& proof : ProofsOf(input)) {
@@ -78,7 +70,7 @@
 std::string DescribeDecision(const SuccessorChoiceInput& input,
                              const std::optional<SuccessorAnswer>& chosen) {
   return OutcomeText(input, chosen) + "|" + AnsweredText(input) + "|" +
-         MissingText(input) + "|" + RunsText(input.ended);
+         MissingText(input) + "|" + FormatRuns(input.ended);
 }
 
 Event MakeSuccessorRecord(const SuccessorDecision& decision) {
@@ -91,7 +83,7 @@
                 {"leading_term", std::to_string(input.leading_term)},
                 {"answered", AnsweredText(input)},
                 {"missing", MissingText(input)},
-                {"ended", RunsText(input.ended)},
+                {"ended", FormatRuns(input.ended)},
                 {"floor", TextOf(input.floor)},
                 {"acknowledged", TextOf(input.acknowledged)},
                 {"reports", std::to_string(decision.reports)},
@@ -106,7 +98,7 @@
                EventLevel::kInfo,
                {{"database", cover.database.Value()},
                 {"term", std::to_string(cover.term)},
-                {"ended", RunsText(cover.runs)},
+                {"ended", FormatRuns(cover.runs)},
                 {"floor", TextOf(cover.position)}}};
 }
 
--- a/tests/correctness/control_api_test.cc
+++ b/tests/correctness/control_api_test.cc
@@ -81,12 +81,12 @@
 
   // A member moves on to another process after 503 and repeats its call.
   void EachVerdictHasItsStatus() {
-    const std::pair<FleetApiResult, int> kStatuses[] = {
+    const std::pair<FleetApiResult, int> statuses[] = {
         {FleetApiResult::kDone, 200},
         {FleetApiResult::kOutdated, 400},
         {FleetApiResult::kRefused, 400},
         {FleetApiResult::kUnknown, 503}};
-    for (const auto& [verdict, status] : kStatuses) {
+    for (const auto& [verdict, status] : statuses) {
       FleetApiPort api = Follower(false);
       api.leader = [] { return FleetLeader{true, {}}; };
       api.announce = [result = verdict](const MemberAnnouncement&,
