--- a/bench/model/switchover_fleet.h
+++ b/bench/model/switchover_fleet.h
@@ -19,6 +19,10 @@
 
 /** The time of a message between two processes. */
 constexpr std::chrono::milliseconds kSwitchoverWay{20};
+/** The time until the control log applies a command. */
+constexpr std::chrono::milliseconds kSwitchoverCommitTime{30};
+/** The group of the model. */
+inline const DatabaseId kSwitchoverDatabase{"db"};
 
 /** A member as control can see and command it. */
 struct SwitchoverMember {
--- a/src/lacewingferry/app/fleet_control_program.cc
+++ b/src/lacewingferry/app/fleet_control_program.cc
@@ -130,8 +130,8 @@
       {"ferry_promotion_calls_unknown", "",
        number(promotions.Ended(PromotionResult::kUnknown))},
       {"ferry_unchosen_primaries", "", number(promotions.unchosen_primaries)},
-      {"ferry_announcements_refused", "",
-       number(this->fleet->RefusedEntries())},
+      {"ferry_announcements_rejected", "",
+       number(this->fleet->RejectedAnnouncements())},
       {"ferry_members", "", number(state.CurrentRoster().Members().size())},
       {"ferry_proxies", "", number(this->fleet->ProxyCount(now))}};
   this->fleet->AddPermitGauges(now, &gauges);
--- a/src/lacewingferry/decisions/switchover/entry_check.cc
+++ b/src/lacewingferry/decisions/switchover/entry_check.cc
@@ -12,16 +12,16 @@
          a.info.endpoint == b.info.endpoint;
 }
 
-/** The runs that the entry would end whatever its own run is. */
-std::vector<MemberRun> RunsInItsPlace(const Roster& roster,
-                                      const MemberAnnouncement& entry) {
-  std::vector<MemberRun> runs;
+/** The runs on the roster that have the ID or the address of an entry. */
+std::vector<MemberRun> HoldersOfItsPlace(const Roster& roster,
+                                         const MemberAnnouncement& entry) {
+  std::vector<MemberRun> holders;
   for (const auto& [id, known] : roster.Members()) {
-    const bool same_place =
+    const bool holds =
         id == entry.info.id || known.info.endpoint == entry.info.endpoint;
-    if (same_place) runs.push_back({id, known.incarnation});
+    if (holds) holders.push_back({id, known.incarnation});
   }
-  return runs;
+  return holders;
 }
 
 }  // namespace
@@ -35,7 +35,8 @@
   // Also a member of a service that was withdrawn may say that it leaves.
   if (same_run && IsSamePlace(*known, announcement)) return {};
   const auto reject = [&](EntryVerdict verdict, const char* reason) {
-    return EntryDecision{verdict, reason, RunsInItsPlace(roster, announcement)};
+    return EntryDecision{
+        verdict, reason, {}, HoldersOfItsPlace(roster, announcement)};
   };
   if (configuration.version == 0) {
     return reject(EntryVerdict::kTooEarly, "no configuration is in force yet");
--- a/src/lacewingferry/decisions/switchover/entry_check.h
+++ b/src/lacewingferry/decisions/switchover/entry_check.h
@@ -27,8 +27,11 @@
   EntryVerdict verdict = EntryVerdict::kAccepted;
   /** Why it isn't accepted. */
   const char* reason = "";
-  /** The runs on the roster that it ends, or would have ended. */
+  /** The runs on the roster that it ends; none unless it is accepted. */
   std::vector<MemberRun> ends;
+  /** The runs on the roster that have its ID or its address; none if it is
+   * accepted. */
+  std::vector<MemberRun> holders;
 };
 
 /**
--- a/src/lacewingferry/decisions/switchover/fleet_control.h
+++ b/src/lacewingferry/decisions/switchover/fleet_control.h
@@ -123,8 +123,8 @@
 
   /** How many announcements and farewells were not accepted since the process
    * started. */
-  std::uint64_t RefusedEntries() const {
-    return this->admission.RefusedCount();
+  std::uint64_t RejectedAnnouncements() const {
+    return this->admission.RejectedCount();
   }
 
   /** What became of promotions since the process started. */
--- a/src/lacewingferry/decisions/switchover/group_manager.cc
+++ b/src/lacewingferry/decisions/switchover/group_manager.cc
@@ -16,6 +16,7 @@
     : context(shared),
       database(std::move(database_id)),
       calls(std::make_shared<PromotionCalls>(shared, this->database, now)),
+      ended_run_watch(std::make_shared<EndedRunWatch>(shared, this->database)),
       created_at(now),
       next_poll(now) {}
 
@@ -163,7 +164,10 @@
 
 void GroupManager::Monitor(steady_clock::time_point now,
                            const DatabaseTerm& entry) {
-  this->WatchEndedRuns(now);
+  if (this->context.ended_runs.Of(this->database).runs.empty()) {
+    this->evidence->ForgetCovered();
+  }
+  this->ended_run_watch->OnTick(now);
   this->AskPrimary(entry);
   this->AskReplicas(now, entry);
   this->ReplaceIfNeeded(now, entry);
@@ -279,54 +283,6 @@
   this->CoverEndedRunsWith(covering, entry);
 }
 
-void GroupManager::WatchEndedRuns(steady_clock::time_point now) {
-  const std::vector<EndedRun>& runs =
-      this->context.ended_runs.Of(this->database).runs;
-  if (runs.empty()) {
-    this->over_since.clear();
-    this->evidence->ForgetCovered();
-  }
-  for (const EndedRun& ended : runs) {
-    if (this->over_since.count(ended.run) > 0) continue;
-    if (this->BeganAnew(ended.run)) {
-      this->over_since[ended.run] = now;
-    } else {
-      this->ProbeEndedRun(ended);
-    }
-  }
-}
-
-/** Whether a later run of the same member is on the roster, so that the member
- * itself says that this one is over. */
-bool GroupManager::BeganAnew(const MemberRun& run) const {
-  const MemberAnnouncement* known = this->context.roster.Find(run.member);
-  return known != nullptr && known->info.database == this->database &&
-         known->incarnation > run.incarnation;
-}
-
-/** A member that said farewell ends a moment later, and one whose address
- * another has taken may run on if that entry was wrong. Until a run doesn't
- * answer any more, it may acknowledge commits. Where a run was displaced,
- * silence says nothing: it may be cut off from control alone. */
-void GroupManager::ProbeEndedRun(const EndedRun& ended) {
-  if (!this->awaiting_answer.insert(ended.run.member).second) return;
-  const std::weak_ptr<GroupManager> weak = this->weak_from_this();
-  this->context.hooks.admin.ask(
-      LinkTarget{this->database, ended.run.member, ended.endpoint},
-      AdminRequest(MemberRequestKind::kStatus),
-      this->context.settings.answer_timeout,
-      [weak, ended](const AdminAnswer& answer) {
-        const auto manager = weak.lock();
-        if (!manager) return;
-        manager->awaiting_answer.erase(ended.run.member);
-        const bool gone =
-            answer.response == MemberResponse::kRefused ||
-            (answer.response == MemberResponse::kSilent && !ended.displaced);
-        if (!gone) return;
-        manager->over_since[ended.run] = manager->context.hooks.now();
-      });
-}
-
 /** Has the control log remember that a position of the primary, read after runs
  * had ended, covers what they acknowledged. The first position of a group
  * covers those that ended before control knew it. */
@@ -337,13 +293,11 @@
   const LogPosition none;
   const bool first =
       known.floor == none && entry.start == none && covering.position != none;
-  CoverEndedRuns cover{this->database, entry.term, {}, covering.position};
-  for (const EndedRun& ended : known.runs) {
-    const auto over = this->over_since.find(ended.run);
-    if (over == this->over_since.end() || over->second > covering.asked_at)
-      continue;
-    this->evidence->OnCovered(ended.run, covering.position);
-    cover.runs.push_back(ended.run);
+  const CoverEndedRuns cover{this->database, entry.term,
+                             this->ended_run_watch->OverAt(covering.asked_at),
+                             covering.position};
+  for (const MemberRun& run : cover.runs) {
+    this->evidence->OnCovered(run, covering.position);
   }
   const steady_clock::time_point now = this->context.hooks.now();
   if ((cover.runs.empty() && !first) || now < this->next_cover) return;
--- a/src/lacewingferry/decisions/switchover/group_manager.h
+++ b/src/lacewingferry/decisions/switchover/group_manager.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "lacewingferry/decisions/switchover/ended_run_watch.h"
 #include "lacewingferry/decisions/switchover/primary_failure_detector.h"
 #include "lacewingferry/decisions/switchover/run_evidence.h"
 #include "lacewingferry/decisions/switchover/switchover_context.h"
@@ -75,10 +76,6 @@
   void TakePrimaryPosition(std::chrono::steady_clock::time_point asked_at,
                            const DatabaseTerm& entry,
                            const AdminAnswer& answer);
-  /** Finds out which of the ended runs are over. */
-  void WatchEndedRuns(std::chrono::steady_clock::time_point now);
-  bool BeganAnew(const MemberRun& run) const;
-  void ProbeEndedRun(const EndedRun& ended);
   void CoverEndedRunsWith(const PrimarySample& covering,
                           const DatabaseTerm& entry);
   void ReplaceIfNeeded(std::chrono::steady_clock::time_point now,
@@ -101,8 +98,7 @@
   std::shared_ptr<PromotionCalls> calls;
   /** The members and terms that were recorded as not chosen. */
   std::set<std::pair<MemberId, std::uint64_t>> unchosen;
-  /** From when on each ended run is known to acknowledge nothing more. */
-  std::map<MemberRun, std::chrono::steady_clock::time_point> over_since;
+  std::shared_ptr<EndedRunWatch> ended_run_watch;
   std::shared_ptr<SwitchoverProcedure> procedure;
   std::uint64_t procedure_term = 0;
   std::uint64_t watched_term = 0;
--- a/src/lacewingferry/decisions/switchover/roster_admission.cc
+++ b/src/lacewingferry/decisions/switchover/roster_admission.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "lacewingferry/core/endpoint_text.h"
+#include "lacewingferry/core/errors.h"
 #include "lacewingferry/decisions/roster/member_run_text.h"
 
 namespace lacewingferry {
@@ -28,7 +29,7 @@
     case EntryVerdict::kTooEarly:
       return AnnouncementResult::kUnknown;
   }
-  return AnnouncementResult::kUnknown;
+  throw InternalError("EntryVerdict value without a result");
 }
 
 }  // namespace
@@ -79,13 +80,12 @@
   if (run < known->incarnation) {
     // The run that says so is off the roster already.
     this->RecordRejection(
-        now,
-        Event{EventCode::kAnnouncementRejected,
-              EventLevel::kWarning,
-              {{"member", member.Value()},
-               {"incarnation", std::to_string(run)},
-               {"reason", "a farewell of an earlier run of the member"},
-               {"would_end", FormatRuns({{member, known->incarnation}})}}});
+        now, Event{EventCode::kAnnouncementRejected,
+                   EventLevel::kWarning,
+                   {{"member", member.Value()},
+                    {"incarnation", std::to_string(run)},
+                    {"reason", "a farewell of an earlier run of the member"},
+                    {"holders", FormatRuns({{member, known->incarnation}})}}});
     done(AnnouncementResult::kAccepted);
     return;
   }
@@ -109,13 +109,13 @@
                   {"address", FormatEndpoint(info.endpoint)},
                   {"incarnation", std::to_string(announcement.incarnation)},
                   {"reason", decision.reason},
-                  {"would_end", FormatRuns(decision.ends)}}});
+                  {"holders", FormatRuns(decision.holders)}}});
 }
 
 /** Counts a rejection, and tells it unless many were told lately. */
 void RosterAdmission::RecordRejection(steady_clock::time_point now,
                                       Event event) {
-  ++this->refused;
+  ++this->rejected;
   if (now - this->period_start >= kPeriod) {
     this->period_start = now;
     this->told_in_period = 0;
--- a/src/lacewingferry/decisions/switchover/roster_admission.h
+++ b/src/lacewingferry/decisions/switchover/roster_admission.h
@@ -39,7 +39,7 @@
   EventPort events;
 };
 
-/** Proposes what changes the roster, and tells and counts what is refused. */
+/** Proposes what changes the roster, and tells and counts what is rejected. */
 class RosterAdmission {
  public:
   using Done = std::function<void(AnnouncementResult)>;
@@ -56,7 +56,7 @@
 
   /** How many announcements and farewells were not accepted since the process
    * started. */
-  std::uint64_t RefusedCount() const { return this->refused; }
+  std::uint64_t RejectedCount() const { return this->rejected; }
 
  private:
   void Reject(std::chrono::steady_clock::time_point now,
@@ -67,10 +67,11 @@
 
   const Roster& roster;
   RosterAdmissionHooks hooks;
-  std::uint64_t refused = 0;
+  std::uint64_t rejected = 0;
   /** The period in which rejections are told, and how many were. */
   std::chrono::steady_clock::time_point period_start;
   std::uint64_t told_in_period = 0;
+  /** Rejections since the last one that was told. */
   std::uint64_t untold = 0;
 };
 
--- a/tests/correctness/roster_test.cc
+++ b/tests/correctness/roster_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(LeavingIsAChange);
   CPPUNIT_TEST(KeepsTheHighestConfigurationVersion);
   CPPUNIT_TEST(SnapshotRestoresTheWholeState);
+  CPPUNIT_TEST(LogOfAnEarlierReleaseGivesTheSameRoster);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -96,6 +97,30 @@
     CPPUNIT_ASSERT(copy.CurrentRoster().Find(MemberId("a")) != nullptr);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, copy.LastIndex());
   }
+
+  // Earlier releases wrote entries that are refused before the log now.
+  // Replicas of both releases apply them alike: whoever has the address or the
+  // ID goes.
+  void LogOfAnEarlierReleaseGivesTheSameRoster() {
+    MemberAnnouncement at_its_address = Announcement("x", "h1", 9, 1);
+    at_its_address.info.database = DatabaseId("unknown");
+    MemberAnnouncement under_its_id = Announcement("b", "h3", 9, 1);
+    under_its_id.info.database = DatabaseId("unknown");
+    ControlState state;
+    std::uint64_t index = 0;
+    for (const MemberAnnouncement& entry :
+         {Announcement("a", "h1", 5, 1), Announcement("b", "h2", 5, 1),
+          at_its_address, under_its_id, Announcement("a", "h1", 5, 2)}) {
+      state.Apply(ControlCommand{Enter(entry)}, ++index);
+    }
+    state.Apply(ControlCommand{RosterCommand{LeaveMember{MemberId("x"), 9}}},
+                ++index);
+    const Roster& roster = state.CurrentRoster();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), roster.Members().size());
+    const MemberAnnouncement* held = roster.Find(MemberId("b"));
+    CPPUNIT_ASSERT(held->info.database == DatabaseId("unknown"));
+    CPPUNIT_ASSERT(held->info.endpoint == (Endpoint{"h3", 5000}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
